--- /dev/null
+++ b/crates/sycamore-bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Development tool: stand-ins, emulated upstreams, load and measurements.
--- /dev/null
+++ b/crates/sycamore-bench/src/main.rs
@@ -0,0 +1,2 @@
+//! Development tool.
+fn main() {}
--- /dev/null
+++ b/crates/sycamore-call/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions on calls: routing, admission, retries, idempotency and quarantine.
--- /dev/null
+++ b/crates/sycamore-cli/src/main.rs
@@ -0,0 +1,2 @@
+//! The operators' command line.
+fn main() {}
--- /dev/null
+++ b/crates/sycamore-config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Configuration: manifests of hashed resources, their checks and the apply machine.
--- /dev/null
+++ b/crates/sycamore-member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership among nodes: failure detection, dissemination and spread facts.
--- /dev/null
+++ b/crates/sycamore-moves/src/lib.rs
@@ -0,0 +1,1 @@
+//! Release moves: sheet, plan, ramp, evidence, verdict and report.
--- /dev/null
+++ b/crates/sycamore-node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The node daemon: sockets, clocks and tasks around the decision crates.
--- /dev/null
+++ b/crates/sycamore-node/src/main.rs
@@ -0,0 +1,2 @@
+//! The node daemon.
+fn main() {}
--- /dev/null
+++ b/crates/sycamore-peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between nodes and their transport: tonic over monoio.
--- /dev/null
+++ b/crates/sycamore-platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's transactional table and object store.
--- /dev/null
+++ b/crates/sycamore-settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Node settings: read from INI, checked as a whole, with every fault named.
--- /dev/null
+++ b/crates/sycamore-types/src/headers.rs
@@ -0,0 +1,31 @@
+//! Header names that nodes, callers and upstreams use. Names under [`INTERNAL_PREFIX`] are only
+//! used among nodes and stripped from what callers and upstreams send.
+
+/// Prefix of the headers that only nodes may set.
+pub const INTERNAL_PREFIX: &str = "x-shift-";
+
+/// On answers: `not-run` where the request certainly did not run, `unknown` where it may have.
+pub const OUTCOME: &str = "shift-outcome";
+/// On refusals: the reason, one word.
+pub const REASON: &str = "shift-reason";
+/// On requests: the time left for the call, in milliseconds.
+pub const TIMEOUT_MS: &str = "shift-timeout-ms";
+/// On requests: makes repeats of a non-idempotent request safe.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// On requests: `critical`, `normal` or `sheddable`.
+pub const CRITICALITY: &str = "shift-criticality";
+/// On requests: the name of the caller, for fairness and evidence.
+pub const CALLER: &str = "shift-caller";
+
+/// Among nodes: the call's identifier.
+pub const CALL_ID: &str = "x-shift-call";
+/// Among nodes, and towards an upstream that calls on: nodes that the call has passed.
+pub const HOPS: &str = "x-shift-hops";
+/// Among nodes: the attempt's number within the call, from 1.
+pub const ATTEMPT: &str = "x-shift-attempt";
+/// Among nodes: the service meant, the route and the version chosen.
+pub const ROUTE: &str = "x-shift-route";
+/// Among nodes, on answers: load of the upstream, `in-flight/limit/queued`.
+pub const LOAD: &str = "x-shift-load";
+/// Among nodes: the deployment's name.
+pub const DEPLOYMENT: &str = "x-shift-deployment";
--- /dev/null
+++ b/crates/sycamore-types/src/id.rs
@@ -0,0 +1,211 @@
+//! Identifiers: checked, cheap to clone, ordered, and written as plain strings.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::sync::Arc;
+
+/// Longest accepted identifier, in bytes.
+pub const MAX_ID_BYTES: usize = 64;
+
+/// Why a string is no identifier.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum IdError {
+    /// The string is empty.
+    Empty,
+    /// The string is longer than [`MAX_ID_BYTES`]; holds its length in bytes.
+    TooLong(usize),
+    /// The string holds a character other than ASCII letters, digits, `-`, `_`, `.` and `:`.
+    BadCharacter(char),
+}
+
+impl fmt::Display for IdError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            IdError::Empty => write!(f, "identifier is empty"),
+            IdError::TooLong(len) => {
+                write!(f, "identifier has {len} bytes, at most {MAX_ID_BYTES} are allowed")
+            }
+            IdError::BadCharacter(c) => write!(
+                f,
+                "identifier holds {c:?}; only ASCII letters, digits, '-', '_', '.' and ':' are allowed"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for IdError {}
+
+fn check(id: &str) -> Result<(), IdError> {
+    if id.is_empty() {
+        return Err(IdError::Empty);
+    }
+    if id.len() > MAX_ID_BYTES {
+        return Err(IdError::TooLong(id.len()));
+    }
+    match id.chars().find(|c| !(c.is_ascii_alphanumeric() || "-_.:".contains(*c))) {
+        Some(c) => Err(IdError::BadCharacter(c)),
+        None => Ok(()),
+    }
+}
+
+macro_rules! string_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Checks `id` and wraps it.
+            ///
+            /// # Errors
+            /// [`IdError`] where `id` is empty, too long or holds a character that is not allowed.
+            pub fn new(id: impl AsRef<str>) -> Result<Self, IdError> {
+                check(id.as_ref())?;
+                Ok(Self(Arc::from(id.as_ref())))
+            }
+
+            /// The identifier as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = IdError;
+
+            fn try_from(id: String) -> Result<Self, IdError> {
+                Self::new(id)
+            }
+        }
+
+        impl std::str::FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(id: &str) -> Result<Self, IdError> {
+                Self::new(id)
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(id: $name) -> String {
+                id.0.as_ref().to_owned()
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+string_id! {
+    /// Name of a deployment; nodes refuse peers of another one.
+    Deployment
+}
+string_id! {
+    /// Name of an instance: one upstream and the node beside it.
+    InstanceId
+}
+string_id! {
+    /// Name of a service, which several upstreams serve.
+    ServiceName
+}
+string_id! {
+    /// Version of a service's upstream software, such as `4.2.0`.
+    UpstreamVersion
+}
+string_id! {
+    /// Name of a route within the configuration.
+    RouteName
+}
+string_id! {
+    /// Name of a data centre.
+    DataCentre
+}
+string_id! {
+    /// Name of a region: a group of data centres.
+    Region
+}
+string_id! {
+    /// Identifier of a release plan.
+    PlanId
+}
+string_id! {
+    /// Identifier of a move within a plan.
+    MoveId
+}
+string_id! {
+    /// Name of an operator, as recorded with what they changed.
+    OperatorName
+}
+
+macro_rules! number_id {
+    ($(#[$doc:meta])* $name:ident($inner:ty), $width:literal) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub $inner);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, concat!("{:0", $width, "x}"), self.0)
+            }
+        }
+
+        impl std::str::FromStr for $name {
+            type Err = std::num::ParseIntError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                <$inner>::from_str_radix(text, 16).map(Self)
+            }
+        }
+
+        impl Serialize for $name {
+            fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                serializer.collect_str(self)
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                let text = std::borrow::Cow::<'de, str>::deserialize(deserializer)?;
+                text.parse().map_err(serde::de::Error::custom)
+            }
+        }
+    };
+}
+
+number_id! {
+    /// Identifier of one operation on the platform's table; a retry carries the same one.
+    OpId(u128), "32"
+}
+number_id! {
+    /// Identifier of one call, the same through all of its attempts.
+    CallId(u128), "32"
+}
+number_id! {
+    /// Hash of what identifies a request across its repeats: route, method, path and body prefix.
+    Fingerprint(u64), "16"
+}
+
+/// Number of a configuration; a higher one replaces a lower one.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct ConfigVersion(pub u64);
+
+impl fmt::Display for ConfigVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl ConfigVersion {
+    /// The version after this one.
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
--- /dev/null
+++ b/crates/sycamore-types/src/lib.rs
@@ -0,0 +1,15 @@
+//! Identifiers, units, resources and messages shared by all crates; no I/O.
+
+pub mod event;
+pub mod fact;
+pub mod hash;
+pub mod headers;
+pub mod id;
+pub mod member;
+pub mod outcome;
+pub mod prelude;
+pub mod resource;
+pub mod share;
+pub mod snapshot;
+pub mod stamp;
+pub mod time;
--- /dev/null
+++ b/crates/sycamore-types/src/prelude.rs
@@ -0,0 +1,13 @@
+//! The common types, for one import.
+
+pub use crate::event::{Event, EventKind};
+pub use crate::fact::{Fact, FactKey};
+pub use crate::hash::ContentHash;
+pub use crate::id::*;
+pub use crate::member::{Endpoints, Incarnation, Member, MemberState, MemberView};
+pub use crate::outcome::{CallOutcome, OutcomeKind, RefusalReason};
+pub use crate::resource::{ConfigHead, Limits, Resource, RetryPolicy, Route, Service};
+pub use crate::share::{Share, ShareTable, VersionShare};
+pub use crate::snapshot::Snapshot;
+pub use crate::stamp::Stamp;
+pub use crate::time::{Time, WallTime};
--- /dev/null
+++ b/crates/sycamore-types/src/time.rs
@@ -0,0 +1,61 @@
+//! Points in time.
+
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// A point on a node's monotonic clock, in microseconds since the process started.
+///
+/// Only comparable within one process. Decision crates are given it and never read a clock.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Time(pub u64);
+
+impl Time {
+    /// The point `millis` milliseconds after the start.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// The point `secs` seconds after the start.
+    pub const fn from_secs(secs: u64) -> Self {
+        Self(secs * 1_000_000)
+    }
+
+    /// Time passed since `earlier`; zero where `earlier` is later.
+    pub fn since(self, earlier: Time) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl std::ops::Add<Duration> for Time {
+    type Output = Time;
+
+    fn add(self, rhs: Duration) -> Time {
+        Time(self.0.saturating_add(u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX)))
+    }
+}
+
+/// A point in civil time, in milliseconds since the Unix epoch; clocks of instances may differ by
+/// seconds.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct WallTime(pub u64);
+
+impl WallTime {
+    /// Time passed since `earlier`; zero where `earlier` is later.
+    pub fn since(self, earlier: WallTime) -> Duration {
+        Duration::from_millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl std::ops::Add<Duration> for WallTime {
+    type Output = WallTime;
+
+    fn add(self, rhs: Duration) -> WallTime {
+        WallTime(self.0.saturating_add(u64::try_from(rhs.as_millis()).unwrap_or(u64::MAX)))
+    }
+}
