feat: facts for a move's agreed row and its cleared steps, and a kind for 4xx answers

Cause: caller nodes need the schedule of each move and how far its evidence reaches, and reading the table from every node would grow with the fleet. Ruled out: each node polling move/ (930 readers), and share tables sent as a whole (no merge order). Change: Fact::MoveRow copies the row by revision, Fact::Cleared marks one step's guard as met, Fact::replaces gives one join rule for all kinds. OutcomeKind:: Rejected separates 4xx, so that a version that answers wrongly is seen. Conclusion: additive; the fact set's join is now defined beside the facts.

--- a/crates/sycamore-types/src/fact.rs
+++ b/crates/sycamore-types/src/fact.rs
@@ -1,5 +1,5 @@
-//! Facts that spread from node to node without agreement. Each makes the system safer, and a set
-//! of them only grows until they expire.
+//! Facts that spread from node to node without agreement. Each makes the system safer, or copies
+//! or fulfils what an agreed row says, and a set of them only grows until they expire.
 
 use crate::id::{Fingerprint, MoveId, ServiceName, UpstreamVersion};
 use crate::resource::ConfigHead;
@@ -53,8 +53,34 @@
     },
     /// The highest configuration head seen.
     Head(ConfigHead),
+    /// A copy of a move's agreed row, so that the platform is not read by every node.
+    MoveRow {
+        /// The move.
+        mv: MoveId,
+        /// The row's revision; the highest wins.
+        revision: u64,
+        /// The row as the platform's table holds it, in JSON; at most [`MAX_ROW_BYTES`].
+        row: String,
+        /// When the copy may be forgotten.
+        until: WallTime,
+    },
+    /// The evidence that a step of a move's agreed schedule asks for has been seen. It allows no
+    /// more than the agreed row does.
+    Cleared {
+        /// The move.
+        by: MoveId,
+        /// The step whose guard is met, from 0.
+        step: u16,
+        /// When.
+        at: Stamp,
+        /// When the record may be forgotten.
+        until: WallTime,
+    },
 }
 
+/// Longest row that a [`Fact::MoveRow`] carries, in bytes.
+pub const MAX_ROW_BYTES: usize = 4 << 10;
+
 /// What two facts must share to be about the same thing.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum FactKey {
@@ -68,6 +94,10 @@
     CrashSeen(Fingerprint, u64),
     /// The configuration head.
     Head,
+    /// The agreed row of a move.
+    MoveRow(MoveId),
+    /// One step of a move's schedule.
+    Cleared(MoveId, u16),
 }
 
 impl Fact {
@@ -81,14 +111,37 @@
             Fact::Quarantined { fingerprint, .. } => FactKey::Quarantined(*fingerprint),
             Fact::CrashSeen { fingerprint, crash, .. } => FactKey::CrashSeen(*fingerprint, *crash),
             Fact::Head(_) => FactKey::Head,
+            Fact::MoveRow { mv, .. } => FactKey::MoveRow(mv.clone()),
+            Fact::Cleared { by, step, .. } => FactKey::Cleared(by.clone(), *step),
         }
     }
 
     /// The time after which the fact may be forgotten; `None` where it is kept.
     pub fn expires(&self) -> Option<WallTime> {
         match self {
-            Fact::Quarantined { until, .. } | Fact::CrashSeen { until, .. } => Some(*until),
+            Fact::Quarantined { until, .. }
+            | Fact::CrashSeen { until, .. }
+            | Fact::MoveRow { until, .. }
+            | Fact::Cleared { until, .. } => Some(*until),
             Fact::BadVersion { .. } | Fact::Aborted { .. } | Fact::Head(_) => None,
         }
     }
+
+    /// Whether `self` replaces `other`, a fact with the same key. The rule is a total order on what
+    /// matters, so that every node keeps the same one whatever the order of arrival.
+    pub fn replaces(&self, other: &Fact) -> bool {
+        match (self, other) {
+            (Fact::Head(new), Fact::Head(old)) => new > old,
+            (Fact::MoveRow { revision: new, .. }, Fact::MoveRow { revision: old, .. }) => new > old,
+            (Fact::Quarantined { until: new, .. }, Fact::Quarantined { until: old, .. })
+            | (Fact::CrashSeen { until: new, .. }, Fact::CrashSeen { until: old, .. }) => new > old,
+            (
+                Fact::BadVersion { at: new, by: new_by, reason: new_reason, .. },
+                Fact::BadVersion { at: old, by: old_by, reason: old_reason, .. },
+            ) => (new, new_by, new_reason) < (old, old_by, old_reason),
+            (Fact::Aborted { at: new, .. }, Fact::Aborted { at: old, .. })
+            | (Fact::Cleared { at: new, .. }, Fact::Cleared { at: old, .. }) => new < old,
+            _ => false,
+        }
+    }
 }
--- a/crates/sycamore-types/src/outcome.rs
+++ b/crates/sycamore-types/src/outcome.rs
@@ -59,8 +59,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum OutcomeKind {
-    /// Answered with a status below 500.
+    /// Answered with a status below 400.
     Ok,
+    /// Answered with a status of 400 to 499: the caller's fault, or a version that answers wrongly.
+    Rejected,
     /// Answered with a status of 500 or more.
     Failed,
     /// The answer was cut, or the connection broke.
