feat: strict HTTP/1.1 codec with bodies relayed in bounded pieces

The data path must not read a request in a way that an upstream could read differently, and must carry photos of many MB within the node's 64 MB. monoio-http's server codec takes both length headers as chunked, the first of two lengths, heads of any size, and holds a body until it is whole.

It is used behind checks of its own input: size, line ends (it takes a bare LF as a line end and drops what follows an early empty line), framing.

Change: pure wire module (heads, framing, chunks, hop-by-hop fields) apart from the conn module (reader, relay, small server and client over monoio streams). A response without a length is refused, since its end can't be told from a cut.

--- /dev/null
+++ b/crates/sycamore-http/src/wire/head.rs
@@ -0,0 +1,165 @@
+//! Heads: request line or status line, and fields.
+//!
+//! The decoder of `monoio-http` parses; the checks around it refuse what it reads too kindly (bare
+//! line feeds, any size) before it sees a byte.
+
+use super::error::HeadError;
+use super::framing::Framing;
+use bytes::{Buf, BufMut, BytesMut};
+use http::{header, HeaderMap, Version};
+use monoio_codec::{Decoded, Decoder};
+use monoio_http::h1::codec::decoder::{DecodeError, RequestHeadDecoder, ResponseHeadDecoder};
+
+/// A request's method, target, version and fields.
+pub type RequestHead = http::request::Parts;
+/// A response's status, version and fields.
+pub type ResponseHead = http::response::Parts;
+
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// Limits of a head.
+#[derive(Debug, Clone)]
+pub struct HeadLimits {
+    /// Most bytes, the empty line included.
+    pub bytes: usize,
+}
+
+impl Default for HeadLimits {
+    fn default() -> Self {
+        Self { bytes: 16 << 10 }
+    }
+}
+
+/// Takes a request's head off the front of `buf`; `None` where it is not whole yet.
+///
+/// # Errors
+/// [`HeadError`] where the head is refused; the connection can't be used any further.
+pub fn parse_request(
+    buf: &mut BytesMut,
+    limits: &HeadLimits,
+) -> Result<Option<RequestHead>, HeadError> {
+    while buf.starts_with(b"\r\n") {
+        buf.advance(2);
+    }
+    if !is_whole(buf, limits)? {
+        return Ok(None);
+    }
+    let head = decode(RequestHeadDecoder, buf)?;
+    if !matches!(head.version, Version::HTTP_10 | Version::HTTP_11) {
+        return Err(HeadError::Version);
+    }
+    if head.uri.scheme().is_some() || head.uri.authority().is_some() {
+        return Err(HeadError::Target);
+    }
+    if !head.uri.path().starts_with('/') {
+        return Err(HeadError::Target);
+    }
+    Ok(Some(head))
+}
+
+/// Takes a response's head off the front of `buf`; `None` where it is not whole yet.
+///
+/// # Errors
+/// [`HeadError`] where the head is refused; the connection can't be used any further.
+pub fn parse_response(
+    buf: &mut BytesMut,
+    limits: &HeadLimits,
+) -> Result<Option<ResponseHead>, HeadError> {
+    if !is_whole(buf, limits)? {
+        return Ok(None);
+    }
+    decode(ResponseHeadDecoder, buf).map(Some)
+}
+
+fn is_whole(buf: &[u8], limits: &HeadLimits) -> Result<bool, HeadError> {
+    let Some(at) = buf.windows(HEAD_END.len()).position(|window| window == HEAD_END) else {
+        if buf.len() >= limits.bytes {
+            return Err(HeadError::TooLarge);
+        }
+        return Ok(false);
+    };
+    let end = at + HEAD_END.len();
+    if end > limits.bytes {
+        return Err(HeadError::TooLarge);
+    }
+    check_line_ends(&buf[..end])?;
+    Ok(true)
+}
+
+/// Every LF must follow a CR and every CR precede an LF: the parser would take a bare LF as a line's
+/// end, where another reads on.
+fn check_line_ends(head: &[u8]) -> Result<(), HeadError> {
+    let mut before = 0;
+    for &byte in head {
+        if (byte == b'\n') != (before == b'\r') {
+            return Err(HeadError::Malformed);
+        }
+        before = byte;
+    }
+    Ok(())
+}
+
+fn decode<D: Decoder<Error = DecodeError>>(
+    mut decoder: D,
+    buf: &mut BytesMut,
+) -> Result<D::Item, HeadError> {
+    match decoder.decode(buf) {
+        Ok(Decoded::Some(head)) => Ok(head),
+        Ok(Decoded::Insufficient | Decoded::InsufficientAtLeast(_)) => Err(HeadError::Malformed),
+        Err(DecodeError::Parse(err)) => Err(parse_error(&err.to_string())),
+        Err(_) => Err(HeadError::Malformed),
+    }
+}
+
+/// The parser's error type is not exported through `monoio-http`, so its text tells the two kinds
+/// apart that have a status of their own.
+fn parse_error(text: &str) -> HeadError {
+    match text {
+        "too many headers" => HeadError::TooManyFields,
+        "invalid HTTP version" => HeadError::Version,
+        _ => HeadError::Malformed,
+    }
+}
+
+/// Appends a request's head to `out`, framed as `framing`.
+pub fn encode_request(head: &RequestHead, framing: Framing, out: &mut BytesMut) {
+    out.put_slice(head.method.as_str().as_bytes());
+    out.put_u8(b' ');
+    let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
+    out.put_slice(target.as_bytes());
+    out.put_slice(b" HTTP/1.1\r\n");
+    encode_fields(&head.headers, framing, out);
+}
+
+/// Appends a response's head to `out`, framed as `framing`.
+pub fn encode_response(head: &ResponseHead, framing: Framing, out: &mut BytesMut) {
+    out.put_slice(b"HTTP/1.1 ");
+    out.put_slice(head.status.as_str().as_bytes());
+    out.put_u8(b' ');
+    out.put_slice(head.status.canonical_reason().unwrap_or("").as_bytes());
+    out.put_slice(b"\r\n");
+    encode_fields(&head.headers, framing, out);
+}
+
+fn encode_fields(headers: &HeaderMap, framing: Framing, out: &mut BytesMut) {
+    for (name, value) in headers {
+        let replaced = name == header::TRANSFER_ENCODING
+            || (name == header::CONTENT_LENGTH && framing != Framing::Empty);
+        if !replaced {
+            out.put_slice(name.as_str().as_bytes());
+            out.put_slice(b": ");
+            out.put_slice(value.as_bytes());
+            out.put_slice(b"\r\n");
+        }
+    }
+    match framing {
+        Framing::Empty => {}
+        Framing::Length(bytes) => {
+            out.put_slice(b"content-length: ");
+            out.put_slice(bytes.to_string().as_bytes());
+            out.put_slice(b"\r\n");
+        }
+        Framing::Chunked => out.put_slice(b"transfer-encoding: chunked\r\n"),
+    }
+    out.put_slice(b"\r\n");
+}
--- /dev/null
+++ b/crates/sycamore-http/src/wire/hop.rs
@@ -0,0 +1,55 @@
+//! Fields that concern one connection only (RFC 9110, section 7.6.1).
+
+use http::{header, HeaderMap, HeaderName, HeaderValue, Version};
+
+const HOP_BY_HOP: [HeaderName; 6] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::TE,
+    header::TRAILER,
+    header::UPGRADE,
+];
+
+/// Removes the fields that concern the connection on which they came, and those that `connection`
+/// names. The framing fields stay: the encoder replaces them.
+pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    for name in named_by_connection(headers) {
+        if name != header::CONTENT_LENGTH && name != header::TRANSFER_ENCODING {
+            headers.remove(name);
+        }
+    }
+    for name in &HOP_BY_HOP {
+        headers.remove(name);
+    }
+}
+
+fn named_by_connection(headers: &HeaderMap) -> Vec<HeaderName> {
+    connection_tokens(headers)
+        .filter_map(|token| HeaderName::from_bytes(token.as_bytes()).ok())
+        .collect()
+}
+
+fn connection_tokens(headers: &HeaderMap) -> impl Iterator<Item = &str> {
+    headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(str::trim)
+}
+
+/// Whether the sender closes the connection after this message.
+pub fn wants_close(headers: &HeaderMap, version: Version) -> bool {
+    let has = |wanted| connection_tokens(headers).any(|token| token.eq_ignore_ascii_case(wanted));
+    match version {
+        Version::HTTP_11 => has("close"),
+        _ => !has("keep-alive"),
+    }
+}
+
+/// Whether the sender waits for an interim answer before it sends the body.
+pub fn expects_continue(headers: &HeaderMap) -> bool {
+    let is_continue = |value: &HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"100-continue");
+    headers.get(header::EXPECT).is_some_and(is_continue)
+}
--- /dev/null
+++ b/crates/sycamore-http/tests/conn/relay.rs
@@ -0,0 +1,57 @@
+//! Bodies of many megabytes pass in small pieces, and a cut one is seen.
+
+use super::{pair, run};
+use bytes::{Bytes, BytesMut};
+use monoio::io::{AsyncWriteRentExt, Splitable};
+use sycamore_http::conn::{relay_body, ReadError, Reader};
+use sycamore_http::{BodyDecoder, BodyEncoder, Framing};
+
+const PHOTO_BYTES: usize = 12 << 20;
+
+async fn relay(sent: Vec<u8>, from: Framing, to: Framing) -> (Result<(), ReadError>, Vec<u8>) {
+    let (mut near, far) = pair().await;
+    let (back, front) = pair().await;
+    let sender = monoio::spawn(async move { near.write_all(sent).await.0.map(drop) });
+    let receiver = monoio::spawn(async move {
+        let (read, _write) = front.into_split();
+        let body = Reader::new(read).body(BodyDecoder::new(to), usize::MAX).await;
+        body.map_or_else(|_| Vec::new(), Vec::from)
+    });
+    let (read, _keep) = far.into_split();
+    let (_keep, mut write) = back.into_split();
+    let mut reader = Reader::new(read);
+    let relayed = relay_body(
+        &mut reader,
+        BodyDecoder::new(from),
+        &mut write,
+        BodyEncoder::new(to),
+        BytesMut::new(),
+    )
+    .await;
+    drop(write);
+    sender.await.unwrap();
+    (relayed.unwrap(), receiver.await)
+}
+
+#[test]
+fn a_photo_arrives_whole_under_either_framing() {
+    let photo: Vec<u8> = (0..PHOTO_BYTES).map(|i| (i % 251) as u8).collect();
+    let length = Framing::Length(PHOTO_BYTES as u64);
+    let (relayed, got) = run(relay(photo.clone(), length, length));
+    assert!(relayed.is_ok());
+    assert!(got == photo);
+    let (relayed, got) = run(relay(photo.clone(), length, Framing::Chunked));
+    assert!(relayed.is_ok());
+    assert!(got == photo);
+}
+
+#[test]
+fn a_cut_body_is_an_error_and_never_a_short_whole() {
+    let (relayed, got) = run(relay(vec![7; 5], Framing::Length(9), Framing::Length(9)));
+    assert!(matches!(relayed, Err(ReadError::Cut)));
+    assert_eq!(got, []);
+    let cut = Bytes::from_static(b"5\r\nhello\r\n").to_vec();
+    let (relayed, got) = run(relay(cut, Framing::Chunked, Framing::Chunked));
+    assert!(matches!(relayed, Err(ReadError::Cut)));
+    assert_eq!(got, []);
+}
--- /dev/null
+++ b/crates/sycamore-http/tests/wire/head.rs
@@ -0,0 +1,178 @@
+//! Heads: what is taken, and what two parsers may read differently is refused.
+
+use bytes::BytesMut;
+use http::{Method, StatusCode};
+use quickcheck::quickcheck;
+use sycamore_http::wire::{
+    encode_request, encode_response, parse_request, parse_response, request_framing,
+    response_framing,
+};
+use sycamore_http::{Framing, HeadError, HeadLimits};
+
+fn request(bytes: &str) -> Result<Option<Framing>, HeadError> {
+    let mut buf = BytesMut::from(bytes);
+    match parse_request(&mut buf, &HeadLimits::default())? {
+        Some(head) => request_framing(&head).map(Some),
+        None => Ok(None),
+    }
+}
+
+fn response(bytes: &str, method: &Method) -> Result<Framing, HeadError> {
+    let mut buf = BytesMut::from(bytes);
+    let head = parse_response(&mut buf, &HeadLimits::default())?.expect("head is whole");
+    response_framing(&head, method)
+}
+
+fn post(fields: &str) -> Result<Option<Framing>, HeadError> {
+    request(&format!("POST /intake HTTP/1.1\r\nhost: a\r\n{fields}\r\n"))
+}
+
+#[test]
+fn plain_requests_are_taken() {
+    assert_eq!(post(""), Ok(Some(Framing::Empty)));
+    assert_eq!(post("content-length: 3\r\n"), Ok(Some(Framing::Length(3))));
+    assert_eq!(post("Transfer-Encoding: Chunked\r\n"), Ok(Some(Framing::Chunked)));
+    assert_eq!(request("\r\nGET / HTTP/1.1\r\n\r\n"), Ok(Some(Framing::Empty)));
+    assert_eq!(request("GET / HTTP/1.1\r\nhost: a\r\n"), Ok(None));
+}
+
+#[test]
+fn smuggling_forms_are_refused_with_400() {
+    let cases = [
+        ("content-length: 3\r\ntransfer-encoding: chunked\r\n", HeadError::BothLengths),
+        ("content-length: 3\r\ncontent-length: 4\r\n", HeadError::ManyLengths),
+        ("content-length: 3\r\ncontent-length: 3\r\n", HeadError::ManyLengths),
+        ("content-length: 3, 3\r\n", HeadError::ManyLengths),
+        ("content-length: +3\r\n", HeadError::BadLength),
+        ("content-length: 0x3\r\n", HeadError::BadLength),
+        ("content-length:\r\n", HeadError::BadLength),
+        ("content-length: 9999999999999999999\r\n", HeadError::BadLength),
+        ("transfer-encoding: gzip, chunked\r\n", HeadError::Coding),
+        ("transfer-encoding: identity\r\n", HeadError::Coding),
+        ("transfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n", HeadError::Coding),
+        ("content-length : 3\r\n", HeadError::Malformed),
+        ("a: b\r\n folded\r\n", HeadError::Malformed),
+        ("a: b\nc: d\r\n", HeadError::Malformed),
+        ("a: b\rc: d\r\n", HeadError::Malformed),
+    ];
+    for (fields, err) in cases {
+        assert_eq!(post(fields), Err(err), "{fields:?}");
+        assert_eq!(err.status(), StatusCode::BAD_REQUEST);
+    }
+}
+
+#[test]
+fn bare_line_feeds_do_not_hide_a_second_request() {
+    let bytes = "GET /a HTTP/1.1\nhost: a\n\nGET /b HTTP/1.1\r\nhost: a\r\n\r\n";
+    assert_eq!(request(bytes), Err(HeadError::Malformed));
+}
+
+#[test]
+fn targets_and_versions_are_checked() {
+    assert_eq!(request("GET http://b/ HTTP/1.1\r\n\r\n"), Err(HeadError::Target));
+    assert_eq!(request("OPTIONS * HTTP/1.1\r\n\r\n"), Err(HeadError::Target));
+    assert_eq!(request("CONNECT b:1 HTTP/1.1\r\n\r\n"), Err(HeadError::Target));
+    assert_eq!(request("GET / HTTP/2.0\r\n\r\n"), Err(HeadError::Version));
+    let old = "POST / HTTP/1.0\r\ntransfer-encoding: chunked\r\n\r\n";
+    assert_eq!(request(old), Err(HeadError::Coding));
+}
+
+#[test]
+fn large_heads_are_refused_with_431() {
+    let limit = HeadLimits::default().bytes;
+    let whole = post(&format!("a: {}\r\n", "b".repeat(limit)));
+    assert_eq!(whole, Err(HeadError::TooLarge));
+    assert_eq!(request(&"b".repeat(limit)), Err(HeadError::TooLarge));
+    let many = post(&"a: b\r\n".repeat(200));
+    assert_eq!(many, Err(HeadError::TooManyFields));
+    for err in [HeadError::TooLarge, HeadError::TooManyFields] {
+        assert_eq!(err.status(), StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
+    }
+}
+
+#[test]
+fn responses_need_a_length() {
+    let get = Method::GET;
+    let taken = response("HTTP/1.1 200 OK\r\ncontent-length: 7\r\n\r\n", &get);
+    assert_eq!(taken, Ok(Framing::Length(7)));
+    let unframed = response("HTTP/1.1 200 OK\r\n\r\n", &get);
+    assert_eq!(unframed, Err(HeadError::Unframed));
+    assert_eq!(response("HTTP/1.1 204 No Content\r\n\r\n", &get), Ok(Framing::Empty));
+    let head = response("HTTP/1.1 200 OK\r\ncontent-length: 7\r\n\r\n", &Method::HEAD);
+    assert_eq!(head, Ok(Framing::Empty));
+    let switch = response("HTTP/1.1 101 Switching Protocols\r\n\r\n", &get);
+    assert_eq!(switch, Err(HeadError::Upgrade));
+    let both = "HTTP/1.1 204 No Content\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\n";
+    assert_eq!(response(both, &get), Err(HeadError::ManyLengths));
+}
+
+#[test]
+fn the_encoder_writes_one_framing_only() {
+    let mut buf = BytesMut::from(
+        "POST /a?b=c HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\naccept: */*\r\n\r\n",
+    );
+    let head = parse_request(&mut buf, &HeadLimits::default()).unwrap().unwrap();
+    let mut out = BytesMut::new();
+    encode_request(&head, Framing::Chunked, &mut out);
+    let text = std::str::from_utf8(&out).unwrap();
+    assert!(text.starts_with("POST /a?b=c HTTP/1.1\r\n"), "{text}");
+    assert!(!text.contains("content-length"), "{text}");
+    assert!(text.contains("transfer-encoding: chunked\r\n"), "{text}");
+}
+
+#[test]
+fn a_head_response_keeps_its_length_field() {
+    let mut buf = BytesMut::from("HTTP/1.1 200 OK\r\ncontent-length: 7\r\n\r\n");
+    let head = parse_response(&mut buf, &HeadLimits::default()).unwrap().unwrap();
+    let mut out = BytesMut::new();
+    encode_response(&head, Framing::Empty, &mut out);
+    assert_eq!(&out[..], b"HTTP/1.1 200 OK\r\ncontent-length: 7\r\n\r\n");
+}
+
+#[test]
+fn every_byte_in_a_field_is_taken_or_refused() {
+    for byte in 0..=u8::MAX {
+        for (before, after) in [("x", "y: z"), ("x: y", "z")] {
+            let mut buf = BytesMut::from("GET / HTTP/1.1\r\n");
+            buf.extend_from_slice(before.as_bytes());
+            buf.extend_from_slice(&[byte]);
+            buf.extend_from_slice(after.as_bytes());
+            buf.extend_from_slice(b"\r\n\r\n");
+            drop(parse_request(&mut buf, &HeadLimits::default()));
+        }
+    }
+}
+
+quickcheck! {
+    fn arbitrary_bytes_never_panic(bytes: Vec<u8>) -> bool {
+        let mut buf = BytesMut::from(&bytes[..]);
+        drop(parse_request(&mut buf, &HeadLimits::default()));
+        let mut buf = BytesMut::from(&bytes[..]);
+        drop(parse_response(&mut buf, &HeadLimits::default()));
+        true
+    }
+
+    fn arbitrary_fields_never_panic(name: Vec<u8>, value: Vec<u8>, target: Vec<u8>) -> bool {
+        let mut buf = BytesMut::from("GET /");
+        buf.extend_from_slice(&target);
+        buf.extend_from_slice(b" HTTP/1.1\r\n");
+        buf.extend_from_slice(&name);
+        buf.extend_from_slice(b": ");
+        buf.extend_from_slice(&value);
+        buf.extend_from_slice(b"\r\n\r\n");
+        if let Ok(Some(head)) = parse_request(&mut buf, &HeadLimits::default()) {
+            let _ = request_framing(&head);
+        }
+        true
+    }
+
+    fn a_head_is_read_the_same_however_it_is_split(cut: usize) -> bool {
+        let bytes = b"PUT /photo/1 HTTP/1.1\r\nhost: a\r\ncontent-length: 12\r\n\r\n";
+        let cut = cut % bytes.len();
+        let mut buf = BytesMut::from(&bytes[..cut]);
+        let early = parse_request(&mut buf, &HeadLimits::default());
+        buf.extend_from_slice(&bytes[cut..]);
+        let whole = parse_request(&mut buf, &HeadLimits::default());
+        matches!(early, Ok(None)) && matches!(whole, Ok(Some(_))) && buf.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/sycamore-http/tests/wire/mod.rs
@@ -0,0 +1,5 @@
+//! Parsing and encoding of bytes.
+
+mod body;
+mod head;
+mod hop;
