feat: the node's frame, settings and operators' listener

Cause: the slices need one place to share their state, and an operator one to ask. Change: sycamore-settings reads INI with every fault told at once and a sample tested to equal the defaults; sycamore-node has the hub, joined task groups, the daemon's life from signal to drain and the operators' listener with commands apart from queries. Ruled out: monoio-http for the operators' listener, since it sets no bound on a request's head; hyper over monoio-compat does. Conclusion: the daemon starts, answers and stops on SIGTERM; the slices are stubs.

--- /dev/null
+++ b/crates/sycamore-node/src/hub/facts.rs
@@ -0,0 +1,108 @@
+//! The facts that a node knows, and the queue of those to spread.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use sycamore_types::prelude::*;
+use tokio::sync::watch;
+
+/// Facts kept at most; where there are more, those that expire first are forgotten first.
+pub const MAX_FACTS: usize = 16_384;
+
+/// The facts that a node knows. Clones of the map are cheap to take and never change.
+pub struct Facts {
+    known: watch::Sender<Arc<BTreeMap<FactKey, Fact>>>,
+    fresh: RefCell<Vec<Fact>>,
+    raised: watch::Sender<u64>,
+}
+
+impl Default for Facts {
+    fn default() -> Self {
+        Self {
+            known: watch::Sender::new(Arc::default()),
+            fresh: RefCell::default(),
+            raised: watch::Sender::new(0),
+        }
+    }
+}
+
+impl Facts {
+    /// The facts known now.
+    pub fn known(&self) -> Arc<BTreeMap<FactKey, Fact>> {
+        self.known.borrow().clone()
+    }
+
+    /// Follows the facts known.
+    pub fn subscribe(&self) -> watch::Receiver<Arc<BTreeMap<FactKey, Fact>>> {
+        self.known.subscribe()
+    }
+
+    /// Keeps `fact` and queues it to be spread. Gives whether it told something new.
+    pub fn insert(&self, fact: Fact) -> bool {
+        let new = self.learn(fact.clone());
+        if new {
+            self.fresh.borrow_mut().push(fact);
+            self.raised.send_modify(|count| *count += 1);
+        }
+        new
+    }
+
+    /// Keeps a fact that a peer told. Gives whether it told something new.
+    pub fn learn(&self, fact: Fact) -> bool {
+        self.known.send_if_modified(|known| {
+            let replaces = known.get(&fact.key()).is_none_or(|old| supersedes(&fact, old));
+            if replaces {
+                let known = Arc::make_mut(known);
+                known.insert(fact.key(), fact);
+                bound(known);
+            }
+            replaces
+        })
+    }
+
+    /// Forgets the facts that expired by `now`.
+    pub fn expire(&self, now: WallTime) {
+        self.known.send_if_modified(|known| {
+            let expired = |fact: &Fact| fact.expires().is_some_and(|at| at <= now);
+            let any = known.values().any(expired);
+            if any {
+                Arc::make_mut(known).retain(|_, fact| !expired(fact));
+            }
+            any
+        });
+    }
+
+    /// Follows the number of facts raised on this node.
+    pub fn raised(&self) -> watch::Receiver<u64> {
+        self.raised.subscribe()
+    }
+
+    /// Takes the facts raised on this node that are still to be spread.
+    pub fn take_fresh(&self) -> Vec<Fact> {
+        std::mem::take(&mut self.fresh.borrow_mut())
+    }
+}
+
+/// Whether `new` tells more than `old` about the same thing: a join, so that the order in which
+/// facts arrive doesn't matter.
+fn supersedes(new: &Fact, old: &Fact) -> bool {
+    match (new, old) {
+        (Fact::Head(new), Fact::Head(old)) => new > old,
+        (Fact::Quarantined { until: new, .. }, Fact::Quarantined { until: old, .. }) => new > old,
+        (Fact::CrashSeen { until: new, .. }, Fact::CrashSeen { until: old, .. }) => new > old,
+        (Fact::BadVersion { at: new, .. }, Fact::BadVersion { at: old, .. }) => new < old,
+        (Fact::Aborted { at: new, .. }, Fact::Aborted { at: old, .. }) => new < old,
+        _ => false,
+    }
+}
+
+fn bound(known: &mut BTreeMap<FactKey, Fact>) {
+    while known.len() > MAX_FACTS {
+        let first =
+            known.iter().filter_map(|(key, fact)| fact.expires().map(|at| (at, key.clone()))).min();
+        match first {
+            Some((_, key)) => known.remove(&key),
+            None => return,
+        };
+    }
+}
--- /dev/null
+++ b/crates/sycamore-node/src/hub/mod.rs
@@ -0,0 +1,215 @@
+//! What the slices of a node share.
+
+mod clock;
+mod facts;
+mod log;
+
+pub use clock::Clock;
+pub use facts::Facts;
+
+use crate::timeline::Recorder;
+use prometheus::Registry;
+use slog::{info, Logger};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use sycamore_settings::Settings;
+use sycamore_types::prelude::*;
+use tokio::sync::{mpsc, watch, Notify};
+
+/// Outcomes of calls that may wait for the moves slice; later ones are dropped and counted.
+const OUTCOME_QUEUE: usize = 16_384;
+
+/// What the node is doing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// It has no current configuration yet and serves nothing.
+    Starting,
+    /// It serves.
+    Ready,
+    /// It lets calls in flight end and takes no new ones for its upstream.
+    Draining,
+    /// Its tasks end.
+    Stopped,
+}
+
+/// The upstream beside the node, as it announced itself.
+#[derive(Debug, Clone, PartialEq)]
+pub struct AnnouncedUpstream {
+    /// Its version.
+    pub version: UpstreamVersion,
+    /// Where it takes calls.
+    pub address: SocketAddr,
+    /// Calls that it runs at once.
+    pub slots: u16,
+    /// Connections that it takes.
+    pub connections: u16,
+    /// When it is warm.
+    pub warm_at: Time,
+    /// It asked to leave.
+    pub draining: bool,
+}
+
+/// What the slices of a node share. Everything is on one thread.
+pub struct Hub {
+    /// The settings.
+    pub settings: Settings,
+    /// The generation of this process.
+    pub incarnation: Incarnation,
+    /// Monotonic and civil time.
+    pub clock: Clock,
+    /// One line of key=value pairs for each event.
+    pub log: Logger,
+    /// Every metric.
+    pub registry: Registry,
+    /// The configuration in force; version 0 until there is one.
+    pub snapshot: watch::Sender<Arc<Snapshot>>,
+    /// The members known.
+    pub members: watch::Sender<Arc<MemberView>>,
+    /// The shares of versions.
+    pub shares: watch::Sender<Arc<ShareTable>>,
+    /// The upstream beside the node, while it announces itself.
+    pub upstream: watch::Sender<Option<AnnouncedUpstream>>,
+    /// Facts that spread.
+    pub facts: Facts,
+    phase: watch::Sender<Phase>,
+    timeline: RefCell<Recorder>,
+    outcomes: mpsc::Sender<CallOutcome>,
+    outcomes_rx: RefCell<Option<mpsc::Receiver<CallOutcome>>>,
+    outcomes_lost: Cell<u64>,
+    in_flight: Cell<usize>,
+    in_flight_done: Notify,
+}
+
+impl Hub {
+    /// A hub for a node with `settings`, that nothing has filled yet.
+    pub fn new(settings: Settings) -> Rc<Self> {
+        let clock = Clock::start();
+        let (outcomes, outcomes_rx) = mpsc::channel(OUTCOME_QUEUE);
+        let incarnation = Incarnation(clock.wall().0);
+        let log = log::logger(&settings);
+        let recorder = Recorder::new(&settings, incarnation);
+        Rc::new(Self {
+            incarnation,
+            clock,
+            log,
+            registry: Registry::new(),
+            snapshot: watch::Sender::new(Arc::default()),
+            members: watch::Sender::new(Arc::default()),
+            shares: watch::Sender::new(Arc::default()),
+            upstream: watch::Sender::new(None),
+            facts: Facts::default(),
+            phase: watch::Sender::new(Phase::Starting),
+            timeline: RefCell::new(recorder),
+            outcomes,
+            outcomes_rx: RefCell::new(Some(outcomes_rx)),
+            outcomes_lost: Cell::new(0),
+            in_flight: Cell::new(0),
+            in_flight_done: Notify::new(),
+            settings,
+        })
+    }
+
+    /// What the node is doing.
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Follows what the node is doing.
+    pub fn phases(&self) -> watch::Receiver<Phase> {
+        self.phase.subscribe()
+    }
+
+    /// Moves on to `phase`; a phase never goes back.
+    pub fn set_phase(&self, phase: Phase) {
+        self.phase.send_if_modified(|current| {
+            let forward = (phase as u8) > (*current as u8);
+            if forward {
+                *current = phase;
+            }
+            forward
+        });
+    }
+
+    /// Puts a configuration into force: the node is ready from the first one on.
+    pub fn publish_snapshot(&self, snapshot: Snapshot) {
+        let config = snapshot.version;
+        self.snapshot.send_replace(Arc::new(snapshot));
+        self.record(EventKind::ConfigApplied { config });
+        if self.phase() == Phase::Starting {
+            self.set_phase(Phase::Ready);
+            self.record(EventKind::Ready { config });
+        }
+    }
+
+    /// Records an event on the time line and logs it.
+    pub fn record(&self, kind: EventKind) {
+        let body = serde_json::to_string(&kind).unwrap_or_default();
+        info!(self.log, "{}", kind.name(); "event" => body);
+        self.timeline.borrow_mut().record(kind, self.clock.wall());
+    }
+
+    /// The time line of this process.
+    pub fn timeline(&self) -> &RefCell<Recorder> {
+        &self.timeline
+    }
+
+    /// Raises `fact`: it is kept, recorded where it is new, and spread.
+    pub fn raise(&self, fact: Fact) {
+        if self.facts.insert(fact.clone()) && !matches!(fact, Fact::Head(_)) {
+            self.record(EventKind::FactRaised { fact });
+        }
+    }
+
+    /// Hands the outcome of a call to the moves slice.
+    pub fn report_outcome(&self, outcome: CallOutcome) {
+        if self.outcomes.try_send(outcome).is_err() {
+            self.outcomes_lost.set(self.outcomes_lost.get() + 1);
+        }
+    }
+
+    /// Takes the queue of outcomes; `None` the second time.
+    pub fn take_outcomes(&self) -> Option<mpsc::Receiver<CallOutcome>> {
+        self.outcomes_rx.borrow_mut().take()
+    }
+
+    /// Outcomes dropped since the start because the queue was full.
+    pub fn outcomes_lost(&self) -> u64 {
+        self.outcomes_lost.get()
+    }
+
+    /// Counts a call as in flight on this node until the guard is dropped.
+    pub fn call_in_flight(self: &Rc<Self>) -> InFlight {
+        self.in_flight.set(self.in_flight.get() + 1);
+        InFlight(self.clone())
+    }
+
+    /// Calls in flight on this node.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.get()
+    }
+
+    /// Waits until no call is in flight.
+    pub async fn idle(&self) {
+        loop {
+            let done = self.in_flight_done.notified();
+            if self.in_flight.get() == 0 {
+                return;
+            }
+            done.await;
+        }
+    }
+}
+
+/// A call in flight; dropped when the call has ended.
+pub struct InFlight(Rc<Hub>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+        if self.0.in_flight.get() == 0 {
+            self.0.in_flight_done.notify_waiters();
+        }
+    }
+}
--- a/crates/sycamore-node/src/main.rs
+++ b/crates/sycamore-node/src/main.rs
@@ -1,2 +1,43 @@
-//! The node daemon.
-fn main() {}
+//! The node daemon's program.
+
+use bpaf::{construct, long, OptionParser, Parser};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use sycamore_node::run;
+
+/// Exit code for settings that can't be used.
+const EXIT_BAD_INPUT: u8 = 2;
+
+struct Options {
+    settings: PathBuf,
+}
+
+fn options() -> OptionParser<Options> {
+    let settings = long("settings")
+        .short('s')
+        .help("INI file with the node's settings; see sycamoreshiftd.sample.ini")
+        .argument::<PathBuf>("FILE");
+    construct!(Options { settings })
+        .to_options()
+        .descr("The sycamoreshift node: runs beside one upstream, admits its calls and relays others'.")
+        .footer("Example: sycamoreshiftd --settings counter-1.ini")
+        .version(env!("CARGO_PKG_VERSION"))
+}
+
+fn main() -> ExitCode {
+    let options = options().run();
+    let settings = match sycamore_settings::from_file(&options.settings) {
+        Ok(settings) => settings,
+        Err(report) => {
+            eprintln!("{}", report.current_context());
+            return ExitCode::from(EXIT_BAD_INPUT);
+        }
+    };
+    match run::run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/sycamore-node/src/operator/answer.rs
@@ -0,0 +1,27 @@
+//! Answers of the operators' listener.
+
+use super::OperatorError;
+use bytes::Bytes;
+use http::{header, Response, StatusCode};
+use http_body_util::Full;
+
+/// An answer on the wire.
+pub type Answer = Response<Full<Bytes>>;
+
+/// An answer of `content_type`.
+pub fn answer(status: StatusCode, content_type: &'static str, body: impl Into<Bytes>) -> Answer {
+    let mut answer = Response::new(Full::new(body.into()));
+    *answer.status_mut() = status;
+    let content_type = header::HeaderValue::from_static(content_type);
+    answer.headers_mut().insert(header::CONTENT_TYPE, content_type);
+    answer
+}
+
+/// The answer to a command or query.
+pub fn json(result: Result<serde_json::Value, OperatorError>) -> Answer {
+    const JSON: &str = "application/json";
+    match result {
+        Ok(value) => answer(StatusCode::OK, JSON, value.to_string()),
+        Err(error) => answer(error.status(), JSON, error.body()),
+    }
+}
--- /dev/null
+++ b/crates/sycamore-node/src/operator/commands.rs
@@ -0,0 +1,18 @@
+//! Commands: what changes something.
+
+use super::OperatorError;
+use crate::run::Node;
+use serde_json::Value;
+
+/// Runs the command `name` with `body`.
+///
+/// # Errors
+/// [`OperatorError`], as the command says.
+pub async fn run(node: &Node, name: &str, body: &[u8]) -> Result<Value, OperatorError> {
+    match name {
+        "config-apply" => node.config.apply(body).await,
+        "sheet-import" => node.moves.import(body).await,
+        "move-abort" => node.moves.abort(body).await,
+        _ => Err(OperatorError::NotFound(format!("command {name:?}"))),
+    }
+}
--- /dev/null
+++ b/crates/sycamore-node/src/operator/mod.rs
@@ -0,0 +1,11 @@
+//! The operators' listener: commands, queries, metrics, liveness and readiness.
+
+mod access;
+mod answer;
+mod commands;
+mod error;
+mod queries;
+mod serve;
+
+pub use error::OperatorError;
+pub use serve::start;
--- /dev/null
+++ b/crates/sycamore-node/src/operator/queries.rs
@@ -0,0 +1,67 @@
+//! Queries: what only tells.
+
+use super::OperatorError;
+use crate::run::Node;
+use serde::Serialize;
+use serde_json::{json, Value};
+use std::collections::HashMap;
+use sycamore_types::prelude::*;
+
+/// Arguments of a query, as its address gives them.
+pub type Arguments = HashMap<String, String>;
+
+/// Answers the query `name`.
+///
+/// # Errors
+/// [`OperatorError`], as the query says.
+pub async fn run(node: &Node, name: &str, args: &Arguments) -> Result<Value, OperatorError> {
+    match name {
+        "config" => node.config.query().await,
+        "plans" => node.moves.plans().await,
+        "moves" => node.moves.moves(args.get("plan").map(String::as_str)).await,
+        "report" => node.moves.report(args.get("plan").map(String::as_str)).await,
+        "nodes" => Ok(nodes(node)),
+        "timeline" => timeline(node, args),
+        _ => Err(OperatorError::NotFound(format!("query {name:?}"))),
+    }
+}
+
+/// What a node says of itself and its members.
+#[derive(Serialize)]
+struct Nodes<'a> {
+    instance: &'a InstanceId,
+    phase: String,
+    config: ConfigVersion,
+    in_flight: usize,
+    members: Vec<&'a Member>,
+}
+
+fn nodes(node: &Node) -> Value {
+    let hub = &node.hub;
+    let view = hub.members.borrow().clone();
+    let nodes = Nodes {
+        instance: &hub.settings.node.instance,
+        phase: format!("{:?}", hub.phase()).to_lowercase(),
+        config: hub.snapshot.borrow().version,
+        in_flight: hub.in_flight(),
+        members: view.members.values().collect(),
+    };
+    serde_json::to_value(nodes).unwrap_or_default()
+}
+
+fn timeline(node: &Node, args: &Arguments) -> Result<Value, OperatorError> {
+    let after = match args.get("after") {
+        None => 0,
+        Some(text) => text
+            .parse()
+            .map_err(|_| OperatorError::bad_input(format!("after={text} is no event number")))?,
+    };
+    let mut events = node.hub.timeline().borrow().after(after);
+    if let Some(kind) = args.get("kind") {
+        events.retain(|event| event.kind.name() == kind);
+    }
+    if let Some(mv) = args.get("move") {
+        events.retain(|event| event.kind.mv().is_some_and(|found| found.as_str() == mv));
+    }
+    Ok(json!({ "events": events }))
+}
--- /dev/null
+++ b/crates/sycamore-settings/src/calls.rs
@@ -0,0 +1,44 @@
+//! `[calls]`: routing, admission and retries.
+
+use crate::unit::{Size, Span};
+use serde::{Deserialize, Serialize};
+use serde_with::{serde_as, DisplayFromStr};
+use std::time::Duration;
+
+/// Routing, admission and retries.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Calls {
+    /// Nodes that a call may pass.
+    #[serde_as(as = "DisplayFromStr")]
+    pub hop_limit: u8,
+    /// Connections accepted from one address.
+    #[serde_as(as = "DisplayFromStr")]
+    pub connections_per_address: u32,
+    /// Time a caller has to send a request's head.
+    #[serde_as(as = "Span")]
+    pub head_timeout: Duration,
+    /// Memory that all bodies under way may take.
+    #[serde_as(as = "Size")]
+    pub body_memory: u64,
+    /// Time that a drain waits for calls in flight before the node stops all the same.
+    #[serde_as(as = "Span")]
+    pub drain_timeout: Duration,
+    /// Time that a request stays quarantined.
+    #[serde_as(as = "Span")]
+    pub quarantine: Duration,
+}
+
+impl Default for Calls {
+    fn default() -> Self {
+        Self {
+            hop_limit: 16,
+            connections_per_address: 256,
+            head_timeout: Duration::from_secs(10),
+            body_memory: 16 << 20,
+            drain_timeout: Duration::from_secs(60),
+            quarantine: Duration::from_secs(600),
+        }
+    }
+}
--- a/crates/sycamore-types/src/event.rs
+++ b/crates/sycamore-types/src/event.rs
@@ -88,6 +88,17 @@
 }
 
 impl EventKind {
+    /// The move that the event is about.
+    pub fn mv(&self) -> Option<&MoveId> {
+        match self {
+            EventKind::MoveStep { mv, .. } | EventKind::MoveEnded { mv, .. } => Some(mv),
+            EventKind::FactRaised {
+                fact: Fact::BadVersion { by, .. } | Fact::Aborted { by, .. },
+            } => Some(by),
+            _ => None,
+        }
+    }
+
     /// The event's name, as filters and logs use it.
     pub fn name(&self) -> &'static str {
         match self {
--- a/crates/sycamore-types/src/stamp.rs
+++ b/crates/sycamore-types/src/stamp.rs
@@ -19,9 +19,11 @@
     #[must_use]
     pub fn tick(self, now: WallTime) -> Stamp {
         if now > self.wall {
-            Stamp { wall: now, logical: 0 }
-        } else {
-            Stamp { wall: self.wall, logical: self.logical.saturating_add(1) }
+            return Stamp { wall: now, logical: 0 };
+        }
+        match self.logical.checked_add(1) {
+            Some(logical) => Stamp { wall: self.wall, logical },
+            None => Stamp { wall: WallTime(self.wall.0.saturating_add(1)), logical: 0 },
         }
     }
 
--- /dev/null
+++ b/crates/sycamore-types/tests/types.rs
@@ -0,0 +1,42 @@
+//! Identifiers, stamps, shares and routes.
+
+use quickcheck::quickcheck;
+use sycamore_types::prelude::*;
+
+#[test]
+fn identifiers_are_checked() {
+    assert!(ServiceName::new("book-bahi_2.x:y").is_ok());
+    for bad in ["", "a b", "a/b", "č", &"x".repeat(65)] {
+        assert!(ServiceName::new(bad).is_err(), "{bad:?} was accepted");
+    }
+}
+
+#[test]
+fn a_route_ends_at_a_path_segment() {
+    let route = |prefix: &str| Route {
+        name: RouteName::new("r").expect("valid"),
+        prefix: prefix.to_owned(),
+        service: ServiceName::new("s").expect("valid"),
+        timeout: std::time::Duration::from_secs(1),
+    };
+    let snapshot =
+        Snapshot { routes: vec![route("/tickets/open"), route("/tickets")], ..Default::default() };
+    let prefix = |path: &str| snapshot.route(path).map(|route| route.prefix.clone());
+    assert_eq!(prefix("/tickets/open/7").as_deref(), Some("/tickets/open"));
+    assert_eq!(prefix("/tickets?id=7").as_deref(), Some("/tickets"));
+    assert_eq!(prefix("/ticketsale"), None);
+}
+
+quickcheck! {
+    fn a_stamp_only_grows(wall: u32, logical: u32, other_wall: u32, now: u32) -> bool {
+        let at = |millis: u32| WallTime(u64::from(millis));
+        let stamp = Stamp { wall: at(wall), logical };
+        let other = Stamp { wall: at(other_wall), logical: 0 };
+        let merged = stamp.merge(other, at(now));
+        stamp.tick(at(now)) > stamp && merged > stamp && merged > other
+    }
+
+    fn identifiers_survive_text(id: u64) -> bool {
+        Fingerprint(id).to_string().parse() == Ok(Fingerprint(id))
+    }
+}
