feat(platform): table and object client that settles lost answers

Configuration, membership and moves need agreed rows in the platform's table, whose answers may be lost after the write took effect, and the whole fleet must stay within the platform's rates.

The traits Table and Objects stand at the edge of the process, with an HTTP client on hyper's connection (monoio-http's client codec was ruled out: it takes headers and bodies without a bound) and an in-memory fake behind the feature 'fake'. Errors say whether the request may have had its effect. A proposal is a compare-and-set whose row carries the last 17 operation ids, so that a lost answer is settled by reading back, also where others wrote since; a single id was ruled out, since a winner that was overwritten would then take itself for a loser. Budgets are token buckets of an equal share each.

--- /dev/null
+++ b/crates/sycamore-platform/src/prelude.rs
@@ -0,0 +1,8 @@
+//! The common types, for one import.
+
+pub use crate::error::Error;
+pub use crate::objects::{Objects, Put};
+pub use crate::settle::{propose, Proposal, Settled, Stamped};
+pub use crate::table::{
+    Condition, Conflict, Page, PageQuery, Revision, Row, Table, Transacted, Transaction, Write,
+};
