feat: development tool with stand-ins, fleet harness and load

The platform and the upstream are hyper servers on monoio's epoll driver, run as processes. Upstreams report every run to a witness over TCP before it starts, so that runs of a killed upstream are counted too; datagrams were ruled out because a full receive buffer loses them. Every fleet draws a part of 127/8 and gives each node an address of its own: drawing free ports was ruled out because another process can take one between the draw and the bind. Started processes end on drop, panic, SIGINT, SIGTERM and when a run's time is over; only SIGKILL of the tool itself leaves them.

--- /dev/null
+++ b/crates/sycamore-bench/src/fleet/mod.rs
@@ -0,0 +1,28 @@
+//! A fleet of real processes on loopback: platform, nodes and upstreams, with faults on command.
+//!
+//! Every node has a loopback address of its own and the ports of [`net`], so that fleets beside
+//! each other never meet. There is no cut between two nodes here, since that takes a packet
+//! filter; a frozen process stands for one that is cut off from all others.
+
+pub mod deployment;
+pub mod guard;
+mod instance;
+mod net;
+mod options;
+mod process;
+mod query;
+mod settings;
+mod start;
+mod usage;
+
+pub use deployment::{Deployment, ServiceSpec};
+pub use instance::{Instance, InstanceSpec};
+pub use net::{Addrs, Net};
+pub use options::{Options, Upstreams};
+pub use process::{Process, Program};
+pub use query::Metrics;
+pub use start::Fleet;
+pub use usage::{descriptors, Usage};
+
+/// The operators' token of every node.
+pub const TOKEN: &str = "bench-operator-token";
--- /dev/null
+++ b/crates/sycamore-bench/src/fleet/net.rs
@@ -0,0 +1,79 @@
+//! Loopback addresses.
+
+use rand::Rng;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+const CALLER_PORT: u16 = 7400;
+const UPSTREAM_PORT: u16 = 7401;
+const RELAY_PORT: u16 = 7402;
+const PEER_PORT: u16 = 7403;
+const OPERATOR_PORT: u16 = 7404;
+const SERVICE_PORT: u16 = 9000;
+const PLATFORM_PORT: u16 = 7390;
+const WITNESS_PORT: u16 = 7391;
+
+/// Hosts in one block of the fleet's addresses.
+const HOSTS_PER_BLOCK: usize = 250;
+
+/// The loopback addresses of one fleet.
+#[derive(Debug, Clone)]
+pub struct Net {
+    first: u8,
+    block: u8,
+}
+
+/// Where one instance's processes listen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Addrs {
+    /// The node, for callers.
+    pub caller: SocketAddr,
+    /// The node, for its upstream.
+    pub upstream: SocketAddr,
+    /// The node, for calls of other nodes.
+    pub relay: SocketAddr,
+    /// The node, for messages of other nodes.
+    pub peer: SocketAddr,
+    /// The node, for operators.
+    pub operator: SocketAddr,
+    /// The upstream.
+    pub service: SocketAddr,
+}
+
+impl Net {
+    /// Draws a part of the loopback network that no other fleet is likely to use.
+    pub fn draw() -> Self {
+        let mut rng = rand::rng();
+        Self { first: rng.random_range(2..=250), block: rng.random_range(0..=240) }
+    }
+
+    /// The platform's address.
+    pub fn platform(&self) -> SocketAddr {
+        SocketAddr::new(self.host(0), PLATFORM_PORT)
+    }
+
+    /// The witness' address.
+    pub fn witness(&self) -> SocketAddr {
+        SocketAddr::new(self.host(0), WITNESS_PORT)
+    }
+
+    /// The addresses of the instance with this number, from 0.
+    pub fn instance(&self, number: usize) -> Addrs {
+        let host = self.host(number + 1);
+        let on = |port| SocketAddr::new(host, port);
+        Addrs {
+            caller: on(CALLER_PORT),
+            upstream: on(UPSTREAM_PORT),
+            relay: on(RELAY_PORT),
+            peer: on(PEER_PORT),
+            operator: on(OPERATOR_PORT),
+            service: on(SERVICE_PORT),
+        }
+    }
+
+    fn host(&self, number: usize) -> IpAddr {
+        let block = usize::from(self.block) + number / HOSTS_PER_BLOCK;
+        let host = 1 + number % HOSTS_PER_BLOCK;
+        let byte = |value: usize| u8::try_from(value).unwrap_or(u8::MAX);
+        IpAddr::V4(Ipv4Addr::new(127, self.first, byte(block), byte(host)))
+    }
+}
--- /dev/null
+++ b/crates/sycamore-bench/src/http/mod.rs
@@ -0,0 +1,24 @@
+//! HTTP/1.1 for stand-ins and load: hyper on monoio's epoll driver.
+
+mod client;
+mod server;
+
+pub use client::{request, Client, Exchange, Wire};
+pub use server::{json, serve, text, Answer, Break, Listener, Reply, ServeOptions};
+
+use monoio::{LegacyDriver, Runtime, RuntimeBuilder};
+
+/// Runs `future` to its end on a loop of its own, on this thread.
+///
+/// # Panics
+/// Where the operating system refuses an epoll instance.
+pub fn run<F: std::future::Future>(future: F) -> F::Output {
+    runtime().block_on(future)
+}
+
+fn runtime() -> Runtime<monoio::time::TimeDriver<LegacyDriver>> {
+    RuntimeBuilder::<LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("the operating system grants an epoll instance")
+}
--- /dev/null
+++ b/crates/sycamore-bench/src/http/server.rs
@@ -0,0 +1,149 @@
+//! The server side: one loop that accepts connections and serves them.
+
+use crate::{BenchError, Result};
+use bytes::Bytes;
+use error_stack::ResultExt;
+use futures::future::{select, Either};
+use futures::stream::{FuturesUnordered, StreamExt};
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use monoio::io::IntoPollIo;
+use monoio::net::{ListenerOpts, TcpListener, TcpStream};
+use monoio_compat::hyper::MonoioIo;
+use serde::Serialize;
+use std::fmt;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::pin;
+
+/// Body of every answer of a stand-in.
+pub type Answer = Response<Full<Bytes>>;
+
+/// Asks the server to break the connection instead of answering.
+#[derive(Debug, Clone, Copy)]
+pub struct Break;
+
+impl fmt::Display for Break {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("connection broken on purpose")
+    }
+}
+
+impl std::error::Error for Break {}
+
+/// What a handler gives for a request.
+pub type Reply = std::result::Result<Answer, Break>;
+
+/// Backlog of connections that wait to be accepted.
+const BACKLOG: i32 = 1_024;
+
+/// A bound listener.
+pub struct Listener {
+    inner: TcpListener,
+}
+
+impl Listener {
+    /// Binds `addr`.
+    ///
+    /// # Errors
+    /// [`BenchError::Io`] where the address is taken.
+    pub fn bind(addr: SocketAddr) -> Result<Self> {
+        let opts = ListenerOpts::new().reuse_port(false).reuse_addr(true).backlog(BACKLOG);
+        let inner = TcpListener::bind_with_config(addr, &opts)
+            .change_context_lazy(|| BenchError::Io(format!("bind {addr}")))?;
+        Ok(Self { inner })
+    }
+
+    /// The address bound.
+    ///
+    /// # Errors
+    /// [`BenchError::Io`] where the socket is broken.
+    pub fn addr(&self) -> Result<SocketAddr> {
+        self.inner.local_addr().change_context_lazy(|| BenchError::Io("local address".into()))
+    }
+
+    /// Accepts one connection.
+    ///
+    /// # Errors
+    /// [`BenchError::Io`] where the socket is broken.
+    pub async fn accept(&self) -> Result<TcpStream> {
+        let (stream, _) =
+            self.inner.accept().await.change_context_lazy(|| BenchError::Io("accept".into()))?;
+        Ok(stream)
+    }
+}
+
+/// Limits of a server.
+#[derive(Debug, Clone)]
+pub struct ServeOptions {
+    /// Connections served at the same time; more are closed at once.
+    pub connections: usize,
+}
+
+impl Default for ServeOptions {
+    fn default() -> Self {
+        Self { connections: 4_096 }
+    }
+}
+
+/// Serves `listener` with `handler` until the future is dropped; connections end with it.
+pub async fn serve<H, F>(listener: &Listener, options: &ServeOptions, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone,
+    F: Future<Output = Reply>,
+{
+    let mut connections = FuturesUnordered::new();
+    loop {
+        let accepted = {
+            let mut accept = pin!(listener.accept());
+            loop {
+                if connections.is_empty() {
+                    break accept.await;
+                }
+                match select(accept.as_mut(), connections.next()).await {
+                    Either::Left((accepted, _)) => break accepted,
+                    Either::Right(_) => {}
+                }
+            }
+        };
+        match accepted {
+            Ok(stream) if connections.len() < options.connections => {
+                connections.push(serve_connection(stream, handler.clone()));
+            }
+            Ok(_) => {}
+            Err(_) => monoio::time::sleep(std::time::Duration::from_millis(10)).await,
+        }
+    }
+}
+
+async fn serve_connection<H, F>(stream: TcpStream, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F,
+    F: Future<Output = Reply>,
+{
+    let _ = stream.set_nodelay(true);
+    let Ok(stream) = stream.into_poll_io() else { return };
+    let service = service_fn(handler);
+    // A broken connection is the peer's affair; the emulated process goes on.
+    let _ = hyper::server::conn::http1::Builder::new()
+        .serve_connection(MonoioIo::new(stream), service)
+        .await;
+}
+
+/// An answer with a plain text body.
+pub fn text(status: StatusCode, body: impl Into<Bytes>) -> Answer {
+    let mut answer = Response::new(Full::new(body.into()));
+    *answer.status_mut() = status;
+    answer
+}
+
+/// An answer with `value` as its JSON body.
+pub fn json(status: StatusCode, value: &impl Serialize) -> Answer {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let mut answer = text(status, body);
+    let kind = http::HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(http::header::CONTENT_TYPE, kind);
+    answer
+}
--- /dev/null
+++ b/crates/sycamore-bench/src/load/call.rs
@@ -0,0 +1,137 @@
+//! One call.
+
+use super::answer::{judge, Ended, Record};
+use super::{CallKind, KeyUse};
+use crate::http::{Client, Exchange};
+use crate::stand_in::upstream::{checksum, fill, headers};
+use crate::witness::now_us;
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue, Request};
+use http_body_util::Full;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use sycamore_types::headers as shift;
+
+/// Sends calls and judges their answers.
+#[derive(Default)]
+pub struct Caller {
+    client: Client,
+}
+
+/// A call to be sent.
+#[derive(Debug, Clone)]
+pub struct Call<'a> {
+    /// Its kind.
+    pub kind: &'a CallKind,
+    /// Index of its kind.
+    pub index: usize,
+    /// Its token.
+    pub token: String,
+    /// The caller's name.
+    pub caller: String,
+    /// Longest wait for the answer.
+    pub limit: Duration,
+    /// Addresses to try, in order: one more for each repeat of a blind retry.
+    pub addrs: Vec<SocketAddr>,
+}
+
+impl Caller {
+    /// Sends `call` to its first address, and on to the next where an attempt brought no success;
+    /// a caller that relies on its node gives one address.
+    pub async fn send(&self, call: &Call<'_>) -> Record {
+        let start = Instant::now();
+        let sent_us = now_us();
+        let body = fill(&call.token, call.kind.body);
+        let sent_sum = checksum(&body);
+        let mut attempts = 0;
+        let mut last = (Ended::NotConnected, None);
+        for addr in &call.addrs {
+            attempts += 1;
+            let left = call.limit.saturating_sub(start.elapsed());
+            last = self.attempt(call, *addr, body.clone(), &sent_sum, left).await;
+            if last.0 == Ended::Ok {
+                break;
+            }
+        }
+        let (ended, exchange) = last;
+        record(call, sent_us, start.elapsed(), ended, exchange, attempts)
+    }
+
+    async fn attempt(
+        &self,
+        call: &Call<'_>,
+        addr: SocketAddr,
+        body: Bytes,
+        sent_sum: &str,
+        left: Duration,
+    ) -> (Ended, Option<Exchange>) {
+        let Some(req) = request(call, addr, body) else { return (Ended::NotConnected, None) };
+        let result = match monoio::time::timeout(left, self.client.send(addr, req)).await {
+            Ok(result) => result,
+            Err(_) => return (Ended::TimedOut, None),
+        };
+        let ended = judge(&call.token, sent_sum, &result);
+        (ended, result.ok())
+    }
+}
+
+fn request(call: &Call<'_>, addr: SocketAddr, body: Bytes) -> Option<Request<Full<Bytes>>> {
+    let kind = call.kind;
+    let path = kind.path.replace("{}", &call.token);
+    let mut req = Request::builder().method(kind.method.clone()).uri(path);
+    let mut set = |name: &'static str, value: String| {
+        if let (Some(map), Ok(value)) = (req.headers_mut(), HeaderValue::from_str(&value)) {
+            map.insert(HeaderName::from_static(name), value);
+        }
+    };
+    set("host", addr.to_string());
+    set(headers::TOKEN, call.token.clone());
+    set(shift::CALLER, call.caller.clone());
+    if let Some(len) = kind.answer {
+        set(headers::ANSWER_BYTES, len.to_string());
+    }
+    if let Some(us) = kind.work_us {
+        set(headers::WORK_US, us.to_string());
+    }
+    if !kind.onward.is_empty() {
+        set(headers::ONWARD, kind.onward.join(","));
+    }
+    if kind.crash {
+        set(headers::CRASH, "1".into());
+    }
+    if kind.key != KeyUse::None {
+        set(shift::IDEMPOTENCY_KEY, call.token.clone());
+    }
+    if let Some(criticality) = kind.criticality {
+        set(shift::CRITICALITY, criticality.into());
+    }
+    if let Some(ms) = kind.timeout_ms {
+        set(shift::TIMEOUT_MS, ms.to_string());
+    }
+    req.body(Full::new(body)).ok()
+}
+
+fn record(
+    call: &Call<'_>,
+    sent_us: u64,
+    latency: Duration,
+    ended: Ended,
+    exchange: Option<Exchange>,
+    attempts: u32,
+) -> Record {
+    let header = |name: &str| exchange.as_ref().and_then(|e| e.header(name)).map(str::to_owned);
+    Record {
+        token: call.token.clone(),
+        kind: call.index,
+        idempotent: call.kind.is_idempotent(),
+        sent_us,
+        latency,
+        ended,
+        status: exchange.as_ref().map(|exchange| exchange.status),
+        reason: header(shift::REASON),
+        retry_after: header("retry-after").and_then(|seconds| seconds.parse().ok()),
+        instance: header(headers::INSTANCE),
+        version: header(headers::VERSION),
+        attempts,
+    }
+}
--- /dev/null
+++ b/crates/sycamore-bench/src/load/mod.rs
@@ -0,0 +1,13 @@
+//! Open-loop load: Poisson arrivals that do not wait for answers, and a check of every answer.
+
+mod answer;
+mod call;
+mod generate;
+mod kind;
+mod tally;
+
+pub use answer::{Ended, Record};
+pub use call::Caller;
+pub use generate::{run, Options, Pick, Target};
+pub use kind::{photos, CallKind, KeyUse};
+pub use tally::{Latencies, Tally};
--- a/crates/sycamore-bench/src/main.rs
+++ b/crates/sycamore-bench/src/main.rs
@@ -1,2 +1,14 @@
 //! Development tool.
-fn main() {}
+
+use std::process::ExitCode;
+use sycamore_bench::cli;
+
+fn main() -> ExitCode {
+    match cli::execute(cli::options().run()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/sycamore-bench/src/measure/mod.rs
@@ -0,0 +1,51 @@
+//! Measurements: each a command that prints a summary on standard error and one JSON object as the
+//! last line of standard output.
+
+mod path;
+mod violations;
+
+pub use violations::Violations;
+
+use crate::Result;
+use bpaf::{construct, Parser};
+use serde::Serialize;
+use std::time::Duration;
+
+/// Longest time that a measurement may take before it is ended.
+const LIMIT: Duration = Duration::from_secs(600);
+
+/// A measurement with its options.
+#[derive(Debug, Clone)]
+pub enum Command {
+    /// Mixed calls along the whole path.
+    Path(path::Options),
+}
+
+/// The parser of all measurements.
+pub fn parser() -> impl Parser<Command> {
+    let path = path::parser()
+        .to_options()
+        .descr("Mixed calls along the whole path, at a deployment's size of today.")
+        .command("path")
+        .map(Command::Path);
+    construct!([path])
+}
+
+/// Runs the measurement `command`.
+///
+/// # Errors
+/// Where it could not be carried out; a bad figure is a result.
+pub async fn run(command: Command) -> Result<()> {
+    crate::fleet::guard::limit_run(LIMIT);
+    match command {
+        Command::Path(options) => path::run(options).await,
+    }
+}
+
+/// Prints `result` as the last line of standard output.
+pub fn print(result: &impl Serialize) {
+    match serde_json::to_string(result) {
+        Ok(line) => println!("{line}"),
+        Err(error) => eprintln!("the result can't be written as JSON: {error}"),
+    }
+}
--- /dev/null
+++ b/crates/sycamore-bench/src/stand_in/platform/mod.rs
@@ -0,0 +1,13 @@
+//! The platform: a transactional table and an object store, with faults on command.
+
+mod control;
+mod objects;
+mod rate;
+mod serve;
+mod table;
+
+pub use control::{Control, Stats};
+pub use objects::Objects;
+pub use rate::{RateCap, RateCaps};
+pub use serve::{run, Options};
+pub use table::{Condition, Conflict, Row, Table, Transaction, Write};
--- /dev/null
+++ b/crates/sycamore-bench/src/stand_in/upstream/serve.rs
@@ -0,0 +1,338 @@
+//! The upstream itself.
+
+use super::announce;
+use super::badness::{Circumstances, Fate};
+use super::onward::{self, Onward};
+use super::probes::{Load, Probes};
+use super::{checksum, fill, headers, Options, Slots};
+use crate::http::{self as bench_http, text, Answer, Break, Client, Listener, Reply, ServeOptions};
+use crate::witness::{Reporter, SightingKind};
+use crate::{BenchError, Result};
+use bytes::Bytes;
+use error_stack::ResultExt;
+use futures::future::select;
+use http::{HeaderMap, HeaderValue, Request, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::cell::{Cell, RefCell};
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use sycamore_types::headers as shift;
+
+/// Time between two looks at the signal flag; also the sampling interval of the endpoints.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Time without a request in flight after which a leaving upstream exits.
+const QUIET: Duration = Duration::from_secs(1);
+
+/// Factor by which a cold upstream is slower at its start; it falls to 1 in a straight line.
+const COLD_FACTOR: f64 = 4.0;
+
+/// Work shorter than this is done by spinning, since timers tick in milliseconds.
+const SPIN_BELOW: Duration = Duration::from_millis(1);
+
+/// Time that a request runs before it crashes the upstream.
+const CRASH_AFTER: Duration = Duration::from_millis(5);
+
+/// Exit status of a crash.
+const CRASH_STATUS: i32 = 70;
+
+struct Upstream {
+    options: Options,
+    start: Instant,
+    slots: Slots,
+    rng: RefCell<SmallRng>,
+    reporter: Reporter,
+    probes: RefCell<Probes>,
+    client: Client,
+    requests: Cell<usize>,
+    draining: Cell<bool>,
+}
+
+/// Serves until SIGTERM and then until nothing is in flight.
+///
+/// # Errors
+/// [`BenchError::Io`] where the address is taken or the witness can't be reached.
+pub async fn run(options: Options) -> Result<()> {
+    let term = Arc::new(AtomicBool::new(false));
+    signal_hook::flag::register(signal_hook::consts::SIGTERM, term.clone())
+        .change_context_lazy(|| BenchError::Io("signal handler".into()))?;
+    let listener = Listener::bind(options.listen)?;
+    let upstream = Rc::new(Upstream::new(options)?);
+    let limits = ServeOptions { connections: usize::from(upstream.options.connections) };
+    let serve = bench_http::serve(&listener, &limits, {
+        let upstream = upstream.clone();
+        move |req| {
+            let upstream = upstream.clone();
+            async move { upstream.answer(req).await }
+        }
+    });
+    let life = upstream.live(&term);
+    select(pin!(serve), pin!(life)).await;
+    Ok(())
+}
+
+impl Upstream {
+    fn new(options: Options) -> Result<Self> {
+        let reporter = Reporter::connect(
+            options.witness,
+            &options.instance,
+            &options.service,
+            &options.version,
+        )?;
+        Ok(Self {
+            start: Instant::now(),
+            slots: Slots::new(usize::from(options.slots), usize::from(options.queue)),
+            rng: RefCell::new(SmallRng::seed_from_u64(options.seed)),
+            reporter,
+            probes: RefCell::default(),
+            client: Client::default(),
+            requests: Cell::new(0),
+            draining: Cell::new(false),
+            options,
+        })
+    }
+
+    /// Announces until SIGTERM, then drains; ends when the process may exit.
+    async fn live(&self, term: &AtomicBool) {
+        let first = || self.reporter.report(SightingKind::Up, "", "");
+        let announcing = async {
+            match self.options.node {
+                Some(node) => announce::announce(&self.options, node, first).await,
+                None => std::future::pending().await,
+            }
+        };
+        select(pin!(announcing), pin!(self.until_term(term))).await;
+        self.draining.set(true);
+        if let Some(node) = self.options.node {
+            announce::drain(node).await;
+        }
+        self.reporter.report(SightingKind::Drain, "", "");
+        self.until_quiet().await;
+    }
+
+    async fn until_term(&self, term: &AtomicBool) {
+        while !term.load(Ordering::Relaxed) {
+            self.tick().await;
+        }
+    }
+
+    async fn until_quiet(&self) {
+        let end = Instant::now() + self.options.grace;
+        let mut quiet_since = Instant::now();
+        while quiet_since.elapsed() < QUIET && Instant::now() < end {
+            self.tick().await;
+            if self.requests.get() > 0 {
+                quiet_since = Instant::now();
+            }
+        }
+    }
+
+    async fn tick(&self) {
+        let now = self.start.elapsed();
+        self.probes.borrow_mut().sample(now, self.load(), !self.draining.get());
+        monoio::time::sleep(TICK).await;
+    }
+
+    fn load(&self) -> Load {
+        Load { busy: self.slots.taken(), queued: self.slots.queued() }
+    }
+
+    async fn answer(&self, req: Request<Incoming>) -> Reply {
+        match req.uri().path() {
+            "/health" => {
+                let probe = self.options.probe;
+                Ok(self.probes.borrow().health(probe, !self.draining.get()))
+            }
+            "/load" => Ok(self.probes.borrow().load(self.options.probe, self.load())),
+            _ => {
+                let _counted = Counted::new(&self.requests);
+                self.take(req).await
+            }
+        }
+    }
+
+    async fn take(&self, req: Request<Incoming>) -> Reply {
+        let arrived = Instant::now();
+        let (head, body) = req.into_parts();
+        let body = body.collect().await.map_err(|_| Break)?.to_bytes();
+        let deadline = header(&head.headers, shift::TIMEOUT_MS)
+            .and_then(|ms| ms.parse().ok())
+            .map(|ms| arrived + Duration::from_millis(ms));
+        let slot = match within(deadline, self.slots.take()).await {
+            None => return Ok(shed("deadline")),
+            Some(Err(_)) => {
+                let token = header(&head.headers, headers::TOKEN).unwrap_or_default();
+                self.reporter.report(SightingKind::Shed, token, head.uri.path());
+                return Ok(shed("overloaded"));
+            }
+            Some(Ok(slot)) => slot,
+        };
+        let reply = self.run(&head, &body, deadline).await;
+        drop(slot);
+        reply
+    }
+
+    async fn run(
+        &self,
+        head: &http::request::Parts,
+        body: &Bytes,
+        deadline: Option<Instant>,
+    ) -> Reply {
+        let token = header(&head.headers, headers::TOKEN).unwrap_or_default();
+        let path = head.uri.path();
+        self.reporter.report(SightingKind::Start, token, path);
+        let run = Running { reporter: &self.reporter, token, path, ended: Cell::new(false) };
+        let (fate, work) = self.draw(head);
+        if fate == Fate::Crash || head.headers.contains_key(headers::CRASH) {
+            monoio::time::sleep(CRASH_AFTER).await;
+            std::process::exit(CRASH_STATUS);
+        }
+        let left = deadline.map(|end| end.saturating_duration_since(Instant::now()));
+        let work = async {
+            pause(work).await;
+            onward::call(&self.client, self.options.node, &head.headers, token, left).await
+        };
+        let answer = match within(deadline, work).await {
+            None => timed_out(),
+            Some(Onward::Failed(status)) => text(status, "a call onward failed\n"),
+            Some(Onward::NoAnswer) => text(StatusCode::BAD_GATEWAY, "no answer from onward\n"),
+            Some(Onward::Fine) if fate == Fate::Failed => {
+                text(StatusCode::INTERNAL_SERVER_ERROR, "failed\n")
+            }
+            Some(Onward::Fine) => self.success(&head.headers, token),
+        };
+        run.ended.set(true);
+        self.reporter.report(SightingKind::End, token, path);
+        Ok(self.sign(answer, token, body))
+    }
+
+    /// What becomes of the request, and how long it takes.
+    fn draw(&self, head: &http::request::Parts) -> (Fate, Duration) {
+        let mut rng = self.rng.borrow_mut();
+        let options = &self.options;
+        let at = Circumstances {
+            age: self.start.elapsed(),
+            onset: options.bad_onset,
+            busy: self.slots.taken() as f64 / f64::from(options.slots.max(1)),
+            path: head.uri.path(),
+            bad_route: &options.bad_route,
+            caller: header(&head.headers, shift::CALLER).unwrap_or_default(),
+        };
+        let asked = header(&head.headers, headers::WORK_US).and_then(|us| us.parse().ok());
+        let mean = asked.map_or(options.work, Duration::from_micros);
+        let factor = rng.random_range(0.5..1.5) * options.bad.slowdown(&at) * self.cold_factor();
+        (options.bad.fate(&at, &mut rng), mean.mul_f64(factor))
+    }
+
+    fn cold_factor(&self) -> f64 {
+        let cold = self.options.cold.as_secs_f64();
+        let left = cold - self.start.elapsed().as_secs_f64();
+        if left <= 0.0 {
+            return 1.0;
+        }
+        1.0 + (COLD_FACTOR - 1.0) * left / cold
+    }
+
+    fn success(&self, incoming: &HeaderMap, token: &str) -> Answer {
+        let len = header(incoming, headers::ANSWER_BYTES).and_then(|len| len.parse().ok());
+        let body = match len {
+            Some(len) => fill(token, len),
+            None => Bytes::from(format!("{{\"token\":\"{token}\"}}\n")),
+        };
+        let sum = checksum(&body);
+        let mut answer = text(StatusCode::OK, body);
+        set(&mut answer, headers::SENT_SUM, &sum);
+        answer
+    }
+
+    fn sign(&self, mut answer: Answer, token: &str, received: &Bytes) -> Answer {
+        set(&mut answer, headers::TOKEN, token);
+        set(&mut answer, headers::INSTANCE, &self.options.instance);
+        set(&mut answer, headers::VERSION, &self.options.version);
+        set(&mut answer, headers::RECEIVED_SUM, &checksum(received));
+        answer
+    }
+}
+
+/// Counts a request while it lives.
+struct Counted<'a>(&'a Cell<usize>);
+
+impl<'a> Counted<'a> {
+    fn new(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Reports a cancellation where the run is dropped before its end.
+struct Running<'a> {
+    reporter: &'a Reporter,
+    token: &'a str,
+    path: &'a str,
+    ended: Cell<bool>,
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        if !self.ended.get() {
+            self.reporter.report(SightingKind::Cancel, self.token, self.path);
+        }
+    }
+}
+
+async fn pause(time: Duration) {
+    if time >= SPIN_BELOW {
+        return monoio::time::sleep(time).await;
+    }
+    let start = Instant::now();
+    while start.elapsed() < time {
+        std::hint::spin_loop();
+    }
+}
+
+/// The output of `work`, or `None` where `deadline` comes first.
+async fn within<F: std::future::Future>(deadline: Option<Instant>, work: F) -> Option<F::Output> {
+    match deadline {
+        None => Some(work.await),
+        Some(end) => {
+            let left = end.saturating_duration_since(Instant::now());
+            monoio::time::timeout(left, work).await.ok()
+        }
+    }
+}
+
+fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+fn set(answer: &mut Answer, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        answer.headers_mut().insert(name, value);
+    }
+}
+
+fn shed(reason: &str) -> Answer {
+    let mut answer = text(StatusCode::SERVICE_UNAVAILABLE, "shed\n");
+    set(&mut answer, shift::OUTCOME, "not-run");
+    set(&mut answer, shift::REASON, reason);
+    set(&mut answer, "retry-after", "1");
+    answer
+}
+
+fn timed_out() -> Answer {
+    let mut answer = text(StatusCode::GATEWAY_TIMEOUT, "out of time\n");
+    set(&mut answer, shift::OUTCOME, "unknown");
+    answer
+}
--- /dev/null
+++ b/crates/sycamore-bench/tests/upstream.rs
@@ -0,0 +1,114 @@
+//! The emulated upstream, called directly, and the checks that find broken promises.
+
+use futures::future::{select, Either};
+use futures::FutureExt;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::time::Duration;
+use sycamore_bench::http;
+use sycamore_bench::load::{self, CallKind, Ended, Tally, Target};
+use sycamore_bench::stand_in::upstream::{self, Slots};
+use sycamore_bench::witness::{Ledger, Sighting, SightingKind, Witness};
+
+fn free_addr() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("a bound address")
+}
+
+/// Loads one upstream directly and gives what callers and witness saw.
+fn load_upstream(options: upstream::Options, load: load::Options) -> (Tally, Ledger) {
+    http::run(async move {
+        let witness = Witness::start(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a free port");
+        let addr = free_addr();
+        let options = upstream::Options { listen: addr, witness: Some(witness.addr()), ..options };
+        let targets = vec![Target { prefix: "/".into(), addrs: vec![addr] }];
+        let load = load::Options { targets, time: Duration::from_secs(1), ..load };
+        let tally = match select(pin!(load::run(&load)), pin!(upstream::run(options))).await {
+            Either::Left((tally, _)) => tally,
+            Either::Right((ended, _)) => panic!("the upstream ended: {ended:?}"),
+        };
+        (tally, witness.ledger().await)
+    })
+}
+
+#[test]
+fn every_call_gets_its_own_whole_answer_and_is_witnessed_once() {
+    let mut kinds = vec![CallKind::lookup("counter"), CallKind::booking("counter")];
+    kinds.extend(load::photos("counter"));
+    let load = load::Options { kinds, rate: 100.0, ..load::Options::default() };
+    let (tally, ledger) = load_upstream(upstream::Options::default(), load);
+    assert!(tally.records().len() > 20);
+    assert_eq!(tally.count(Ended::Ok), tally.records().len(), "{tally}");
+    assert_eq!(tally.violations(&ledger).total(), 0);
+    assert_eq!(ledger.runs().len(), tally.records().len());
+}
+
+#[test]
+fn what_is_shed_did_not_run() {
+    let options = upstream::Options {
+        slots: 1,
+        queue: 0,
+        work: Duration::from_millis(50),
+        ..upstream::Options::default()
+    };
+    let kinds = vec![CallKind::booking("counter")];
+    let load = load::Options { kinds, rate: 200.0, ..load::Options::default() };
+    let (tally, ledger) = load_upstream(options, load);
+    assert!(tally.count(Ended::Refused) > 0, "{tally}");
+    assert_eq!(tally.count(Ended::Refused), ledger.count(SightingKind::Shed));
+    assert_eq!(tally.violations(&ledger).total(), 0);
+}
+
+fn sighting(kind: SightingKind, at_us: u64, token: &str) -> Sighting {
+    Sighting {
+        kind,
+        at_us,
+        instance: "counter-1".into(),
+        service: "counter".into(),
+        version: "1".into(),
+        token: token.into(),
+        path: "/".into(),
+    }
+}
+
+#[test]
+fn a_second_run_and_a_false_refusal_are_found() {
+    let options = upstream::Options { slots: 1, queue: 0, ..upstream::Options::default() };
+    let kinds = vec![CallKind::booking("counter")];
+    let load = load::Options { kinds, rate: 300.0, ..load::Options::default() };
+    let (tally, ledger) = load_upstream(options, load);
+    let ended = |ended| tally.records().iter().find(|r| r.ended == ended).unwrap().token.clone();
+    let mut sightings = ledger.sightings().to_vec();
+    sightings.push(sighting(SightingKind::Start, 1, &ended(Ended::Ok)));
+    sightings.push(sighting(SightingKind::Start, 2, &ended(Ended::Refused)));
+    let violations = tally.violations(&Ledger::new(sightings));
+    assert_eq!((violations.ran_twice, violations.false_not_run), (1, 1));
+}
+
+#[test]
+fn work_after_a_drain_is_found_and_a_restart_ends_the_drain() {
+    let ledger = Ledger::new(vec![
+        sighting(SightingKind::Drain, 1_000, ""),
+        sighting(SightingKind::Start, 2_000, "early"),
+        sighting(SightingKind::Start, 9_000, "late"),
+        sighting(SightingKind::Up, 10_000, ""),
+        sighting(SightingKind::Start, 20_000, "new"),
+    ]);
+    assert_eq!(ledger.runs_after_drain(3_000), 1);
+}
+
+#[test]
+fn slots_are_granted_in_order_and_given_up_when_dropped() {
+    let slots = Slots::new(1, 2);
+    let first = slots.take().now_or_never().unwrap().ok().unwrap();
+    let mut second = slots.take();
+    let mut third = slots.take();
+    assert!((&mut second).now_or_never().is_none());
+    assert!((&mut third).now_or_never().is_none());
+    assert!(slots.take().now_or_never().unwrap().is_err(), "the queue is full");
+    drop(first);
+    assert!((&mut third).now_or_never().is_none(), "the second is before it");
+    drop(second);
+    assert!(third.now_or_never().unwrap().is_ok());
+    assert_eq!((slots.taken(), slots.queued()), (0, 0));
+}
