test: task groups and the hub

Cause: every slice rests on joined tasks, phases that never go back and facts that only grow. Change: ten tests of them.

--- /dev/null
+++ b/crates/sycamore-node/tests/hub.rs
@@ -0,0 +1,73 @@
+//! What the slices share: phases, calls in flight and facts.
+
+use sycamore_node::hub::{Hub, Phase};
+use sycamore_settings::Settings;
+use sycamore_types::prelude::*;
+
+fn head(version: u64) -> Fact {
+    Fact::Head(ConfigHead { version: ConfigVersion(version), manifest: ContentHash::of(b"m") })
+}
+
+#[test]
+fn a_phase_never_goes_back() {
+    let hub = Hub::new(Settings::default());
+    hub.set_phase(Phase::Draining);
+    hub.set_phase(Phase::Ready);
+    assert_eq!(hub.phase(), Phase::Draining);
+}
+
+#[test]
+fn a_configuration_that_arrives_in_a_drain_does_not_end_it() {
+    let hub = Hub::new(Settings::default());
+    hub.set_phase(Phase::Draining);
+    hub.publish_snapshot(Snapshot { version: ConfigVersion(1), ..Default::default() });
+    assert_eq!(hub.phase(), Phase::Draining);
+}
+
+#[test]
+fn a_call_is_in_flight_until_its_guard_is_dropped() {
+    let hub = Hub::new(Settings::default());
+    let first = hub.call_in_flight();
+    let second = hub.call_in_flight();
+    assert_eq!(hub.in_flight(), 2);
+    drop((first, second));
+    assert_eq!(hub.in_flight(), 0);
+}
+
+#[test]
+fn a_lower_head_is_not_learnt() {
+    let hub = Hub::new(Settings::default());
+    assert!(hub.facts.learn(head(2)));
+    assert!(!hub.facts.learn(head(1)));
+    assert!(!hub.facts.learn(head(2)));
+    assert_eq!(hub.facts.known()[&FactKey::Head], head(2));
+}
+
+#[test]
+fn only_facts_raised_here_wait_to_be_spread() {
+    let hub = Hub::new(Settings::default());
+    hub.facts.learn(head(1));
+    hub.raise(head(2));
+    hub.raise(head(2));
+    assert_eq!(hub.facts.take_fresh(), [head(2)]);
+    assert!(hub.facts.take_fresh().is_empty());
+}
+
+#[test]
+fn expired_facts_are_forgotten_and_verdicts_are_kept() {
+    let hub = Hub::new(Settings::default());
+    let verdict = Fact::BadVersion {
+        service: ServiceName::new("counter").expect("valid"),
+        version: UpstreamVersion::new("2").expect("valid"),
+        by: MoveId::new("m").expect("valid"),
+        reason: "errors".to_owned(),
+        at: Stamp::default(),
+    };
+    let quarantine = Fact::Quarantined { fingerprint: Fingerprint(7), until: WallTime(100) };
+    hub.facts.learn(verdict.clone());
+    hub.facts.learn(quarantine.clone());
+    hub.facts.expire(WallTime(99));
+    assert_eq!(hub.facts.known().len(), 2);
+    hub.facts.expire(WallTime(100));
+    assert_eq!(hub.facts.known().values().collect::<Vec<_>>(), [&verdict]);
+}
--- /dev/null
+++ b/crates/sycamore-node/tests/tasks.rs
@@ -0,0 +1,69 @@
+//! A parent joins all that it spawned.
+
+use monoio::{LegacyDriver, RuntimeBuilder};
+use std::cell::Cell;
+use std::future::Future;
+use std::rc::Rc;
+use sycamore_node::tasks::TaskGroup;
+
+fn on_loop(test: impl Future<Output = ()>) {
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build().expect("a loop");
+    runtime.block_on(test);
+}
+
+/// Sets a flag when it is dropped.
+struct Flag(Rc<Cell<bool>>);
+
+impl Drop for Flag {
+    fn drop(&mut self) {
+        self.0.set(true);
+    }
+}
+
+#[test]
+fn join_waits_for_every_task() {
+    on_loop(async {
+        let tasks = TaskGroup::default();
+        let ended = Rc::new(Cell::new(0));
+        for millis in [1, 20, 5] {
+            let ended = ended.clone();
+            tasks.spawn(async move {
+                monoio::time::sleep(std::time::Duration::from_millis(millis)).await;
+                ended.set(ended.get() + 1);
+            });
+        }
+        tasks.join().await;
+        assert_eq!((ended.get(), tasks.live()), (3, 0));
+    });
+}
+
+#[test]
+fn stop_ends_a_task_that_never_would() {
+    on_loop(async {
+        let tasks = TaskGroup::default();
+        let dropped = Rc::new(Cell::new(false));
+        let flag = Flag(dropped.clone());
+        tasks.spawn_until_stop(async move {
+            let _flag = flag;
+            std::future::pending::<()>().await;
+        });
+        tasks.stop();
+        tasks.join().await;
+        assert!(dropped.get());
+    });
+}
+
+#[test]
+fn a_task_spawned_after_stop_ends_as_well() {
+    on_loop(async {
+        let tasks = TaskGroup::default();
+        tasks.stop();
+        tasks.spawn_until_stop(std::future::pending());
+        tasks.join().await;
+    });
+}
+
+#[test]
+fn joining_no_task_returns() {
+    on_loop(async { TaskGroup::default().join().await });
+}
