feat: decide release moves from sheet to outcome

Ruled out: a threshold on error rates (reads an overload of the whole service as a bad version), a verdict by any node (a done could outrun it), climbing by a controller that must be up. Change: sheet, plan rows with compare-and-set, agreed schedule, evidence with a grow-only merge, sequential verdict against the old version at the same time and at the same load, and the per-node state machine with signatures.

--- /dev/null
+++ b/crates/sycamore-moves/src/control/merger.rs
@@ -0,0 +1,137 @@
+//! What a merging node holds: the merged evidence, the judge, and the holds of steps.
+
+use crate::evidence::{Ledger, Report, Source};
+use crate::plan::{MoveRow, Summary};
+use crate::verdict::{Finding, Judge, JudgeOptions};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use sycamore_types::prelude::*;
+
+/// Bounds of a move's control.
+#[derive(Debug, Clone)]
+pub struct ControlOptions {
+    /// Nodes that merge the evidence of a move.
+    pub mergers: usize,
+    /// A report is fresh for this long.
+    pub fresh: Duration,
+    /// An instance that is gone this long counts out, if its region is seen.
+    pub retire: Duration,
+    /// Time between two tries to write the outcome.
+    pub retry: Duration,
+    /// Facts on a move are kept this long after its deadline.
+    pub keep: Duration,
+    /// The judge's bounds.
+    pub judge: JudgeOptions,
+}
+
+impl Default for ControlOptions {
+    fn default() -> Self {
+        Self {
+            mergers: 2,
+            fresh: Duration::from_secs(4),
+            retire: Duration::from_secs(30),
+            retry: Duration::from_secs(2),
+            keep: Duration::from_secs(86_400),
+            judge: JudgeOptions::default(),
+        }
+    }
+}
+
+/// Why a step is not cleared yet, for the report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Hold {
+    /// The step has not been held long enough.
+    Time,
+    /// Too few nodes report: this node may be cut off.
+    Cut,
+    /// The evidence does not suffice.
+    Evidence,
+}
+
+/// The merging part of one node.
+#[derive(Debug, Clone)]
+pub struct Merger {
+    ledger: Ledger,
+    heard: BTreeMap<Source, Time>,
+    judge: Judge,
+    step: Option<(usize, WallTime)>,
+}
+
+impl Merger {
+    /// A merger that starts at `now`.
+    pub fn new(options: &ControlOptions, now: Time) -> Self {
+        Self {
+            ledger: Ledger::default(),
+            heard: BTreeMap::new(),
+            judge: Judge::new(options.judge.clone(), now),
+            step: None,
+        }
+    }
+
+    /// Takes in a report.
+    pub fn take(&mut self, now: Time, report: Report) {
+        let source = Source { instance: report.instance.clone(), incarnation: report.incarnation };
+        if self.ledger.merge(report) {
+            self.heard.insert(source, now);
+        }
+    }
+
+    /// Judges what has been merged.
+    pub fn judge(&mut self, now: Time, row: &MoveRow) -> Option<Finding> {
+        let new = self.ledger.totals(&row.spec.to);
+        let old = self.ledger.totals(&row.spec.from);
+        self.judge.step(now, new, old)
+    }
+
+    /// Notes that `step` is open.
+    pub fn open(&mut self, now: Time, wall: WallTime, step: usize) {
+        if self.step.is_none_or(|(open, _)| open != step) {
+            self.step = Some((step, wall));
+            self.judge.open_step(now);
+        }
+    }
+
+    /// Whether the open step may be cleared, or what it waits for. More than half of `needed` must
+    /// have reported lately, and one process of the old version if `old_expected`: a node that is
+    /// cut off clears nothing.
+    ///
+    /// # Errors
+    /// The [`Hold`] that is in force.
+    pub fn clears(
+        &self,
+        (now, wall): (Time, WallTime),
+        row: &MoveRow,
+        needed: &[Source],
+        old_expected: bool,
+        fresh: Duration,
+    ) -> Result<usize, Hold> {
+        let (step, opened) = self.step.ok_or(Hold::Time)?;
+        let agreed = row.schedule.steps.get(step).ok_or(Hold::Time)?;
+        if wall.since(opened) < row.schedule.hold(step, opened) {
+            return Err(Hold::Time);
+        }
+        let is_fresh =
+            |source: &Source| self.heard.get(source).is_some_and(|at| now.since(*at) <= fresh);
+        let heard = needed.iter().filter(|source| is_fresh(source)).count();
+        let old = self.heard.keys().filter(|source| is_fresh(source)).any(|source| {
+            self.ledger.report(source).is_some_and(|report| report.version == row.spec.from)
+        });
+        if heard * 2 <= needed.len() || (old_expected && !old) {
+            return Err(Hold::Cut);
+        }
+        if !self.judge.clears(agreed.margin) {
+            return Err(Hold::Evidence);
+        }
+        Ok(step)
+    }
+
+    /// Whether `source` has signed.
+    pub fn has_signed(&self, source: &Source) -> bool {
+        self.ledger.report(source).is_some_and(|report| report.signed)
+    }
+
+    /// The counts so far.
+    pub fn summary(&self) -> Summary {
+        self.judge.summary()
+    }
+}
--- /dev/null
+++ b/crates/sycamore-moves/src/control/mod.rs
@@ -0,0 +1,16 @@
+//! One move as one node runs it: the share it applies, and, at the nodes of the new version, the
+//! judgement.
+//!
+//! Only nodes beside the new version judge, and a node that has signed the watch period as clean
+//! judges no more. The move is done only when every live instance of the new version has signed, so
+//! no verdict can fall before or after that the outcome does not know of.
+
+mod machine;
+mod merger;
+mod peers;
+mod rendezvous;
+
+pub use machine::{Action, Input, Moment, MoveControl, Phase, Split};
+pub use merger::{ControlOptions, Hold};
+pub use peers::{Peer, Peers};
+pub use rendezvous::{choose, score};
--- /dev/null
+++ b/crates/sycamore-moves/src/evidence/counts.rs
@@ -0,0 +1,133 @@
+//! Counters of one version, by route and by offered load.
+
+use super::Histogram;
+use std::collections::BTreeMap;
+use sycamore_types::prelude::*;
+
+/// Callers are told apart by this many buckets of their hash.
+pub const CALLER_BUCKETS: usize = 16;
+/// Most cells that one process keeps; calls of further routes are counted in no cell, but over all.
+pub const MAX_CELLS: usize = 96;
+
+/// Calls of one route at one band of offered load.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Cell {
+    /// The route.
+    pub route: RouteName,
+    /// Offered load: base-2 logarithm of calls a second and slot, shifted to start at 0.
+    pub band: u8,
+}
+
+/// Counters of calls that ended.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub struct Counts {
+    /// Answered with a status below 400.
+    pub ok: u64,
+    /// Failed, broken or timed out.
+    pub failed: u64,
+    /// Answered with a status of 400 to 499.
+    pub rejected: u64,
+    /// Refused by the upstream for load.
+    pub shed: u64,
+    /// Latency of those that were answered.
+    pub latency: Histogram,
+}
+
+/// Counters of one bucket of callers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub struct CallerCounts {
+    /// Calls that ended, shed ones left out.
+    pub calls: u64,
+    /// Of these, failed or rejected ones.
+    pub bad: u64,
+}
+
+/// Everything that is counted of one version.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub struct Totals {
+    /// Counters by route and load. Cold calls are left out.
+    pub cells: BTreeMap<Cell, Counts>,
+    /// Counters by bucket of callers. Cold calls are left out.
+    pub callers: [CallerCounts; CALLER_BUCKETS],
+    /// Calls that were answered while the upstream was cold.
+    pub cold: u64,
+    /// Crashes of upstreams.
+    pub crashes: u64,
+}
+
+impl Counts {
+    /// Counts one outcome. A cancelled call says nothing and is not counted.
+    pub fn record(&mut self, outcome: &CallOutcome) {
+        match outcome.kind {
+            OutcomeKind::Ok => self.ok += 1,
+            OutcomeKind::Rejected => self.rejected += 1,
+            OutcomeKind::Failed | OutcomeKind::Broken | OutcomeKind::TimedOut => self.failed += 1,
+            OutcomeKind::Shed => self.shed += 1,
+            OutcomeKind::Cancelled => {}
+        }
+        if matches!(outcome.kind, OutcomeKind::Ok | OutcomeKind::TimedOut) {
+            self.latency.record(outcome.latency);
+        }
+    }
+
+    /// Calls that ran to an end.
+    pub fn answered(&self) -> u64 {
+        self.ok + self.failed + self.rejected
+    }
+
+    /// Adds the counters of `other`.
+    pub fn add_all(&mut self, other: &Counts) {
+        self.ok = self.ok.saturating_add(other.ok);
+        self.failed = self.failed.saturating_add(other.failed);
+        self.rejected = self.rejected.saturating_add(other.rejected);
+        self.shed = self.shed.saturating_add(other.shed);
+        self.latency.add_all(&other.latency);
+    }
+}
+
+impl CallerCounts {
+    /// Counts one outcome.
+    pub fn record(&mut self, kind: OutcomeKind) {
+        match kind {
+            OutcomeKind::Cancelled | OutcomeKind::Shed => {}
+            OutcomeKind::Ok => self.calls += 1,
+            OutcomeKind::Rejected
+            | OutcomeKind::Failed
+            | OutcomeKind::Broken
+            | OutcomeKind::TimedOut => {
+                self.calls += 1;
+                self.bad += 1;
+            }
+        }
+    }
+}
+
+impl Totals {
+    /// Adds the counters of `other`.
+    pub fn add_all(&mut self, other: &Totals) {
+        for (cell, counts) in &other.cells {
+            self.cells.entry(cell.clone()).or_default().add_all(counts);
+        }
+        for (sum, part) in self.callers.iter_mut().zip(&other.callers) {
+            sum.calls = sum.calls.saturating_add(part.calls);
+            sum.bad = sum.bad.saturating_add(part.bad);
+        }
+        self.cold = self.cold.saturating_add(other.cold);
+        self.crashes = self.crashes.saturating_add(other.crashes);
+    }
+
+    /// Calls that ran to an end, cold ones left out.
+    pub fn answered(&self) -> u64 {
+        self.cells.values().map(Counts::answered).sum()
+    }
+
+    /// Failed calls.
+    pub fn failed(&self) -> u64 {
+        self.cells.values().map(|counts| counts.failed).sum()
+    }
+
+    /// Rejected calls.
+    pub fn rejected(&self) -> u64 {
+        self.cells.values().map(|counts| counts.rejected).sum()
+    }
+}
--- /dev/null
+++ b/crates/sycamore-moves/src/plan/mod.rs
@@ -0,0 +1,13 @@
+//! Plans and moves as rows of the platform's table, and the changes that operators and nodes make
+//! to them. Every change is a compare-and-set on revisions that carries an operation id.
+
+mod change;
+mod import;
+mod row;
+
+pub use change::{abort, end, settle, Change, Conflict, Settled, Write};
+pub use import::{import, Diff, FieldChange, ImportError, ImportRefusal, Imported, Stored};
+pub use row::{
+    move_key, plan_key, Author, Cause, MoveRow, MoveSpec, OnTimeout, Outcome, OutcomeKind, PlanRow,
+    Summary, DEFAULT_CAP, MOVE_PREFIX,
+};
--- /dev/null
+++ b/crates/sycamore-moves/src/verdict/judge.rs
@@ -0,0 +1,259 @@
+//! Runs all tests of one move over the merged counters.
+
+use super::sample::{by_band, keys, slow_cuts, sum, Side, SlowCuts};
+use super::{rules_out, Finding, Pair, PairTest, ReferenceTest, Sample, Scope, Signal};
+use crate::evidence::Totals;
+use crate::plan::Summary;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use sycamore_types::prelude::*;
+
+/// Error rates and tolerances of a verdict.
+#[derive(Debug, Clone)]
+pub struct JudgeOptions {
+    /// Evidence that the pair test of all calls must reach; its inverse bounds the chance, per
+    /// restart, that an incident of the whole service reads as a fault of the new version.
+    pub pair_evidence: f64,
+    /// The same for the tests of single routes and groups of callers, of which there are many.
+    pub narrow_pair_evidence: f64,
+    /// Evidence that the reference test must reach.
+    pub reference_evidence: f64,
+    /// Evidence of both tests from which a step is not cleared.
+    pub caution: f64,
+    /// Chance that a version at a step's margin is cleared.
+    pub beta: f64,
+    /// Hits that a verdict needs at least: a request that crashes upstreams is quarantined after two.
+    pub min_hits: u64,
+    /// Rate of failures that is tolerated in any version.
+    pub failure_tolerance: f64,
+    /// Rate of slow calls that is tolerated beside the old version's.
+    pub slow_tolerance: f64,
+    /// Rate of crashes per call that is tolerated.
+    pub crash_tolerance: f64,
+    /// Factor of the old version's rate that is tolerated.
+    pub ratio_tolerance: f64,
+    /// A stratum is closed after this time where the old version had enough calls in it.
+    pub stratum: Duration,
+    /// A stratum is closed after this time at any rate.
+    pub max_stratum: Duration,
+    /// Calls of the old version that make a stratum.
+    pub stratum_calls: u64,
+}
+
+impl Default for JudgeOptions {
+    fn default() -> Self {
+        Self {
+            pair_evidence: 100.0,
+            narrow_pair_evidence: 1_000.0,
+            reference_evidence: 100_000.0,
+            caution: 10.0,
+            beta: 0.05,
+            min_hits: 3,
+            failure_tolerance: 0.005,
+            slow_tolerance: 0.02,
+            crash_tolerance: 0.000_1,
+            ratio_tolerance: 1.5,
+            stratum: Duration::from_secs(10),
+            max_stratum: Duration::from_secs(60),
+            stratum_calls: 50,
+        }
+    }
+}
+
+/// Counters of both versions at one moment.
+#[derive(Debug, Clone, Default)]
+struct Mark {
+    new: Totals,
+    old: Totals,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Test {
+    pair: PairTest,
+    reference: ReferenceTest,
+}
+
+/// What one test sees in a stratum.
+struct View {
+    pair: Pair,
+    reference: Vec<(Sample, f64)>,
+}
+
+/// The judge of one move. It needs the counters only; duplicates and reordering were dealt with when
+/// they were merged.
+#[derive(Debug, Clone)]
+pub struct Judge {
+    options: JudgeOptions,
+    tests: BTreeMap<(Signal, Scope), Test>,
+    stratum: Mark,
+    stratum_start: Time,
+    cuts: SlowCuts,
+    step: Mark,
+    latest: Mark,
+    suspicion: bool,
+}
+
+impl Judge {
+    /// A judge that starts at `now`.
+    pub fn new(options: JudgeOptions, now: Time) -> Self {
+        Self {
+            options,
+            tests: BTreeMap::new(),
+            stratum: Mark::default(),
+            stratum_start: now,
+            cuts: SlowCuts::new(),
+            step: Mark::default(),
+            latest: Mark::default(),
+            suspicion: false,
+        }
+    }
+
+    /// Takes in the counters of both versions; the first finding, if there is one.
+    pub fn step(&mut self, now: Time, new: Totals, old: Totals) -> Option<Finding> {
+        self.latest = Mark { new, old };
+        if self.cuts.is_empty() {
+            self.cuts = slow_cuts(&self.latest.old);
+        }
+        self.suspicion = false;
+        let keys = keys(&self.latest.new, &self.cuts);
+        for (signal, scope) in &keys {
+            let view = self.view(*signal, scope);
+            if let Some(finding) = self.test(*signal, scope, &view) {
+                return Some(finding);
+            }
+        }
+        if self.stratum_is_full(now) {
+            self.close_stratum(now, &keys);
+        }
+        None
+    }
+
+    /// Marks the begin of a step: its proof starts from here, and so does a stratum.
+    pub fn open_step(&mut self, now: Time) {
+        let keys = keys(&self.latest.new, &self.cuts);
+        self.close_stratum(now, &keys);
+        self.step = self.latest.clone();
+    }
+
+    /// Whether the evidence since the step began rules out `margin` and nothing is suspicious.
+    pub fn clears(&self, margin: Share) -> bool {
+        let new = failures(&self.latest.new).minus(failures(&self.step.new));
+        let old = failures(&self.latest.old).minus(failures(&self.step.old));
+        let base = (old.hits as f64 + 0.1) / (old.calls as f64 + 1.0);
+        !self.suspicion && rules_out(&new, base, margin.as_fraction(), self.options.beta)
+    }
+
+    /// The counts so far, for the report.
+    pub fn summary(&self) -> Summary {
+        let Mark { new, old } = &self.latest;
+        Summary {
+            calls: new.answered() + new.cold,
+            failed: new.failed(),
+            rejected: new.rejected(),
+            crashes: new.crashes,
+            old_calls: old.answered(),
+            old_failed: old.failed(),
+        }
+    }
+
+    fn test(&mut self, signal: Signal, scope: &Scope, view: &View) -> Option<Finding> {
+        let test = self.tests.entry((signal, scope.clone())).or_default();
+        let pair_evidence = test.pair.evidence(&view.pair);
+        let reference_evidence = test.reference.evidence(&view.reference);
+        let narrow = *scope != Scope::All;
+        let options = &self.options;
+        let needed = if narrow { options.narrow_pair_evidence } else { options.pair_evidence };
+        let lowest = pair_evidence.min(reference_evidence);
+        let counts = self.counts(signal, scope);
+        let enough = counts.new.hits >= self.options.min_hits;
+        self.suspicion |= enough && lowest >= self.options.caution.ln();
+        let found = pair_evidence >= needed.ln()
+            && reference_evidence >= self.options.reference_evidence.ln()
+            && enough;
+        found.then(|| Finding {
+            signal,
+            scope: scope.clone(),
+            counts,
+            pair_evidence,
+            reference_evidence,
+        })
+    }
+
+    fn counts(&self, signal: Signal, scope: &Scope) -> Pair {
+        let of = |totals, side| sum(&by_band(totals, side, signal, scope, &self.cuts));
+        Pair { new: of(&self.latest.new, Side::New), old: of(&self.latest.old, Side::Old) }
+    }
+
+    fn view(&self, signal: Signal, scope: &Scope) -> View {
+        let bands = |totals, side| by_band(totals, side, signal, scope, &self.cuts);
+        let new = bands(&self.latest.new, Side::New);
+        let new_before = bands(&self.stratum.new, Side::New);
+        let old = bands(&self.latest.old, Side::Old);
+        let old_before = bands(&self.stratum.old, Side::Old);
+        let in_stratum = |band: u8, sample: Sample| {
+            sample.minus(new_before.get(&band).copied().unwrap_or_default())
+        };
+        let reference = new.iter().filter_map(|(band, sample)| {
+            let allowed = self.allowed(signal, *band, &old)?;
+            Some((in_stratum(*band, *sample), allowed))
+        });
+        View {
+            pair: Pair {
+                new: sum(&new).minus(sum(&new_before)),
+                old: sum(&old).minus(sum(&old_before)),
+            },
+            reference: reference.collect(),
+        }
+    }
+
+    /// The rate that the reference allows at `band`: what the old version did at that load or the
+    /// next higher one, with the tolerances. At a load that it never had, only failures and crashes
+    /// count against the new version.
+    fn allowed(&self, signal: Signal, band: u8, old: &BTreeMap<u8, Sample>) -> Option<f64> {
+        let mut known = old.iter().filter(|(_, sample)| sample.calls > 0);
+        let comparable = known.clone().find(|(other, _)| **other >= band);
+        let sample = match (comparable, signal) {
+            (Some((_, sample)), _) => *sample,
+            (None, Signal::Failed | Signal::Rejected | Signal::Crash) => {
+                known.next_back().map(|(_, sample)| *sample).unwrap_or_default()
+            }
+            (None, Signal::Shed | Signal::Slow90 | Signal::Slow99) => return None,
+        };
+        let (tolerance, floor_hits) = match signal {
+            Signal::Failed | Signal::Rejected | Signal::Shed => {
+                (self.options.failure_tolerance, 1.0)
+            }
+            Signal::Slow90 | Signal::Slow99 => (self.options.slow_tolerance, 1.0),
+            Signal::Crash => (self.options.crash_tolerance, 0.1),
+        };
+        let rate = (sample.hits as f64 + floor_hits) / (sample.calls as f64 + 2.0);
+        Some((tolerance + self.options.ratio_tolerance * rate).min(MAX_ALLOWED))
+    }
+
+    fn stratum_is_full(&self, now: Time) -> bool {
+        let age = now.since(self.stratum_start);
+        let old = self.latest.old.answered()
+            - self.stratum.old.answered().min(self.latest.old.answered());
+        age >= self.options.max_stratum
+            || (age >= self.options.stratum && old >= self.options.stratum_calls)
+    }
+
+    fn close_stratum(&mut self, now: Time, keys: &[(Signal, Scope)]) {
+        for (signal, scope) in keys {
+            let view = self.view(*signal, scope);
+            let test = self.tests.entry((*signal, scope.clone())).or_default();
+            test.pair.close(&view.pair);
+            test.reference.close(&view.reference);
+        }
+        self.stratum = self.latest.clone();
+        self.stratum_start = now;
+        self.cuts = slow_cuts(&self.latest.old);
+    }
+}
+
+/// Highest rate that a reference allows; above it no version could be told from another.
+const MAX_ALLOWED: f64 = 0.9;
+
+fn failures(totals: &Totals) -> Sample {
+    Sample { calls: totals.answered(), hits: totals.failed() }
+}
--- /dev/null
+++ b/crates/sycamore-moves/tests/evidence.rs
@@ -0,0 +1,152 @@
+//! Evidence: merging, encoding, and what a collector counts.
+
+mod support;
+
+use quickcheck::{quickcheck, Arbitrary, Gen};
+use std::time::Duration;
+use support::id;
+use sycamore_moves::evidence::{
+    decode, encode, Collector, CollectorOptions, Histogram, Ledger, Report, CALLER_BUCKETS,
+};
+use sycamore_types::prelude::*;
+
+/// A report of one of few processes, whose counters grow with its sequence number.
+#[derive(Debug, Clone)]
+struct AnyReport(Report);
+
+impl Arbitrary for AnyReport {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let instance = *g.choose(&["a", "b"]).expect("not empty");
+        let seq = u64::from(u8::arbitrary(g) % 8);
+        let mut report = support::report("m", instance, "2", seq, seq * 10, seq);
+        report.incarnation = Incarnation(u64::from(u8::arbitrary(g) % 2));
+        report.totals.crashes = seq;
+        report.totals.callers[usize::try_from(seq).expect("small") % CALLER_BUCKETS].calls = seq;
+        report.signed = seq > 6;
+        AnyReport(report)
+    }
+}
+
+fn ledger(reports: &[AnyReport]) -> Ledger {
+    let mut ledger = Ledger::default();
+    for report in reports {
+        ledger.merge(report.0.clone());
+    }
+    ledger
+}
+
+fn merged(a: &Ledger, b: &Ledger) -> Ledger {
+    let mut sum = a.clone();
+    sum.merge_all(b);
+    sum
+}
+
+quickcheck! {
+    fn merging_is_commutative(a: Vec<AnyReport>, b: Vec<AnyReport>) -> bool {
+        merged(&ledger(&a), &ledger(&b)) == merged(&ledger(&b), &ledger(&a))
+    }
+
+    fn merging_is_associative(a: Vec<AnyReport>, b: Vec<AnyReport>, c: Vec<AnyReport>) -> bool {
+        let (a, b, c) = (ledger(&a), ledger(&b), ledger(&c));
+        merged(&merged(&a, &b), &c) == merged(&a, &merged(&b, &c))
+    }
+
+    fn merging_is_idempotent(a: Vec<AnyReport>) -> bool {
+        merged(&ledger(&a), &ledger(&a)) == ledger(&a)
+    }
+
+    fn duplicates_and_reordering_are_harmless(a: Vec<AnyReport>) -> bool {
+        let mut shuffled: Vec<_> = a.iter().rev().chain(&a).cloned().collect();
+        shuffled.rotate_left(a.len() / 2);
+        ledger(&a) == ledger(&shuffled)
+    }
+
+    fn encoding_loses_nothing(report: AnyReport) -> bool {
+        decode(&encode(&report.0)).as_ref() == Ok(&report.0)
+    }
+
+    fn no_bytes_panic(bytes: Vec<u8>) -> bool {
+        let _ = decode(&bytes);
+        true
+    }
+
+    fn a_latency_is_within_its_bucket(micros: u32) -> bool {
+        let latency = Duration::from_micros(u64::from(micros));
+        let longer = latency.mul_f64(1.2);
+        Histogram::bucket(latency) <= Histogram::bucket(longer)
+            && Histogram::bucket(longer) <= Histogram::bucket(latency) + 2
+    }
+}
+
+fn member() -> Member {
+    Member {
+        instance: id("n1"),
+        incarnation: Incarnation(1),
+        state: MemberState::Serving,
+        service: id("counter"),
+        version: id("2"),
+        data_centre: id("dc1"),
+        region: id("r1"),
+        endpoints: Endpoints {
+            peer: ([127, 0, 0, 1], 1).into(),
+            relay: ([127, 0, 0, 1], 2).into(),
+        },
+        slots: 10,
+    }
+}
+
+fn call(kind: OutcomeKind, cold: bool) -> CallOutcome {
+    CallOutcome {
+        service: id("counter"),
+        version: id("2"),
+        route: id("tickets"),
+        caller: 5,
+        kind,
+        latency: Duration::from_millis(10),
+        cold,
+    }
+}
+
+fn collector() -> Collector {
+    Collector::new(id("m"), &member(), CollectorOptions::default(), Time(0))
+}
+
+#[test]
+fn cold_calls_count_apart_and_cancelled_ones_not() {
+    let mut collector = collector();
+    collector.record(Time::from_millis(1), &call(OutcomeKind::Failed, true));
+    collector.record(Time::from_millis(2), &call(OutcomeKind::Cancelled, false));
+    collector.record(Time::from_millis(3), &call(OutcomeKind::Ok, false));
+    let totals = collector.report(Time::from_millis(4), false).expect("changed").totals;
+    assert_eq!((totals.cold, totals.answered(), totals.failed()), (1, 1, 0));
+}
+
+#[test]
+fn a_burst_of_broken_calls_counts_once() {
+    let mut collector = collector();
+    for _ in 0..12 {
+        collector.record(Time::from_millis(10), &call(OutcomeKind::Broken, false));
+    }
+    let totals = collector.report(Time::from_millis(20), false).expect("changed").totals;
+    assert_eq!(totals.failed(), 1);
+}
+
+#[test]
+fn calls_that_go_on_breaking_all_count() {
+    let mut collector = collector();
+    for tenth in 0..50 {
+        collector.record(Time::from_millis(tenth * 100), &call(OutcomeKind::Broken, false));
+    }
+    let totals = collector.report(Time::from_secs(5), false).expect("changed").totals;
+    assert!(totals.failed() >= 40, "{}", totals.failed());
+}
+
+#[test]
+fn a_report_goes_out_only_when_something_changed() {
+    let mut collector = collector();
+    assert!(collector.report(Time(0), false).is_some());
+    assert!(collector.report(Time(0), false).is_none());
+    assert!(collector.report(Time(0), true).expect("signed").signed);
+    let again = collector.repeat();
+    assert_eq!(again.seq, 3);
+}
--- /dev/null
+++ b/crates/sycamore-moves/tests/plan.rs
@@ -0,0 +1,116 @@
+//! Plans and moves: import, abort, end and settling.
+
+mod support;
+
+use support::{change, now, outcome, spec};
+use sycamore_moves::plan::{
+    abort, end, import, settle, Author, ImportRefusal, MoveRow, OutcomeKind, Settled, Stored,
+    Summary,
+};
+use sycamore_types::prelude::*;
+
+fn plan() -> PlanId {
+    PlanId::new("morning").expect("valid")
+}
+
+fn stored_after(specs: &[sycamore_moves::plan::MoveSpec]) -> Stored {
+    let imported = import(&plan(), specs, &Stored::default(), &change("ana", 1)).expect("imports");
+    let plan = imported.plan.expect("there is something to write");
+    let moves = imported.moves.into_iter().map(|w| (w.row.spec.mv.clone(), (w.row, 1)));
+    Stored { plan: Some((plan.row, 1)), moves: moves.collect() }
+}
+
+#[test]
+fn importing_twice_writes_nothing_the_second_time() {
+    let specs = [spec("a"), spec("b")];
+    let again = import(&plan(), &specs, &stored_after(&specs), &change("ana", 2)).expect("imports");
+    assert_eq!(again.plan, None);
+    assert!(again.moves.is_empty());
+    assert_eq!(again.diff.same.len(), 2);
+}
+
+#[test]
+fn importing_the_same_sheet_after_its_moves_ended_is_harmless() {
+    let specs = [spec("a")];
+    let stored = stored_after(&specs);
+    let mut late = change("ana", 2);
+    late.at = specs[0].deadline + std::time::Duration::from_secs(1);
+    assert!(import(&plan(), &specs, &stored, &late).expect("imports").moves.is_empty());
+}
+
+#[test]
+fn a_changed_sheet_shows_what_differs() {
+    let old = [spec("a"), spec("b"), spec("c")];
+    let mut new = vec![spec("a"), spec("b"), spec("d")];
+    new[1].cap = Share::from_basis_points(900);
+    let stored = stored_after(&old);
+    let imported = import(&plan(), &new, &stored, &change("ana", 2)).expect("imports");
+    assert_eq!(imported.diff.added.len(), 1);
+    assert_eq!(imported.diff.changed[0].1[0].field, "cap");
+    assert_eq!(imported.diff.missing.len(), 1);
+    let revisions: Vec<u64> = imported.moves.iter().map(|write| write.revision).collect();
+    assert_eq!(revisions, [1, 0]);
+}
+
+#[test]
+fn one_refused_move_refuses_the_whole_sheet() {
+    let stored = stored_after(&[spec("a")]);
+    let mut changed = spec("a");
+    changed.cap = Share::from_basis_points(900);
+    let mut late = change("ana", 2);
+    late.at = changed.start;
+    let error = import(&plan(), &[changed, spec("b")], &stored, &late).expect_err("refused");
+    assert_eq!(error.refusals, [(spec("a").mv, ImportRefusal::Begun)]);
+}
+
+#[test]
+fn a_move_overlapping_another_plans_is_refused() {
+    let stored = stored_after(&[spec("a")]);
+    let mut other = spec("b");
+    other.service = spec("a").service;
+    let error = import(&plan(), &[other], &stored, &change("ana", 2)).expect_err("refused");
+    assert_eq!(error.refusals[0].1, ImportRefusal::Overlap(spec("a").mv));
+}
+
+fn row() -> MoveRow {
+    stored_after(&[spec("a")]).moves.into_values().next().expect("one").0
+}
+
+#[test]
+fn the_second_of_two_racing_operators_learns_the_winner() {
+    let first = abort(&row(), 1, "smoke", Summary::default(), change("ana", 7)).expect("open");
+    let second = abort(&row(), 1, "fire", Summary::default(), change("ivo", 8)).expect("open");
+    // The platform takes the first; the second is settled against what stands.
+    match settle(&second, &first.row, 2) {
+        Settled::Lost(conflict) => {
+            assert!(matches!(conflict.winner, Author::Operator(name) if name.as_str() == "ana"));
+            assert_eq!(conflict.op, OpId(7));
+        }
+        other => panic!("{other:?}"),
+    }
+    let third = abort(&first.row, 2, "late", Summary::default(), change("ivo", 9));
+    assert!(third.expect_err("ended").to_string().contains("operator ana was first"));
+}
+
+#[test]
+fn a_lost_answer_is_settled_by_reading_back() {
+    let write = end(&row(), 1, outcome(OutcomeKind::Done), change("ana", 7)).expect("open");
+    assert_eq!(settle(&write, &write.row, 2), Settled::Won);
+    assert_eq!(settle(&write, &row(), 1), Settled::Unchanged);
+    let same_by_other = MoveRow { op: OpId(99), ..write.row.clone() };
+    assert_eq!(settle(&write, &same_by_other, 2), Settled::Won);
+}
+
+#[test]
+fn an_outcome_is_written_once() {
+    let write = end(&row(), 1, outcome(OutcomeKind::TakenBack), change("ana", 7)).expect("open");
+    assert!(end(&write.row, 2, outcome(OutcomeKind::Done), change("ivo", 8)).is_err());
+}
+
+#[test]
+fn rows_survive_json_and_fit_a_fact() {
+    let text = serde_json::to_string(&row()).expect("encodes");
+    assert!(text.len() <= sycamore_types::fact::MAX_ROW_BYTES, "{} bytes", text.len());
+    assert_eq!(serde_json::from_str::<MoveRow>(&text).expect("decodes"), row());
+    assert_eq!(now(), row().at);
+}
