fix(node): keep facts by the join that the types define

Cause: the hub's own rule knew nothing of move rows and cleared steps, so a second revision of a move's row would have been dropped. Ruled out: extending the copy; two rules would drift apart. Change: Fact::replaces decides. Conclusion: one rule.

--- a/crates/sycamore-node/src/hub/facts.rs
+++ b/crates/sycamore-node/src/hub/facts.rs
@@ -50,7 +50,7 @@
     /// Keeps a fact that a peer told. Gives whether it told something new.
     pub fn learn(&self, fact: Fact) -> bool {
         self.known.send_if_modified(|known| {
-            let replaces = known.get(&fact.key()).is_none_or(|old| supersedes(&fact, old));
+            let replaces = known.get(&fact.key()).is_none_or(|old| fact.replaces(old));
             if replaces {
                 let known = Arc::make_mut(known);
                 known.insert(fact.key(), fact);
@@ -83,19 +83,6 @@
     }
 }
 
-/// Whether `new` tells more than `old` about the same thing: a join, so that the order in which
-/// facts arrive doesn't matter.
-fn supersedes(new: &Fact, old: &Fact) -> bool {
-    match (new, old) {
-        (Fact::Head(new), Fact::Head(old)) => new > old,
-        (Fact::Quarantined { until: new, .. }, Fact::Quarantined { until: old, .. }) => new > old,
-        (Fact::CrashSeen { until: new, .. }, Fact::CrashSeen { until: old, .. }) => new > old,
-        (Fact::BadVersion { at: new, .. }, Fact::BadVersion { at: old, .. }) => new < old,
-        (Fact::Aborted { at: new, .. }, Fact::Aborted { at: old, .. }) => new < old,
-        _ => false,
-    }
-}
-
 fn bound(known: &mut BTreeMap<FactKey, Fact>) {
     while known.len() > MAX_FACTS {
         let first =
