--- a/crates/sycamore-node/src/hub/mod.rs
+++ b/crates/sycamore-node/src/hub/mod.rs
@@ -157,7 +157,8 @@
 
     /// Raises `fact`: it is kept, recorded where it is new, and spread.
     pub fn raise(&self, fact: Fact) {
-        if self.facts.insert(fact.clone()) && !matches!(fact, Fact::Head(_) | Fact::MoveRow { .. }) {
+        if self.facts.insert(fact.clone()) && !matches!(fact, Fact::Head(_) | Fact::MoveRow { .. })
+        {
             self.record(EventKind::FactRaised { fact });
         }
     }
