feat(peer): messages between nodes as datagrams and calls, with bounds

Cause: nodes need probes and pushed news at 3 KB/s each, and calls for what may be large: table comparison, configuration objects, evidence. Ruled out: everything as unary calls. Change: sycamore-peer has the proto file with committed code, a codec that checks every bound, a datagram socket, a client with a bounded connection cache and a listener with connection, accept, stream, message and queue limits; other deployments, malformed and oversized messages are refused and counted; bytes are counted at the socket. sycamore-peer-gen writes the generated code and its test keeps it fresh. sycamore-member defines the messages. Fact::replaces breaks ties of equal revisions and stamps, so that two nodes can't keep different copies for ever. Conclusion: probes and news by datagram, the rest by tonic.

--- a/crates/sycamore-member/src/lib.rs
+++ b/crates/sycamore-member/src/lib.rs
@@ -1,1 +1,3 @@
 //! Membership among nodes: failure detection, dissemination and spread facts.
+
+pub mod message;
--- /dev/null
+++ b/crates/sycamore-member/src/message.rs
@@ -0,0 +1,134 @@
+//! Messages that membership machines of different nodes send to each other.
+
+use std::net::SocketAddr;
+use sycamore_types::prelude::*;
+
+/// A member or a fact: what tables hold and messages carry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Item {
+    /// A member as its highest known incarnation.
+    Member(Member),
+    /// A spread fact.
+    Fact(Fact),
+}
+
+/// What an item is about.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum ItemKey {
+    /// A member.
+    Member(InstanceId),
+    /// A fact.
+    Fact(FactKey),
+}
+
+impl Item {
+    /// What the item is about.
+    pub fn key(&self) -> ItemKey {
+        match self {
+            Item::Member(member) => ItemKey::Member(member.instance.clone()),
+            Item::Fact(fact) => ItemKey::Fact(fact.key()),
+        }
+    }
+
+    /// An upper estimate of the encoded size, in bytes.
+    pub fn size(&self) -> usize {
+        /// Tags, lengths and numbers of one item.
+        const FRAME_BYTES: usize = 56;
+        FRAME_BYTES
+            + match self {
+                Item::Member(member) => member_bytes(member),
+                Item::Fact(fact) => fact_text_bytes(fact),
+            }
+    }
+}
+
+fn member_bytes(member: &Member) -> usize {
+    let ip_bytes = |address: SocketAddr| if address.is_ipv4() { 4 } else { 16 };
+    member.instance.as_str().len()
+        + member.service.as_str().len()
+        + member.version.as_str().len()
+        + member.data_centre.as_str().len()
+        + member.region.as_str().len()
+        + ip_bytes(member.endpoints.peer)
+        + ip_bytes(member.endpoints.relay)
+}
+
+fn fact_text_bytes(fact: &Fact) -> usize {
+    match fact {
+        Fact::BadVersion { service, version, by, reason, .. } => {
+            service.as_str().len() + version.as_str().len() + by.as_str().len() + reason.len()
+        }
+        Fact::Aborted { by, service, version, .. } => {
+            service.as_str().len() + version.as_str().len() + by.as_str().len()
+        }
+        Fact::MoveRow { mv, row, .. } => mv.as_str().len() + row.len(),
+        Fact::Cleared { by, .. } => by.as_str().len(),
+        Fact::Quarantined { .. } | Fact::CrashSeen { .. } | Fact::Head(_) => 0,
+    }
+}
+
+/// What a datagram is for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Body {
+    /// Asks for an [`Body::Ack`].
+    Ping {
+        /// Chosen by the asking node, repeated in the answer.
+        seq: u32,
+        /// Digest of the sender's table.
+        digest: u64,
+    },
+    /// Answers a [`Body::Ping`], or a [`Body::PingRequest`] whose target answered.
+    Ack {
+        /// The ping's number.
+        seq: u32,
+        /// Digest of the sender's table.
+        digest: u64,
+    },
+    /// Asks the receiver to ping `target` and to tell the result.
+    PingRequest {
+        /// Chosen by the asking node, repeated in the answer.
+        seq: u32,
+        /// The instance to ping.
+        target: InstanceId,
+    },
+    /// Answers a [`Body::PingRequest`] whose target did not answer in time.
+    Nack {
+        /// The request's number.
+        seq: u32,
+    },
+    /// Carries items only.
+    Push,
+}
+
+/// One datagram between nodes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Packet {
+    /// The sending instance.
+    pub from: InstanceId,
+    /// What the datagram is for.
+    pub body: Body,
+    /// News.
+    pub items: Vec<Item>,
+}
+
+/// Compares tables bucket by bucket, offers items, or both.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ExchangeRequest {
+    /// Digest of each bucket of the caller's table; empty where items are only offered.
+    pub buckets: Vec<u32>,
+    /// The bucket to compare first.
+    pub first: u32,
+    /// Items offered.
+    pub items: Vec<Item>,
+}
+
+/// Answers an [`ExchangeRequest`].
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ExchangeReply {
+    /// Buckets that differ and whose items are all given.
+    pub differing: Vec<u32>,
+    /// The items of those buckets.
+    pub items: Vec<Item>,
+    /// The bucket to go on from, where not all that differ fitted.
+    pub next: Option<u32>,
+}
--- /dev/null
+++ b/crates/sycamore-peer/src/codec/mod.rs
@@ -0,0 +1,24 @@
+//! Conversion between the machines' messages and the wire's. Decoding checks every bound.
+
+mod exchange;
+mod fact;
+mod item;
+mod packet;
+
+pub use exchange::{reply_from_wire, reply_to_wire, request_from_wire, request_to_wire};
+pub use fact::{head_from_wire, head_to_wire};
+pub use item::{item_from_wire, item_to_wire};
+pub use packet::{decode_packet, deployment_tag, encode_packet};
+
+use crate::{Error, Result};
+use error_stack::Report;
+
+/// A report of [`Error::Malformed`] that names `what`.
+pub(crate) fn malformed(what: &'static str) -> Report<Error> {
+    Report::new(Error::Malformed).attach(what)
+}
+
+/// Parses an identifier.
+fn id<T: std::str::FromStr>(text: &str, what: &'static str) -> Result<T> {
+    text.parse().map_err(|_| malformed(what))
+}
--- /dev/null
+++ b/crates/sycamore-peer/src/io.rs
@@ -0,0 +1,68 @@
+//! A stream that counts the bytes it carries.
+
+use crate::counters::Counters;
+use monoio::io::poll_io::{AsyncRead, AsyncWrite, ReadBuf};
+use monoio::net::tcp::stream_poll::TcpStreamPoll;
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+/// A connected stream whose bytes are counted.
+pub(crate) struct Counted {
+    stream: TcpStreamPoll,
+    counters: Arc<Counters>,
+    active: Rc<Cell<bool>>,
+}
+
+impl Counted {
+    /// Wraps `stream`; `active` is set whenever bytes arrive.
+    pub(crate) fn new(
+        stream: TcpStreamPoll,
+        counters: Arc<Counters>,
+        active: Rc<Cell<bool>>,
+    ) -> Self {
+        Self { stream, counters, active }
+    }
+}
+
+impl AsyncRead for Counted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let read = buf.filled().len() - before;
+        if read > 0 {
+            self.counters.add_bytes_in(read as u64);
+            self.active.set(true);
+        }
+        poll
+    }
+}
+
+impl AsyncWrite for Counted {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
+        if let Poll::Ready(Ok(written)) = &poll {
+            self.counters.add_bytes_out(*written as u64);
+        }
+        poll
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/sycamore-peer/tests/transport.rs
@@ -0,0 +1,231 @@
+//! Calls and datagrams over loopback sockets.
+#![allow(clippy::unwrap_used)]
+
+use bytes::Bytes;
+use futures::channel::oneshot;
+use futures::StreamExt;
+use monoio::net::TcpListener;
+use monoio::{LegacyDriver, RuntimeBuilder};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use sycamore_member::message::{Body, ExchangeReply, ExchangeRequest, Packet};
+use sycamore_peer::limits::{MAX_FETCH_BYTES, MAX_FETCH_HASHES, MAX_PACKET_BYTES};
+use sycamore_peer::{
+    serve, Counters, Datagrams, Error, Evidence, Inbox, Peers, PeersOptions, Server, ServerOptions,
+};
+use sycamore_types::prelude::*;
+
+fn run<T>(test: impl Future<Output = T>) -> T {
+    RuntimeBuilder::<LegacyDriver>::new().enable_timer().build().unwrap().block_on(test)
+}
+
+fn deployment(name: &str) -> Deployment {
+    Deployment::new(name).unwrap()
+}
+
+struct Node {
+    address: SocketAddr,
+    counters: Arc<Counters>,
+    inbox: Option<Inbox>,
+    stop: oneshot::Sender<()>,
+    serving: monoio::task::JoinHandle<()>,
+}
+
+impl Node {
+    fn start(options: ServerOptions) -> Self {
+        let counters = Arc::new(Counters::default());
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (server, inbox) = Server::new(deployment("klupa"), counters.clone());
+        let (stop, stopped) = oneshot::channel();
+        let stopped = async move {
+            let _ = stopped.await;
+        };
+        let serving = monoio::spawn(serve(listener, server, options, stopped));
+        Self { address, counters, inbox: Some(inbox), stop, serving }
+    }
+
+    async fn end(self) {
+        self.stop.send(()).unwrap();
+        self.serving.await;
+    }
+}
+
+fn peers(name: &str) -> Peers {
+    let options = PeersOptions { call_timeout: Duration::from_secs(20), ..PeersOptions::default() };
+    Peers::new(deployment(name), "a".parse().unwrap(), options, Arc::default())
+}
+
+fn head() -> ConfigHead {
+    ConfigHead { version: ConfigVersion(7), manifest: ContentHash::of(b"manifest") }
+}
+
+fn answer(mut inbox: Inbox, store: Vec<Bytes>) {
+    monoio::spawn(async move {
+        while let Some(call) = inbox.exchange.next().await {
+            let next = Some(call.body.first + 1);
+            let _ = call.tx.send(ExchangeReply { next, ..ExchangeReply::default() });
+        }
+    });
+    monoio::spawn(async move {
+        while let Some(call) = inbox.fetch.next().await {
+            let held = store.iter().map(|body| (ContentHash::of(body), body.clone()));
+            let _ = call.tx.send(held.filter(|(hash, _)| call.body.contains(hash)).collect());
+        }
+    });
+    monoio::spawn(async move {
+        while let Some(call) = inbox.head.next().await {
+            let _ = call.tx.send(Some(head()));
+        }
+    });
+    monoio::spawn(async move {
+        while let Some(call) = inbox.evidence.next().await {
+            let _ = call.tx.send(call.body.body);
+        }
+    });
+}
+
+#[test]
+fn each_kind_of_call_is_answered() {
+    run(async {
+        let mut node = Node::start(ServerOptions::default());
+        let store = vec![Bytes::from("one"), Bytes::from("two")];
+        answer(node.inbox.take().unwrap(), store.clone());
+        let peers = peers("klupa");
+        let req = ExchangeRequest { first: 4, ..ExchangeRequest::default() };
+        assert_eq!(peers.exchange(node.address, &req).await.unwrap().next, Some(5));
+        assert_eq!(peers.head(node.address).await.unwrap(), Some(head()));
+        let evidence = Evidence { kind: 1, body: Bytes::from("counts") };
+        assert_eq!(peers.evidence(node.address, evidence).await.unwrap(), "counts");
+        let hashes = [ContentHash::of(b"two"), ContentHash::of(b"three")];
+        let held = peers.fetch(node.address, &hashes).await.unwrap();
+        assert_eq!(held, [(ContentHash::of(b"two"), Bytes::from("two"))]);
+        assert_eq!(node.counters.connections_in(), 1, "calls share a connection");
+        assert_eq!(node.counters.bytes_in(), peers.counters().bytes_out());
+        peers.close().await;
+        node.end().await;
+    });
+}
+
+#[test]
+fn another_deployment_is_refused_and_counted() {
+    run(async {
+        let mut node = Node::start(ServerOptions::default());
+        answer(node.inbox.take().unwrap(), Vec::new());
+        let peers = peers("sutokatha");
+        let refused = peers.head(node.address).await.unwrap_err();
+        assert_eq!(*refused.current_context(), Error::Deployment);
+        assert_eq!(node.counters.refused(), 1);
+        peers.close().await;
+        node.end().await;
+    });
+}
+
+#[test]
+fn fetches_are_bounded() {
+    run(async {
+        let mut node = Node::start(ServerOptions::default());
+        let large: Vec<Bytes> =
+            (0..3u8).map(|fill| Bytes::from(vec![fill; MAX_FETCH_BYTES / 2])).collect();
+        answer(node.inbox.take().unwrap(), large.clone());
+        let peers = peers("klupa");
+        let hashes: Vec<ContentHash> = large.iter().map(|body| ContentHash::of(body)).collect();
+        assert_eq!(peers.fetch(node.address, &hashes).await.unwrap().len(), 2);
+        let many = vec![ContentHash::of(b""); MAX_FETCH_HASHES + 1];
+        let refused = peers.fetch(node.address, &many).await.unwrap_err();
+        assert_eq!(*refused.current_context(), Error::Malformed);
+        peers.close().await;
+        node.end().await;
+    });
+}
+
+#[test]
+fn connections_over_the_limit_are_refused() {
+    run(async {
+        let options = ServerOptions { connections: 1, ..ServerOptions::default() };
+        let mut node = Node::start(options);
+        answer(node.inbox.take().unwrap(), Vec::new());
+        let (first, second) = (peers("klupa"), peers("klupa"));
+        first.head(node.address).await.unwrap();
+        assert!(second.head(node.address).await.is_err());
+        assert_eq!(node.counters.connections_refused(), 1);
+        first.close().await;
+        second.close().await;
+        node.end().await;
+    });
+}
+
+#[test]
+fn a_queue_that_nobody_empties_refuses() {
+    run(async {
+        let mut node = Node::start(ServerOptions::default());
+        let inbox = node.inbox.take().unwrap();
+        let peers = Peers::new(
+            deployment("klupa"),
+            "a".parse().unwrap(),
+            PeersOptions { call_timeout: Duration::from_millis(200), ..PeersOptions::default() },
+            Arc::default(),
+        );
+        let calls = (0..300).map(|_| peers.head(node.address));
+        let results = futures::future::join_all(calls).await;
+        assert!(results.iter().all(Result::is_err));
+        let mut head = inbox.head;
+        let mut queued = 0;
+        while head.try_recv().is_ok() {
+            queued += 1;
+        }
+        assert!(queued <= 65, "{queued} calls queued");
+        peers.close().await;
+        node.end().await;
+    });
+}
+
+#[test]
+fn datagrams_arrive_and_garbage_is_counted() {
+    run(async {
+        let bind = |name: &str| {
+            let counters = Arc::new(Counters::default());
+            let address = "127.0.0.1:0".parse().unwrap();
+            (Datagrams::bind(address, &deployment(name), counters.clone()).unwrap(), counters)
+        };
+        let ((a, sent), (b, received), (other, _)) = (bind("klupa"), bind("klupa"), bind("x"));
+        let to = b.local_addr().unwrap();
+        let body = Body::Ping { seq: 1, digest: 2 };
+        let packet = Packet { from: "a".parse().unwrap(), body, items: Vec::new() };
+        let garbage = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+        garbage.send_to(b"\xff\xff\xff", to).unwrap();
+        garbage.send_to(&vec![0; MAX_PACKET_BYTES + 1], to).unwrap();
+        other.send(&packet, to).await.unwrap();
+        a.send(&packet, to).await.unwrap();
+        let (arrived, from) = b.recv().await.unwrap();
+        assert_eq!((arrived, from), (packet, a.local_addr().unwrap()));
+        assert_eq!(received.refused(), 3);
+        assert!(sent.bytes_out() > 0);
+    });
+}
+
+/// Not a bound: prints what one probe costs by each way, for the design page.
+#[test]
+fn print_bytes_of_a_probe() {
+    run(async {
+        let mut node = Node::start(ServerOptions::default());
+        answer(node.inbox.take().unwrap(), Vec::new());
+        let peers = peers("klupa");
+        let total = || peers.counters().bytes_out() + peers.counters().bytes_in();
+        peers.head(node.address).await.unwrap();
+        let cold = total();
+        peers.head(node.address).await.unwrap();
+        peers.head(node.address).await.unwrap();
+        let before = total();
+        peers.head(node.address).await.unwrap();
+        println!("call on a new connection: {cold} B; on an open one: {} B", total() - before);
+        let body = Body::Ping { seq: 70_000, digest: u64::MAX };
+        let packet = Packet { from: "counter-0017".parse().unwrap(), body, items: Vec::new() };
+        let len = sycamore_peer::codec::encode_packet(&packet, 1).unwrap().len();
+        println!("ping and ack as datagrams: {} B", 2 * (len + 28));
+        peers.close().await;
+        node.end().await;
+    });
+}
--- a/crates/sycamore-types/src/fact.rs
+++ b/crates/sycamore-types/src/fact.rs
@@ -132,15 +132,24 @@
     pub fn replaces(&self, other: &Fact) -> bool {
         match (self, other) {
             (Fact::Head(new), Fact::Head(old)) => new > old,
-            (Fact::MoveRow { revision: new, .. }, Fact::MoveRow { revision: old, .. }) => new > old,
+            (
+                Fact::MoveRow { revision: new, until: new_until, row: new_row, .. },
+                Fact::MoveRow { revision: old, until: old_until, row: old_row, .. },
+            ) => (new, new_until, new_row) > (old, old_until, old_row),
             (Fact::Quarantined { until: new, .. }, Fact::Quarantined { until: old, .. })
             | (Fact::CrashSeen { until: new, .. }, Fact::CrashSeen { until: old, .. }) => new > old,
             (
                 Fact::BadVersion { at: new, by: new_by, reason: new_reason, .. },
                 Fact::BadVersion { at: old, by: old_by, reason: old_reason, .. },
             ) => (new, new_by, new_reason) < (old, old_by, old_reason),
-            (Fact::Aborted { at: new, .. }, Fact::Aborted { at: old, .. })
-            | (Fact::Cleared { at: new, .. }, Fact::Cleared { at: old, .. }) => new < old,
+            (
+                Fact::Aborted { at: new, service: new_service, version: new_version, .. },
+                Fact::Aborted { at: old, service: old_service, version: old_version, .. },
+            ) => (new, new_service, new_version) < (old, old_service, old_version),
+            (
+                Fact::Cleared { at: new, until: new_until, .. },
+                Fact::Cleared { at: old, until: old_until, .. },
+            ) => (new, old_until) < (old, new_until),
             _ => false,
         }
     }
