--- a/crates/sycamore-bench/src/fleet/guard.rs
+++ b/crates/sycamore-bench/src/fleet/guard.rs
@@ -8,7 +8,9 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::collections::BTreeSet;
+use std::sync::mpsc::{channel, RecvTimeoutError, Sender};
 use std::sync::{Mutex, MutexGuard, Once, PoisonError};
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 static STARTED: Mutex<BTreeSet<i32>> = Mutex::new(BTreeSet::new());
@@ -34,13 +36,32 @@
     started().remove(&pid);
 }
 
+/// A bound on the time of a run, lifted when dropped.
+pub struct RunLimit {
+    lift: Option<Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
 /// Ends this process and all that it started when `limit` has passed.
-pub fn limit_run(limit: Duration) {
-    std::thread::spawn(move || {
-        std::thread::sleep(limit);
-        eprintln!("the run took longer than {limit:?}: ended");
-        end_all(OUT_OF_TIME);
+#[must_use = "the limit is lifted when dropped"]
+pub fn limit_run(limit: Duration) -> RunLimit {
+    let (lift, lifted) = channel();
+    let thread = std::thread::spawn(move || {
+        if lifted.recv_timeout(limit) == Err(RecvTimeoutError::Timeout) {
+            eprintln!("the run took longer than {limit:?}: ended");
+            end_all(OUT_OF_TIME);
+        }
     });
+    RunLimit { lift: Some(lift), thread: Some(thread) }
+}
+
+impl Drop for RunLimit {
+    fn drop(&mut self) {
+        self.lift = None;
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
 }
 
 fn handle_signals() {
--- a/crates/sycamore-bench/src/fleet/mod.rs
+++ b/crates/sycamore-bench/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 mod settings;
 mod start;
 mod usage;
+mod watch;
 
 pub use deployment::{Deployment, ServiceSpec};
 pub use instance::{Instance, InstanceSpec};
@@ -23,6 +24,7 @@
 pub use query::Metrics;
 pub use start::Fleet;
 pub use usage::{descriptors, Usage};
+pub use watch::ConfigWatch;
 
 /// The operators' token of every node.
 pub const TOKEN: &str = "bench-operator-token";
--- /dev/null
+++ b/crates/sycamore-bench/src/fleet/watch.rs
@@ -0,0 +1,87 @@
+//! Watches the configurations in force on a fleet's nodes.
+
+use super::Fleet;
+use crate::measure::Violations;
+use serde_json::Value;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Time between two looks at all nodes.
+const INTERVAL: Duration = Duration::from_millis(500);
+
+#[derive(Debug, Default)]
+struct Seen {
+    /// Highest version seen on each instance.
+    versions: BTreeMap<String, u64>,
+    /// Manifest of each version.
+    manifests: BTreeMap<u64, String>,
+    violations: Violations,
+}
+
+/// Looks at the configuration of every node again and again.
+#[derive(Debug, Default)]
+pub struct ConfigWatch {
+    seen: RefCell<Seen>,
+}
+
+impl ConfigWatch {
+    /// Watches `fleet` until the future is dropped.
+    pub async fn run(&self, fleet: &Fleet) {
+        loop {
+            self.look(fleet).await;
+            monoio::time::sleep(INTERVAL).await;
+        }
+    }
+
+    /// Looks once. Nodes that do not answer or have no configuration yet are passed over.
+    pub async fn look(&self, fleet: &Fleet) {
+        let names = fleet.running();
+        let queries = names.iter().map(|name| fleet.query(name, "config"));
+        let answers = futures::future::join_all(queries).await;
+        for (name, answer) in names.iter().zip(answers) {
+            if let Ok(config) = answer {
+                self.seen.borrow_mut().note(name, &config);
+            }
+        }
+    }
+
+    /// Whether all running nodes of `fleet` were last seen with `version` or a higher one.
+    pub fn all_at(&self, fleet: &Fleet, version: u64) -> bool {
+        let seen = self.seen.borrow();
+        fleet.running().iter().all(|name| seen.versions.get(name).is_some_and(|v| *v >= version))
+    }
+
+    /// What was broken so far.
+    pub fn violations(&self) -> Violations {
+        self.seen.borrow().violations
+    }
+}
+
+impl Seen {
+    fn note(&mut self, instance: &str, config: &Value) {
+        let version = config["version"].as_u64().unwrap_or(0);
+        if version == 0 {
+            return;
+        }
+        let highest = self.versions.entry(instance.to_owned()).or_default();
+        if version < *highest {
+            self.violations.config_went_back += 1;
+        }
+        *highest = version.max(*highest);
+        let manifest = config["manifest"].as_str().unwrap_or_default().to_owned();
+        let first = self.manifests.entry(version).or_insert_with(|| manifest.clone());
+        self.violations.partial_apply += usize::from(*first != manifest);
+        self.violations.dangling_route += dangling(config);
+    }
+}
+
+/// Routes whose service is not among the resources.
+fn dangling(config: &Value) -> usize {
+    let none = Vec::new();
+    let resources = config["resources"].as_array().unwrap_or(&none);
+    let of_kind = |kind: &'static str| resources.iter().filter(move |r| r["kind"] == kind);
+    let services: BTreeSet<&str> =
+        of_kind("service").filter_map(|service| service["name"].as_str()).collect();
+    of_kind("route").filter(|r| !services.contains(r["service"].as_str().unwrap_or(""))).count()
+}
--- a/crates/sycamore-bench/src/load/generate.rs
+++ b/crates/sycamore-bench/src/load/generate.rs
@@ -72,13 +72,18 @@
 
 /// Sends calls for the options' time and waits for their answers.
 pub async fn run(options: &Options) -> Tally {
+    run_until(options, || false).await
+}
+
+/// Sends calls for the options' time, or until `done` holds, and waits for their answers.
+pub async fn run_until(options: &Options, done: impl Fn() -> bool) -> Tally {
     let caller = Caller::default();
     let mut draw = Draw::new(options);
     let mut calls = FuturesUnordered::new();
     let mut tally = Tally::default();
     let start = Instant::now();
     let mut next = draw.gap();
-    while next < options.time {
+    while next < options.time && !done() {
         let due = start + next;
         wait_until(due, &mut calls, &mut tally).await;
         tally.note_lag(due.elapsed());
--- a/crates/sycamore-bench/src/main.rs
+++ b/crates/sycamore-bench/src/main.rs
@@ -7,7 +7,7 @@
     match cli::execute(cli::options().run()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
-            eprintln!("{report:?}");
+            eprintln!("{report:#}");
             ExitCode::FAILURE
         }
     }
--- a/crates/sycamore-bench/src/measure/mod.rs
+++ b/crates/sycamore-bench/src/measure/mod.rs
@@ -4,6 +4,7 @@
 mod path;
 mod violations;
 
+pub use path::{callers_of, kinds};
 pub use violations::Violations;
 
 use crate::Result;
@@ -36,7 +37,7 @@
 /// # Errors
 /// Where it could not be carried out; a bad figure is a result.
 pub async fn run(command: Command) -> Result<()> {
-    crate::fleet::guard::limit_run(LIMIT);
+    let _limit = crate::fleet::guard::limit_run(LIMIT);
     match command {
         Command::Path(options) => path::run(options).await,
     }
--- /dev/null
+++ b/crates/sycamore-bench/tests/process/main.rs
@@ -0,0 +1,8 @@
+//! Tests over real processes. They need the workspace's programs, as `scripts/test` builds them.
+//! Each waits for conditions with generous limits; they run one at a time.
+
+mod change;
+mod drain;
+mod faults;
+mod support;
+mod whole_path;
