refactor(bench): a client's connections are driven by their exchanges

Cause: the client left a task for each connection to the loop, which no parent joined. Change: a kept connection is polled by the exchange that uses it, and once before the next, which also finds a connection that its peer has closed before it is used again. Ruled out: a task group in the client, since its tasks would outlive the exchange.

--- a/crates/sycamore-bench/src/fleet/mod.rs
+++ b/crates/sycamore-bench/src/fleet/mod.rs
@@ -11,7 +11,7 @@
 mod options;
 mod process;
 mod query;
-mod settings;
+pub mod settings;
 mod start;
 mod usage;
 mod watch;
--- a/crates/sycamore-bench/src/fleet/settings.rs
+++ b/crates/sycamore-bench/src/fleet/settings.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 /// The settings of a node, as INI.
-pub(super) fn ini(
+pub fn ini(
     deployment: &str,
     spec: &InstanceSpec,
     addrs: &Addrs,
--- a/crates/sycamore-bench/src/http/client.rs
+++ b/crates/sycamore-bench/src/http/client.rs
@@ -3,16 +3,20 @@
 use crate::{BenchError, Result};
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
+use futures::future::{select, Either};
+use futures::FutureExt;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::client::conn::http1::{handshake, Connection, SendRequest};
 use monoio::io::IntoPollIo;
+use monoio::net::tcp::stream_poll::TcpStreamPoll;
 use monoio::net::TcpStream;
 use monoio_compat::hyper::MonoioIo;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::pin::{pin, Pin};
 use std::time::Duration;
 
 /// One whole answer.
@@ -55,17 +59,23 @@
     Cut,
 }
 
-type Sender = SendRequest<Full<Bytes>>;
+type Stream = MonoioIo<TcpStreamPoll>;
+
+/// A connection, which makes progress only while it is polled: during an exchange, and once before
+/// the next to see whether the peer has closed it.
+struct Kept {
+    sender: SendRequest<Full<Bytes>>,
+    connection: Pin<Box<Connection<Stream, Full<Bytes>>>>,
+}
 
 /// A client that keeps connections to many addresses.
 #[derive(Default)]
 pub struct Client {
-    idle: RefCell<HashMap<SocketAddr, Vec<Sender>>>,
+    idle: RefCell<HashMap<SocketAddr, Vec<Kept>>>,
 }
 
 impl Client {
-    /// Sends `req` to `addr` and reads the whole answer. A kept connection that was closed in the
-    /// meantime, before any byte of the request could be sent, is replaced once.
+    /// Sends `req` to `addr` and reads the whole answer. Dropping the future closes the connection.
     ///
     /// # Errors
     /// How far the exchange came.
@@ -74,43 +84,58 @@
         addr: SocketAddr,
         req: Request<Full<Bytes>>,
     ) -> std::result::Result<Exchange, Wire> {
-        let mut sender = self.sender(addr).await?;
-        let response = sender.send_request(req).await.map_err(|_| Wire::NoAnswer)?;
-        let exchange = collect(response).await?;
-        if sender.ready().await.is_ok() {
-            self.idle.borrow_mut().entry(addr).or_default().push(sender);
+        let mut kept = self.kept(addr).await?;
+        let exchange = kept.exchange(req).await?;
+        if kept.is_open() {
+            self.idle.borrow_mut().entry(addr).or_default().push(kept);
         }
         Ok(exchange)
     }
 
-    async fn sender(&self, addr: SocketAddr) -> std::result::Result<Sender, Wire> {
+    async fn kept(&self, addr: SocketAddr) -> std::result::Result<Kept, Wire> {
         loop {
-            let kept = self.idle.borrow_mut().get_mut(&addr).and_then(Vec::pop);
-            match kept {
-                Some(sender) if sender.is_closed() || !sender.is_ready() => {}
-                Some(sender) => return Ok(sender),
-                None => return connect(addr).await.map_err(|_| Wire::NotConnected),
+            let idle = self.idle.borrow_mut().get_mut(&addr).and_then(Vec::pop);
+            let Some(mut kept) = idle else {
+                return connect(addr).await.map_err(|_| Wire::NotConnected);
+            };
+            if kept.is_open() {
+                return Ok(kept);
             }
         }
     }
 }
 
+impl Kept {
+    async fn exchange(&mut self, req: Request<Full<Bytes>>) -> std::result::Result<Exchange, Wire> {
+        let work = async {
+            let response = self.sender.send_request(req).await.map_err(|_| Wire::NoAnswer)?;
+            collect(response).await
+        };
+        match select(pin!(work), &mut self.connection).await {
+            Either::Left((result, _)) => result,
+            // The connection has ended; what it brought is with the request already.
+            Either::Right((_, work)) => work.await,
+        }
+    }
+
+    fn is_open(&mut self) -> bool {
+        let ended = self.connection.as_mut().now_or_never().is_some();
+        !ended && self.sender.is_ready()
+    }
+}
+
 async fn collect(response: Response<Incoming>) -> std::result::Result<Exchange, Wire> {
     let (head, body) = response.into_parts();
     let body = body.collect().await.map_err(|_| Wire::Cut)?.to_bytes();
     Ok(Exchange { status: head.status, headers: head.headers, body })
 }
 
-async fn connect(addr: SocketAddr) -> std::io::Result<Sender> {
+async fn connect(addr: SocketAddr) -> std::io::Result<Kept> {
     let stream = TcpStream::connect(addr).await?;
     stream.set_nodelay(true)?;
-    let (sender, connection) =
-        handshake(MonoioIo::new(stream.into_poll_io()?)).await.map_err(std::io::Error::other)?;
-    // The connection's task ends when its sender is dropped or the peer closes.
-    monoio::spawn(async move {
-        let _ = connection.await;
-    });
-    Ok(sender)
+    let io = MonoioIo::new(stream.into_poll_io()?);
+    let (sender, connection) = handshake(io).await.map_err(std::io::Error::other)?;
+    Ok(Kept { sender, connection: Box::pin(connection) })
 }
 
 /// One request over a connection of its own, bounded by `timeout`.
