--- a/crates/sycamore-bench/src/cli/stand_ins.rs
+++ b/crates/sycamore-bench/src/cli/stand_ins.rs
@@ -54,6 +54,7 @@
     let slots = arg("slots", "N", default.slots);
     let queue = arg("queue", "N", default.queue);
     let connections = arg("connections", "N", default.connections);
+    let open = millis("open-ms", default.open);
     let work = arg("work-us", "US", default.work.as_micros() as u64).map(Duration::from_micros);
     let cold = millis("cold-ms", default.cold);
     let probe = arg("probe", "KIND", default.probe);
@@ -72,6 +73,7 @@
         slots,
         queue,
         connections,
+        open,
         work,
         cold,
         probe,
--- a/crates/sycamore-bench/src/http/server.rs
+++ b/crates/sycamore-bench/src/http/server.rs
@@ -17,6 +17,10 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::pin;
+use std::time::Duration;
+
+/// Time between a failed accept and the next.
+const ACCEPT_RETRY: Duration = Duration::from_millis(10);
 
 /// Body of every answer of a stand-in.
 pub type Answer = Response<Full<Bytes>>;
@@ -80,11 +84,13 @@
 pub struct ServeOptions {
     /// Connections served at the same time; more are closed at once.
     pub connections: usize,
+    /// Time that opening a connection takes.
+    pub open: Duration,
 }
 
 impl Default for ServeOptions {
     fn default() -> Self {
-        Self { connections: 4_096 }
+        Self { connections: 4_096, open: Duration::ZERO }
     }
 }
 
@@ -110,20 +116,23 @@
         };
         match accepted {
             Ok(stream) if connections.len() < options.connections => {
-                connections.push(serve_connection(stream, handler.clone()));
+                connections.push(serve_connection(stream, options.open, handler.clone()));
             }
             Ok(_) => {}
-            Err(_) => monoio::time::sleep(std::time::Duration::from_millis(10)).await,
+            Err(_) => monoio::time::sleep(ACCEPT_RETRY).await,
         }
     }
 }
 
-async fn serve_connection<H, F>(stream: TcpStream, handler: H)
+async fn serve_connection<H, F>(stream: TcpStream, open: Duration, handler: H)
 where
     H: Fn(Request<Incoming>) -> F,
     F: Future<Output = Reply>,
 {
     let _ = stream.set_nodelay(true);
+    if !open.is_zero() {
+        monoio::time::sleep(open).await;
+    }
     let Ok(stream) = stream.into_poll_io() else { return };
     let service = service_fn(handler);
     // A broken connection is the peer's affair; the emulated process goes on.
--- a/crates/sycamore-bench/src/stand_in/upstream/options.rs
+++ b/crates/sycamore-bench/src/stand_in/upstream/options.rs
@@ -68,6 +68,8 @@
     pub queue: u16,
     /// Connections that it takes.
     pub connections: u16,
+    /// Time that opening a connection takes.
+    pub open: Duration,
     /// Mean time that a request takes; each is drawn between half and one and a half of it.
     pub work: Duration,
     /// Time after the start during which requests take up to four times as long.
@@ -98,6 +100,7 @@
             slots: 12,
             queue: 12,
             connections: 120,
+            open: Duration::from_millis(1),
             work: Duration::from_millis(10),
             cold: Duration::ZERO,
             probe: Probe::default(),
@@ -128,6 +131,7 @@
         add("slots", self.slots.to_string());
         add("queue", self.queue.to_string());
         add("connections", self.connections.to_string());
+        add("open-ms", self.open.as_millis().to_string());
         add("work-us", self.work.as_micros().to_string());
         add("cold-ms", self.cold.as_millis().to_string());
         add("probe", self.probe.as_str().into());
--- a/crates/sycamore-bench/src/stand_in/upstream/serve.rs
+++ b/crates/sycamore-bench/src/stand_in/upstream/serve.rs
@@ -64,7 +64,10 @@
         .change_context_lazy(|| BenchError::Io("signal handler".into()))?;
     let listener = Listener::bind(options.listen)?;
     let upstream = Rc::new(Upstream::new(options)?);
-    let limits = ServeOptions { connections: usize::from(upstream.options.connections) };
+    let limits = ServeOptions {
+        connections: usize::from(upstream.options.connections),
+        open: upstream.options.open,
+    };
     let serve = bench_http::serve(&listener, &limits, {
         let upstream = upstream.clone();
         move |req| {
