feat(call): decisions on routing, admission, retries, keys and quarantine

Cause: the promises to callers are kept by decisions that the daemon, the model and the scenarios must share.

Ruled out: an idempotency claim as a row in the platform's table for each keyed call (several hundred writes/s for the whole fleet, and keyed calls would stop with the platform); running a keyed call at its owner only (a share that moves would move the key).

Change: Router (version by share, two choices on piggybacked load, near first, slow start, ejection with a floor), Admission (slots, queue by class and deadline, early refusal, fairness, three limit policies), RetryBudget, Gate (a version's own node refuses what its share or a verdict forbids), KeyTable with Ownership (owner by rendezvous, in doubt nothing runs), CrashLog (fingerprint quarantined after its second crash, completed requests not named, one suspect at a time).

--- a/crates/sycamore-call/src/lib.rs
+++ b/crates/sycamore-call/src/lib.rs
@@ -1,1 +1,21 @@
 //! Decisions on calls: routing, admission, retries, idempotency and quarantine.
+//!
+//! Everything here is pure: the time and the seed come in, decisions go out, and nothing opens a
+//! socket or reads a clock. The node beside an upstream runs [`Gate`], [`Admission`], [`KeyTable`]
+//! and [`CrashLog`]; the node that a caller reaches runs [`Router`] and [`RetryBudget`].
+
+pub mod admit;
+pub mod gate;
+pub mod key;
+pub mod load;
+pub mod quarantine;
+pub mod retry;
+pub mod route;
+
+pub use admit::{Admission, AdmissionConfig, Arrival, Criticality, Decision, LimitPolicy};
+pub use gate::Gate;
+pub use key::{KeyDecision, KeyHash, KeyTable, KeyTableConfig, Ownership, Standing};
+pub use load::Load;
+pub use quarantine::{CrashLog, CrashLogConfig};
+pub use retry::{AttemptFailure, RetryBudget, RetryConfig, RetryDecision};
+pub use route::{Choice, Pick, Router, RouterConfig};
--- /dev/null
+++ b/crates/sycamore-call/src/retry/mod.rs
@@ -0,0 +1,154 @@
+//! Whether a failed attempt is made again: only what certainly did not run or is idempotent, within
+//! a budget per destination, after a backoff with full jitter.
+//!
+//! Attempts are not multiplied through a chain of calls: an answer that carries a `retry-after` was
+//! given up below and is final above, and an attempt that is itself a retry is not retried again by
+//! the nodes below it.
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::time::Duration;
+use sycamore_types::prelude::*;
+
+/// Most retries that a budget saves up.
+const MAX_SAVED: f64 = 10.0;
+
+/// Settings of a [`RetryBudget`].
+#[derive(Debug, Clone)]
+pub struct RetryConfig {
+    /// Attempts in all, the first included.
+    pub attempts: u8,
+    /// Retries allowed for each 100 first attempts.
+    pub budget_percent: u8,
+    /// Longest backoff before the first retry; each further one doubles it.
+    pub backoff: Duration,
+    /// Longest backoff.
+    pub backoff_max: Duration,
+}
+
+impl Default for RetryConfig {
+    fn default() -> Self {
+        Self::from(&RetryPolicy::default())
+    }
+}
+
+impl From<&RetryPolicy> for RetryConfig {
+    fn from(policy: &RetryPolicy) -> Self {
+        Self {
+            attempts: policy.attempts,
+            budget_percent: policy.budget_percent,
+            backoff: Duration::from_millis(5),
+            backoff_max: Duration::from_millis(100),
+        }
+    }
+}
+
+/// Why an attempt failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum AttemptFailure {
+    /// It certainly did not run.
+    NotRun(RefusalReason),
+    /// It may have run.
+    Unknown {
+        /// The upstream crashed while it ran, perhaps because of it.
+        crashed: bool,
+    },
+}
+
+/// The call whose attempt failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct CallState {
+    /// Attempts made, the failed one included.
+    pub attempts: u8,
+    /// Running it twice does no harm.
+    pub idempotent: bool,
+    /// The attempt is itself a retry of a node above.
+    pub is_retry: bool,
+    /// Some other upstream is known to have room.
+    pub has_room: bool,
+    /// Time until the deadline.
+    pub left: Duration,
+}
+
+/// What to do after a failed attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum RetryDecision {
+    /// Try another upstream after this time.
+    Retry(Duration),
+    /// Give the final answer now.
+    GiveUp,
+}
+
+/// Retries towards one destination.
+#[derive(Debug, Clone)]
+pub struct RetryBudget {
+    config: RetryConfig,
+    saved: f64,
+    rng: SmallRng,
+}
+
+impl RetryBudget {
+    /// A budget that draws its jitter from `seed`. It starts with one retry saved.
+    pub fn new(config: RetryConfig, seed: u64) -> Self {
+        Self { config, saved: 1.0, rng: SmallRng::seed_from_u64(seed) }
+    }
+
+    /// Takes new settings.
+    pub fn configure(&mut self, config: RetryConfig) {
+        self.config = config;
+    }
+
+    /// Counts the first attempt of a call.
+    pub fn first_attempt(&mut self) {
+        let earned = f64::from(self.config.budget_percent) / 100.0;
+        self.saved = (self.saved + earned).min(MAX_SAVED);
+    }
+
+    /// Decides what follows a failed attempt.
+    pub fn decide(&mut self, call: &CallState, failure: AttemptFailure) -> RetryDecision {
+        if call.attempts >= self.config.attempts || call.is_retry {
+            return RetryDecision::GiveUp;
+        }
+        match failure {
+            AttemptFailure::NotRun(reason) => self.after_refusal(call, reason),
+            AttemptFailure::Unknown { crashed: true } => RetryDecision::GiveUp,
+            AttemptFailure::Unknown { crashed: false } if call.idempotent => self.spend(call),
+            AttemptFailure::Unknown { crashed: false } => RetryDecision::GiveUp,
+        }
+    }
+
+    fn after_refusal(&mut self, call: &CallState, reason: RefusalReason) -> RetryDecision {
+        match reason {
+            // These concern one upstream, which the router now leaves out: going elsewhere costs
+            // the refusing upstream nothing and stops by itself.
+            RefusalReason::BadVersion
+            | RefusalReason::ShareSpent
+            | RefusalReason::Draining
+            | RefusalReason::NotReady => RetryDecision::Retry(Duration::ZERO),
+            RefusalReason::NoUpstream if call.has_room => RetryDecision::Retry(Duration::ZERO),
+            RefusalReason::Overloaded if call.has_room => self.spend(call),
+            RefusalReason::NoUpstream
+            | RefusalReason::Overloaded
+            | RefusalReason::Deadline
+            | RefusalReason::Quarantined
+            | RefusalReason::HopLimit
+            | RefusalReason::InProgress => RetryDecision::GiveUp,
+        }
+    }
+
+    fn spend(&mut self, call: &CallState) -> RetryDecision {
+        let backoff = self.backoff(call.attempts);
+        if self.saved < 1.0 || backoff >= call.left {
+            return RetryDecision::GiveUp;
+        }
+        self.saved -= 1.0;
+        RetryDecision::Retry(backoff)
+    }
+
+    /// Full jitter: uniform between zero and the doubled bound.
+    fn backoff(&mut self, attempts: u8) -> Duration {
+        let doublings = u32::from(attempts.saturating_sub(1)).min(16);
+        let bound = (self.config.backoff * 2_u32.pow(doublings)).min(self.config.backoff_max);
+        bound.mul_f64(self.rng.random())
+    }
+}
--- /dev/null
+++ b/crates/sycamore-call/src/route/mod.rs
@@ -0,0 +1,267 @@
+//! Which upstream a call goes to: version by share, near data centre first, then the less loaded of
+//! two random choices (Mitzenmacher, "The Power of Two Choices", 2001).
+
+mod peer;
+mod version;
+
+pub use version::VersionBans;
+
+use crate::load::Load;
+use peer::Peer;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use sycamore_types::prelude::*;
+
+/// Settings of a [`Router`].
+#[derive(Debug, Clone)]
+pub struct RouterConfig {
+    /// Time over which an instance that is new here comes to its full weight.
+    pub slow_start: Duration,
+    /// Failures in a row that eject an instance.
+    pub eject_failures: u32,
+    /// Length of a first ejection; each further one doubles it.
+    pub eject_time: Duration,
+    /// Longest ejection.
+    pub eject_time_max: Duration,
+    /// Largest part of a service's instances that may be ejected at a time.
+    pub eject_part: f64,
+    /// Utilisation of the near instances above which calls spill over to farther ones.
+    pub spill: f64,
+    /// Age after which a reported load says nothing.
+    pub load_age: Duration,
+}
+
+impl Default for RouterConfig {
+    fn default() -> Self {
+        Self {
+            slow_start: Duration::from_secs(5),
+            eject_failures: 3,
+            eject_time: Duration::from_secs(2),
+            eject_time_max: Duration::from_secs(30),
+            eject_part: 0.5,
+            spill: 0.8,
+            load_age: Duration::from_secs(1),
+        }
+    }
+}
+
+/// What a call asks of the router.
+#[derive(Debug, Clone, Copy)]
+pub struct Pick<'a> {
+    /// The service meant.
+    pub service: &'a ServiceName,
+    /// The members known.
+    pub view: &'a MemberView,
+    /// The shares in force.
+    pub shares: &'a ShareTable,
+    /// Versions that get nothing.
+    pub bans: &'a VersionBans,
+    /// Instances already tried for this call.
+    pub tried: &'a [InstanceId],
+    /// The data centre of this node.
+    pub data_centre: &'a DataCentre,
+    /// The region of this node.
+    pub region: &'a Region,
+}
+
+/// An instance chosen for an attempt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Choice {
+    /// The instance.
+    pub instance: InstanceId,
+    /// The version of its upstream.
+    pub version: UpstreamVersion,
+    /// Where its node takes relayed calls.
+    pub relay: SocketAddr,
+    /// The share of the version that the choice went by.
+    pub share: Share,
+}
+
+/// How an attempt ended, as far as routing cares.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// The instance's node answered, and gave its load.
+    Answered(Load),
+    /// The instance's node is leaving.
+    Draining,
+    /// The instance can't be reached, or its node says that it has no upstream.
+    NoUpstream,
+    /// The instance broke off or took too long.
+    Failed,
+    /// Nothing was learnt: the caller left.
+    Cancelled,
+}
+
+/// Chooses upstreams for calls.
+#[derive(Debug, Clone)]
+pub struct Router {
+    config: RouterConfig,
+    peers: BTreeMap<InstanceId, Peer>,
+    rng: SmallRng,
+}
+
+impl Router {
+    /// A router that draws its random choices from `seed`.
+    pub fn new(config: RouterConfig, seed: u64) -> Self {
+        Self { config, peers: BTreeMap::new(), rng: SmallRng::seed_from_u64(seed) }
+    }
+
+    /// Takes a new view: forgets the instances that left and starts the new ones slowly.
+    pub fn update(&mut self, now: Time, view: &MemberView) {
+        self.peers.retain(|instance, _| view.members.contains_key(instance));
+        let cold_start = self.peers.is_empty();
+        for member in view.members.values() {
+            let peer = self.peers.entry(member.instance.clone()).or_insert_with(|| {
+                // A router that knows nobody must not treat the whole fleet as cold.
+                Peer::new(member.incarnation, if cold_start { None } else { Some(now) })
+            });
+            if peer.incarnation != member.incarnation {
+                *peer = Peer::new(member.incarnation, Some(now));
+            }
+        }
+    }
+
+    /// Chooses the instance for one attempt and counts it as under way there; `None` where no
+    /// instance may take it.
+    pub fn pick(&mut self, now: Time, pick: &Pick<'_>) -> Option<Choice> {
+        let candidates = self.candidates(now, pick);
+        let (version, share) = version::choose(&mut self.rng, pick, &candidates)?;
+        let of_version: Vec<&Member> =
+            candidates.into_iter().filter(|member| member.version == version).collect();
+        let near = self.near_enough(now, pick, of_version);
+        let chosen = self.less_loaded(now, &near)?;
+        let choice = Choice {
+            instance: chosen.instance.clone(),
+            version,
+            relay: chosen.endpoints.relay,
+            share,
+        };
+        self.peer(&choice.instance).under_way += 1;
+        Some(choice)
+    }
+
+    /// Records how an attempt at `instance` ended.
+    pub fn ended(&mut self, now: Time, instance: &InstanceId, end: AttemptEnd) {
+        let config = self.config.clone();
+        self.peer(instance).ended(now, end, &config);
+    }
+
+    /// Whether some instance of `service` other than those `tried` is not known to be full, leaving
+    /// or ejected.
+    pub fn has_room(
+        &self,
+        now: Time,
+        service: &ServiceName,
+        view: &MemberView,
+        tried: &[InstanceId],
+    ) -> bool {
+        view.serving(service).filter(|member| !tried.contains(&member.instance)).any(|member| {
+            self.peers.get(&member.instance).is_none_or(|peer| {
+                peer.utilisation(now, &self.config) < 1.0
+                    && !peer.is_draining(now)
+                    && peer.ejected_until(now).is_none()
+            })
+        })
+    }
+
+    fn peer(&mut self, instance: &InstanceId) -> &mut Peer {
+        self.peers
+            .entry(instance.clone())
+            .or_insert_with(|| Peer::new(Incarnation::default(), None))
+    }
+
+    /// Members that may take the call, without ejected ones unless too many are ejected.
+    fn candidates<'a>(&self, now: Time, pick: &Pick<'a>) -> Vec<&'a Member> {
+        let serving: Vec<&'a Member> = pick
+            .view
+            .members
+            .values()
+            .filter(|member| member.service == *pick.service)
+            .filter(|member| matches!(member.state, MemberState::Serving | MemberState::Suspect))
+            .filter(|member| !pick.bans.contains(&member.service, &member.version))
+            .filter(|member| !self.is_draining(now, &member.instance))
+            .collect();
+        let untried = |member: &&Member| !pick.tried.contains(&member.instance);
+        let kept = self.without_ejected(now, &serving);
+        let fresh: Vec<&Member> = kept.into_iter().filter(untried).collect();
+        if fresh.is_empty() {
+            return serving.into_iter().filter(untried).collect();
+        }
+        fresh
+    }
+
+    fn is_draining(&self, now: Time, instance: &InstanceId) -> bool {
+        self.peers.get(instance).is_some_and(|peer| peer.is_draining(now))
+    }
+
+    /// Leaves out ejected members, the longest ejected first, down to the floor.
+    fn without_ejected<'a>(&self, now: Time, serving: &[&'a Member]) -> Vec<&'a Member> {
+        let ejected_until = |member: &Member| {
+            self.peers.get(&member.instance).and_then(|peer| peer.ejected_until(now))
+        };
+        let most = (serving.len() as f64 * self.config.eject_part).floor() as usize;
+        let mut ejected: Vec<(Time, &InstanceId)> = serving
+            .iter()
+            .filter_map(|member| ejected_until(member).map(|until| (until, &member.instance)))
+            .collect();
+        ejected.sort_by(|a, b| b.cmp(a));
+        ejected.truncate(most);
+        serving
+            .iter()
+            .copied()
+            .filter(|member| !ejected.iter().any(|(_, instance)| **instance == member.instance))
+            .collect()
+    }
+
+    /// The nearest ring of members that is not too loaded: this data centre, then this region, then
+    /// all.
+    fn near_enough<'a>(
+        &self,
+        now: Time,
+        pick: &Pick<'_>,
+        members: Vec<&'a Member>,
+    ) -> Vec<&'a Member> {
+        let ring = |keep: &dyn Fn(&Member) -> bool| -> Vec<&'a Member> {
+            members.iter().copied().filter(|member| keep(member)).collect()
+        };
+        let near = ring(&|member| member.data_centre == *pick.data_centre);
+        if self.mean_utilisation(now, &near) < self.config.spill {
+            return near;
+        }
+        let region = ring(&|member| member.region == *pick.region);
+        if self.mean_utilisation(now, &region) < self.config.spill {
+            return region;
+        }
+        members
+    }
+
+    /// Infinite where there is no member.
+    fn mean_utilisation(&self, now: Time, members: &[&Member]) -> f64 {
+        if members.is_empty() {
+            return f64::INFINITY;
+        }
+        let sum: f64 = members.iter().map(|member| self.score(now, &member.instance)).sum();
+        sum / members.len() as f64
+    }
+
+    fn less_loaded<'a>(&mut self, now: Time, members: &[&'a Member]) -> Option<&'a Member> {
+        match members {
+            [] => None,
+            [only] => Some(only),
+            _ => {
+                let first = self.rng.random_range(0..members.len());
+                let step = self.rng.random_range(1..members.len());
+                let (a, b) = (members[first], members[(first + step) % members.len()]);
+                let nearer = self.score(now, &a.instance) <= self.score(now, &b.instance);
+                Some(if nearer { a } else { b })
+            }
+        }
+    }
+
+    fn score(&self, now: Time, instance: &InstanceId) -> f64 {
+        self.peers.get(instance).map_or(0.0, |peer| peer.score(now, &self.config))
+    }
+}
