feat(node): calls from caller to upstream and back

Cause: the node served no calls yet.

Change: listeners for callers, the upstream and other nodes; one relay hop to the node beside the chosen upstream, which checks gate, quarantine and admission; bodies over 32 KiB are sent on only after admission (100-continue between nodes), so that a refusal can still go elsewhere; deadlines shrink, a depth limit ends loops, cancellation closes the connection to the upstream; keyed calls go through the key's owner; crashes raise facts; outcomes go to the moves slice; prometheus metrics.

Found by the tests and fixed: an upstream's own refusal without a reason lost its retry-after; a crash was missed where the listener closed after the connection (one look in place of three); a node without an upstream used up the retry budget (now a free re-route, and it is ejected at once).

--- a/crates/sycamore-http/src/conn/reader.rs
+++ b/crates/sycamore-http/src/conn/reader.rs
@@ -65,16 +65,41 @@
     /// # Errors
     /// [`ReadError`] where there is none, or it is refused.
     pub async fn response_head(&mut self, limits: &HeadLimits) -> Result<ResponseHead, ReadError> {
-        let mut interim = 0;
+        for _ in 0..=MAX_INTERIM {
+            let head = self.any_response_head(limits).await?;
+            if !is_interim(head.status) {
+                return Ok(head);
+            }
+        }
+        Err(ReadError::Head(HeadError::Malformed))
+    }
+
+    /// Reads a response's head, interim ones included.
+    ///
+    /// # Errors
+    /// [`ReadError`] where there is none, or it is refused.
+    pub async fn any_response_head(
+        &mut self,
+        limits: &HeadLimits,
+    ) -> Result<ResponseHead, ReadError> {
         loop {
-            match parse_response(&mut self.buf, limits)? {
-                Some(head) if is_interim(head.status) => interim += 1,
-                Some(head) => return Ok(head),
-                None => self.fill_head().await?,
+            if let Some(head) = parse_response(&mut self.buf, limits)? {
+                return Ok(head);
             }
-            if interim > MAX_INTERIM {
-                return Err(ReadError::Head(HeadError::Malformed));
+            self.fill_head().await?;
+        }
+    }
+
+    /// Reads and drops what the peer still sends, at most `limit` bytes, until it closes.
+    pub async fn discard(&mut self, limit: usize) {
+        let mut dropped = self.buf.len();
+        self.buf.clear();
+        while dropped < limit {
+            match self.fill().await {
+                Ok(0) | Err(_) => return,
+                Ok(read) => dropped += read,
             }
+            self.buf.clear();
         }
     }
 
@@ -87,15 +112,18 @@
             match body.decode(&mut self.buf)? {
                 Piece::Data(data) => return Ok(Some(data)),
                 Piece::End => return Ok(None),
-                Piece::Need => {
-                    if self.fill().await? == 0 {
-                        return Err(ReadError::Cut);
-                    }
-                }
+                Piece::Need => self.fill_body().await?,
             }
         }
     }
 
+    async fn fill_body(&mut self) -> Result<(), ReadError> {
+        match self.fill().await? {
+            0 => Err(ReadError::Cut),
+            _ => Ok(()),
+        }
+    }
+
     /// Reads a whole body of at most `limit` bytes.
     ///
     /// # Errors
@@ -171,24 +199,30 @@
 /// The reading side's error as `Ok(Err(..))`, the writing side's as `Err(..)`.
 pub async fn relay_body<R: AsyncReadRent>(
     reader: &mut Reader<R>,
-    mut decoder: BodyDecoder,
+    decoder: &mut BodyDecoder,
     writer: &mut impl AsyncWriteRent,
     mut encoder: BodyEncoder,
     mut out: BytesMut,
 ) -> io::Result<Result<(), ReadError>> {
     loop {
-        if !out.is_empty() && !reader.has_unread() && !decoder.is_done() {
-            write_all(writer, out.split().freeze()).await?;
-        }
-        let encoded = match reader.piece(&mut decoder).await {
-            Ok(Some(piece)) => encoder.encode(&piece, &mut out),
-            Ok(None) => match encoder.finish(&mut out) {
+        let step = match decoder.decode(&mut reader.buf) {
+            Ok(Piece::Data(data)) => encoder.encode(&data, &mut out),
+            Ok(Piece::End) => match encoder.finish(&mut out) {
                 Ok(()) => return write_all(writer, out.freeze()).await.map(Ok),
                 Err(err) => Err(err),
             },
-            Err(err) => return Ok(Err(err)),
+            Ok(Piece::Need) => {
+                if !out.is_empty() {
+                    write_all(writer, out.split().freeze()).await?;
+                }
+                if let Err(err) = reader.fill_body().await {
+                    return Ok(Err(err));
+                }
+                Ok(())
+            }
+            Err(err) => Err(err),
         };
-        if let Err(err) = encoded {
+        if let Err(err) = step {
             return Ok(Err(ReadError::Body(err)));
         }
         if out.len() >= READ_BYTES {
--- a/crates/sycamore-http/src/wire/head.rs
+++ b/crates/sycamore-http/src/wire/head.rs
@@ -24,9 +24,14 @@
     pub bytes: usize,
 }
 
+impl HeadLimits {
+    /// The limits that [`HeadLimits::default`] gives.
+    pub const DEFAULT: HeadLimits = HeadLimits { bytes: 16 << 10 };
+}
+
 impl Default for HeadLimits {
     fn default() -> Self {
-        Self { bytes: 16 << 10 }
+        Self::DEFAULT
     }
 }
 
--- a/crates/sycamore-http/tests/conn/relay.rs
+++ b/crates/sycamore-http/tests/conn/relay.rs
@@ -22,7 +22,7 @@
     let mut reader = Reader::new(read);
     let relayed = relay_body(
         &mut reader,
-        BodyDecoder::new(from),
+        &mut BodyDecoder::new(from),
         &mut write,
         BodyEncoder::new(to),
         BytesMut::new(),
--- /dev/null
+++ b/crates/sycamore-node/src/calls/answer.rs
@@ -0,0 +1,147 @@
+//! Answers of the node itself.
+
+use super::message::Inbound;
+use bytes::{Bytes, BytesMut};
+use http::{header, HeaderValue, Response, StatusCode};
+use std::time::Duration;
+use sycamore_http::conn::write_all;
+use sycamore_http::wire::encode_response;
+use sycamore_http::Framing;
+use sycamore_types::headers;
+use sycamore_types::prelude::*;
+
+/// Time after which a caller is asked to come back where nothing better is known.
+pub(super) const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What an answer says about the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Outcome {
+    /// It certainly did not run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+impl Outcome {
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Outcome::NotRun => "not-run",
+            Outcome::Unknown => "unknown",
+        }
+    }
+}
+
+/// An answer of the node itself.
+#[derive(Debug, Clone)]
+pub(super) struct Answer {
+    pub(super) status: StatusCode,
+    pub(super) outcome: Outcome,
+    /// One word.
+    pub(super) reason: String,
+    /// A sentence.
+    pub(super) detail: String,
+    pub(super) retry_after: Option<Duration>,
+}
+
+impl Answer {
+    /// A refusal: the request has not run.
+    pub(super) fn refused(reason: RefusalReason, retry_after: Duration) -> Self {
+        Self {
+            status: refusal_status(reason),
+            outcome: Outcome::NotRun,
+            reason: reason.as_str().to_owned(),
+            detail: refusal_detail(reason).to_owned(),
+            retry_after: Some(retry_after),
+        }
+    }
+
+    /// A refusal of a request that can't be served as it is.
+    pub(super) fn rejected(status: StatusCode, reason: &str, detail: impl ToString) -> Self {
+        Self {
+            status,
+            outcome: Outcome::NotRun,
+            reason: reason.to_owned(),
+            detail: detail.to_string(),
+            retry_after: None,
+        }
+    }
+
+    /// The request may have run.
+    pub(super) fn unknown(status: StatusCode, reason: &str, detail: &str) -> Self {
+        Self {
+            status,
+            outcome: Outcome::Unknown,
+            reason: reason.to_owned(),
+            detail: detail.to_owned(),
+            retry_after: None,
+        }
+    }
+
+    /// The answer as an HTTP response.
+    pub(super) fn to_response(&self) -> Response<Bytes> {
+        let body = serde_json::json!({
+            "outcome": self.outcome.as_str(),
+            "reason": self.reason,
+            "detail": self.detail,
+        });
+        let mut resp = Response::new(Bytes::from(body.to_string()));
+        *resp.status_mut() = self.status;
+        let fields = resp.headers_mut();
+        fields.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        fields.insert(headers::OUTCOME, HeaderValue::from_static(self.outcome.as_str()));
+        if let Ok(reason) = HeaderValue::from_str(&self.reason) {
+            fields.insert(headers::REASON, reason);
+        }
+        if let Some(after) = self.retry_after {
+            let secs = after.as_secs() + u64::from(after.subsec_nanos() > 0);
+            fields.insert(header::RETRY_AFTER, HeaderValue::from(secs));
+        }
+        resp
+    }
+}
+
+fn refusal_status(reason: RefusalReason) -> StatusCode {
+    match reason {
+        RefusalReason::Quarantined => StatusCode::TOO_MANY_REQUESTS,
+        RefusalReason::InProgress => StatusCode::CONFLICT,
+        RefusalReason::Overloaded
+        | RefusalReason::Deadline
+        | RefusalReason::Draining
+        | RefusalReason::BadVersion
+        | RefusalReason::ShareSpent
+        | RefusalReason::NoUpstream
+        | RefusalReason::NotReady
+        | RefusalReason::HopLimit => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+fn refusal_detail(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::Overloaded => "no slot comes free in time",
+        RefusalReason::Deadline => "the deadline has passed",
+        RefusalReason::Draining => "the upstream is leaving",
+        RefusalReason::BadVersion => "the version was found bad",
+        RefusalReason::ShareSpent => "the version has had its share",
+        RefusalReason::Quarantined => "the request crashes upstreams",
+        RefusalReason::NoUpstream => "no upstream can be reached",
+        RefusalReason::NotReady => "the node is not ready",
+        RefusalReason::HopLimit => "the call is too many levels deep",
+        RefusalReason::InProgress => "a call with this idempotency key is running",
+    }
+}
+
+/// Writes a whole response; the connection closes after it where the request was not read whole or
+/// `inbound` closes anyway.
+pub(super) async fn respond(inbound: &mut Inbound, resp: &Response<Bytes>) -> std::io::Result<()> {
+    let (mut head, ()) = resp.clone().map(drop).into_parts();
+    if inbound.closes {
+        head.headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    let body = resp.body();
+    // A response to HEAD announces the body that it leaves out.
+    let sent = if inbound.head_only { &[][..] } else { &body[..] };
+    let mut out = BytesMut::with_capacity(512 + body.len());
+    encode_response(&head, Framing::Length(body.len() as u64), &mut out);
+    out.extend_from_slice(sent);
+    write_all(&mut inbound.writer, out.freeze()).await
+}
--- /dev/null
+++ b/crates/sycamore-node/src/calls/forward.rs
@@ -0,0 +1,410 @@
+//! The callers' side: route, choose an upstream, relay, and try again where that is safe.
+
+use super::answer::{respond, Answer, RETRY_AFTER};
+use super::exchange::{is_idempotent, relay_answer, send, Answered, Failure, Relayed};
+use super::message::{strip_internal, Inbound, Message};
+use super::meta::{text, CallMeta, Target};
+use super::pool::Stream;
+use super::state::State;
+use http::{header, HeaderMap, StatusCode};
+use std::rc::Rc;
+use std::str::FromStr;
+use std::time::Duration;
+use sycamore_call::retry::CallState;
+use sycamore_call::route::AttemptEnd;
+use sycamore_call::{AttemptFailure, Choice, Load, Pick, RetryDecision};
+use sycamore_types::headers;
+use sycamore_types::prelude::*;
+
+/// A call on its way out of this node.
+pub(super) struct Outgoing<'a> {
+    pub(super) inbound: &'a mut Inbound,
+    pub(super) msg: &'a mut Message,
+    pub(super) meta: CallMeta,
+    pub(super) retry: RetryPolicy,
+}
+
+/// What became of a call that was answered by some node.
+pub(super) enum Forwarded {
+    /// An answer to relay.
+    Answered(Box<Reply>),
+    /// The node's own answer.
+    Own(Answer),
+    /// The caller left: nothing is to be answered.
+    CallerGone,
+}
+
+/// An answer that came, not yet relayed.
+pub(super) struct Reply {
+    pub(super) stream: Stream,
+    pub(super) answered: Answered,
+    instance: InstanceId,
+    address: std::net::SocketAddr,
+    load: Load,
+}
+
+impl Reply {
+    /// The answer was read whole.
+    pub(super) fn done(self, state: &State) {
+        let end = AttemptEnd::Answered(self.load);
+        state.router.borrow_mut().ended(state.now(), &self.instance, end);
+        if self.answered.is_reusable() && !self.stream.reader.has_unread() {
+            state.relays.put(self.address, self.stream);
+        }
+    }
+
+    /// The answer was cut.
+    pub(super) fn failed(self, state: &State) {
+        state.router.borrow_mut().ended(state.now(), &self.instance, AttemptEnd::Failed);
+    }
+}
+
+/// Why one attempt failed.
+struct Failed {
+    failure: AttemptFailure,
+    answer: Answer,
+}
+
+enum Attempt {
+    Answered(Box<Reply>),
+    Failed(Failed),
+    CallerGone,
+}
+
+/// Relays a call to an upstream's node and its answer back.
+pub(super) async fn forward(state: &Rc<State>, mut out: Outgoing<'_>) -> std::io::Result<()> {
+    match attempts(state, &mut out).await {
+        Forwarded::Own(answer) => own_answer(state, out.inbound, &answer).await,
+        Forwarded::CallerGone => Err(std::io::ErrorKind::ConnectionAborted.into()),
+        Forwarded::Answered(reply) => relay(state, out.inbound, &out.meta, *reply).await,
+    }
+}
+
+/// Gives an answer of the node itself.
+pub(super) async fn own_answer(
+    state: &State,
+    inbound: &mut Inbound,
+    answer: &Answer,
+) -> std::io::Result<()> {
+    state.metrics.answered(answer.outcome.as_str(), &answer.reason);
+    respond(inbound, &answer.to_response()).await
+}
+
+/// Makes attempts until one is answered or the call is given up.
+pub(super) async fn attempts(state: &Rc<State>, out: &mut Outgoing<'_>) -> Forwarded {
+    let service = out.meta.service.clone();
+    state.budget(&service, &out.retry, |budget| budget.first_attempt());
+    let mut tried = Vec::new();
+    let mut bans = state.bans.borrow().clone();
+    for attempt in 1..=u8::MAX {
+        let failed = match choose(state, out, &tried, &bans) {
+            None => no_upstream(),
+            Some(choice) => {
+                tried.push(choice.instance.clone());
+                state.metrics.attempt(attempt);
+                match try_once(state, out, &choice, attempt).await {
+                    Attempt::Answered(reply) => return Forwarded::Answered(reply),
+                    Attempt::CallerGone => return Forwarded::CallerGone,
+                    Attempt::Failed(failed) => {
+                        learn_ban(state, &mut bans, &service, &choice, failed.failure);
+                        failed
+                    }
+                }
+            }
+        };
+        let call = call_state(state, out, attempt, &tried);
+        let decision =
+            state.budget(&service, &out.retry, |budget| budget.decide(&call, failed.failure));
+        match decision {
+            RetryDecision::GiveUp => return Forwarded::Own(failed.answer),
+            RetryDecision::Retry(backoff) => {
+                if !backoff.is_zero() {
+                    monoio::time::sleep(backoff).await;
+                }
+                out.meta.depth.is_retry |= !is_reroute(failed.failure);
+            }
+        }
+    }
+    Forwarded::Own(no_upstream().answer)
+}
+
+/// Going elsewhere after such a refusal is not a retry to the levels below.
+fn is_reroute(failure: AttemptFailure) -> bool {
+    matches!(
+        failure,
+        AttemptFailure::NotRun(
+            RefusalReason::BadVersion
+                | RefusalReason::ShareSpent
+                | RefusalReason::Draining
+                | RefusalReason::NoUpstream
+                | RefusalReason::NotReady
+        )
+    )
+}
+
+fn call_state(state: &State, out: &Outgoing<'_>, attempts: u8, tried: &[InstanceId]) -> CallState {
+    let now = state.now();
+    let view = state.hub.members.borrow().clone();
+    CallState {
+        attempts,
+        idempotent: is_idempotent(&out.msg.head.method) && out.msg.is_whole(),
+        is_retry: out.meta.depth.is_retry && attempts == 1,
+        has_room: state.router.borrow().has_room(now, &out.meta.service, &view, tried),
+        left: out.meta.left(now),
+    }
+}
+
+fn choose(
+    state: &State,
+    out: &Outgoing<'_>,
+    tried: &[InstanceId],
+    bans: &sycamore_call::route::VersionBans,
+) -> Option<Choice> {
+    let node = &state.hub.settings.node;
+    let view = state.hub.members.borrow().clone();
+    let shares = state.hub.shares.borrow().clone();
+    let pick = Pick {
+        service: &out.meta.service,
+        view: &view,
+        shares: &shares,
+        bans,
+        tried,
+        data_centre: &node.data_centre,
+        region: &node.region,
+    };
+    state.router.borrow_mut().pick(state.now(), &pick)
+}
+
+/// What a refusal says of a version holds for this call, and for all where it is a verdict.
+fn learn_ban(
+    state: &State,
+    bans: &mut sycamore_call::route::VersionBans,
+    service: &ServiceName,
+    choice: &Choice,
+    failure: AttemptFailure,
+) {
+    match failure {
+        AttemptFailure::NotRun(RefusalReason::BadVersion) => {
+            bans.insert(service.clone(), choice.version.clone());
+            state.bans.borrow_mut().insert(service.clone(), choice.version.clone());
+        }
+        AttemptFailure::NotRun(RefusalReason::ShareSpent) => {
+            bans.insert(service.clone(), choice.version.clone());
+        }
+        _ => {}
+    }
+}
+
+fn no_upstream() -> Failed {
+    Failed {
+        failure: AttemptFailure::NotRun(RefusalReason::NoUpstream),
+        answer: Answer::refused(RefusalReason::NoUpstream, RETRY_AFTER),
+    }
+}
+
+async fn try_once(
+    state: &Rc<State>,
+    out: &mut Outgoing<'_>,
+    choice: &Choice,
+    attempt: u8,
+) -> Attempt {
+    let now = state.now();
+    if out.meta.left(now) == Duration::ZERO {
+        state.router.borrow_mut().ended(now, &choice.instance, AttemptEnd::Cancelled);
+        let answer = Answer::refused(RefusalReason::Deadline, RETRY_AFTER);
+        let failure = AttemptFailure::NotRun(RefusalReason::Deadline);
+        return Attempt::Failed(Failed { failure, answer });
+    }
+    let mut undecided = Undecided { state, instance: &choice.instance, ended: false };
+    let Ok(mut stream) = state.relays.connect(choice.relay).await else {
+        undecided.end(AttemptEnd::NoUpstream);
+        return Attempt::Failed(no_upstream());
+    };
+    let target = Target { version: choice.version.clone(), share: choice.share };
+    let mut head = out.msg.head.clone();
+    let deployment = &state.hub.settings.node.deployment;
+    out.meta.write(state.now(), deployment, Some(&target), attempt, &mut head.headers);
+    let left = out.meta.left(state.now());
+    let sent = send(out.inbound, out.msg, &mut stream, head, true, left).await;
+    match sent {
+        Err(Failure::CallerGone) => {
+            undecided.end(AttemptEnd::Cancelled);
+            Attempt::CallerGone
+        }
+        Err(failure) => {
+            undecided.end(AttemptEnd::Failed);
+            Attempt::Failed(broken(failure))
+        }
+        Ok(answered) => {
+            let load = load_of(&answered.head.headers);
+            match failure_in(&answered) {
+                None => {
+                    undecided.ended = true;
+                    let (instance, address) = (choice.instance.clone(), choice.relay);
+                    Attempt::Answered(Box::new(Reply { stream, answered, instance, address, load }))
+                }
+                Some(failed) => {
+                    undecided.end(end_of(failed.failure, load));
+                    // The refusal's body is small; reading it makes the connection usable again.
+                    keep_after_refusal(state, stream, answered, choice.relay).await;
+                    Attempt::Failed(failed)
+                }
+            }
+        }
+    }
+}
+
+/// Tells the router how an attempt ended, also where its future is dropped.
+struct Undecided<'a> {
+    state: &'a State,
+    instance: &'a InstanceId,
+    ended: bool,
+}
+
+impl Undecided<'_> {
+    fn end(&mut self, end: AttemptEnd) {
+        self.ended = true;
+        self.state.router.borrow_mut().ended(self.state.now(), self.instance, end);
+    }
+}
+
+impl Drop for Undecided<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.end(AttemptEnd::Cancelled);
+        }
+    }
+}
+
+/// Most bytes of a refusal's body.
+const MAX_REFUSAL_BYTES: usize = 4 << 10;
+/// Longest time to read it.
+const REFUSAL_TIME: Duration = Duration::from_millis(50);
+
+async fn keep_after_refusal(
+    state: &State,
+    mut stream: Stream,
+    answered: Answered,
+    address: std::net::SocketAddr,
+) {
+    let body =
+        super::exchange::whole_body(&mut stream, &answered, MAX_REFUSAL_BYTES, REFUSAL_TIME).await;
+    if body.is_ok() && answered.is_reusable() {
+        state.relays.put(address, stream);
+    }
+}
+
+fn end_of(failure: AttemptFailure, load: Load) -> AttemptEnd {
+    match failure {
+        AttemptFailure::NotRun(RefusalReason::Draining) => AttemptEnd::Draining,
+        AttemptFailure::NotRun(RefusalReason::NoUpstream) => AttemptEnd::NoUpstream,
+        AttemptFailure::NotRun(_) => AttemptEnd::Answered(load),
+        AttemptFailure::Unknown { .. } => AttemptEnd::Failed,
+    }
+}
+
+fn broken(failure: Failure) -> Failed {
+    let answer = match failure {
+        Failure::Deadline => Answer::unknown(
+            StatusCode::GATEWAY_TIMEOUT,
+            "deadline",
+            "no answer came before the deadline",
+        ),
+        Failure::Broken | Failure::CallerGone => {
+            Answer::unknown(StatusCode::BAD_GATEWAY, "broken", "no whole answer came")
+        }
+    };
+    Failed { failure: AttemptFailure::Unknown { crashed: false }, answer }
+}
+
+/// What an answer of another node says about the attempt, where it is not the upstream's answer.
+fn failure_in(answered: &Answered) -> Option<Failed> {
+    let fields = &answered.head.headers;
+    let outcome = text(fields, headers::OUTCOME)?;
+    let reason = text(fields, headers::REASON).unwrap_or_default();
+    let retry_after = retry_after(fields);
+    match outcome {
+        "not-run" => {
+            // An upstream that sheds may leave the reason out.
+            let reason = if reason.is_empty() { "overloaded" } else { reason };
+            let known = refusal_reason(reason);
+            let failure = AttemptFailure::NotRun(known);
+            let answer = match known.as_str() == reason {
+                true => Answer::refused(known, retry_after.unwrap_or(RETRY_AFTER)),
+                false => {
+                    Answer::rejected(answered.head.status, reason, "refused by the upstream's node")
+                }
+            };
+            Some(Failed { failure, answer })
+        }
+        // An answer with a time to come back was given up below and is final.
+        _ if retry_after.is_some() => None,
+        _ => {
+            let failure = AttemptFailure::Unknown { crashed: reason == super::crash::REASON };
+            let answer =
+                Answer::unknown(answered.head.status, reason, "the upstream gave no whole answer");
+            Some(Failed { failure, answer })
+        }
+    }
+}
+
+/// An unknown reason is not retried.
+fn refusal_reason(text: &str) -> RefusalReason {
+    [
+        RefusalReason::Overloaded,
+        RefusalReason::Deadline,
+        RefusalReason::Draining,
+        RefusalReason::BadVersion,
+        RefusalReason::ShareSpent,
+        RefusalReason::Quarantined,
+        RefusalReason::NoUpstream,
+        RefusalReason::NotReady,
+        RefusalReason::HopLimit,
+        RefusalReason::InProgress,
+    ]
+    .into_iter()
+    .find(|reason| reason.as_str() == text)
+    .unwrap_or(RefusalReason::Deadline)
+}
+
+fn retry_after(fields: &HeaderMap) -> Option<Duration> {
+    let secs = fields.get(header::RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
+    Some(Duration::from_secs(secs))
+}
+
+fn load_of(fields: &HeaderMap) -> Load {
+    text(fields, headers::LOAD).and_then(|text| Load::from_str(text).ok()).unwrap_or_default()
+}
+
+/// Relays an answer to the caller.
+pub(super) async fn relay(
+    state: &State,
+    inbound: &mut Inbound,
+    meta: &CallMeta,
+    reply: Reply,
+) -> std::io::Result<()> {
+    let Reply { mut stream, answered, instance, address, load } = reply;
+    let left = meta.left(state.now());
+    let edit = |head: &mut sycamore_http::ResponseHead| strip_internal(&mut head.headers);
+    let mut undecided = Undecided { state, instance: &instance, ended: false };
+    let relayed = relay_answer(inbound, &mut stream, answered, left, edit).await;
+    match relayed {
+        Relayed::Reusable => {
+            undecided.end(AttemptEnd::Answered(load));
+            state.relays.put(address, stream);
+        }
+        Relayed::Whole => undecided.end(AttemptEnd::Answered(load)),
+        Relayed::Failed(Failure::CallerGone) => undecided.end(AttemptEnd::Cancelled),
+        Relayed::Failed(_) => undecided.end(AttemptEnd::Failed),
+    }
+    match relayed {
+        Relayed::Reusable | Relayed::Whole => {
+            state.metrics.answered("answered", "");
+            Ok(())
+        }
+        Relayed::Failed(_) => {
+            state.metrics.answered("cut", "");
+            Err(std::io::ErrorKind::ConnectionAborted.into())
+        }
+    }
+}
--- /dev/null
+++ b/crates/sycamore-node/src/calls/keyed.rs
@@ -0,0 +1,315 @@
+//! Calls with an idempotency key: kept by the node that owns the key, run wherever there is room.
+
+use super::answer::{respond, Answer, Outcome, RETRY_AFTER};
+use super::exchange::{relay_answer, send, whole_body, Failure, Relayed};
+use super::forward::{self, own_answer, Forwarded, Outgoing, Reply};
+use super::message::{strip_internal, Inbound, Message};
+use super::meta::{text, CallMeta};
+use super::state::{State, StoredAnswer};
+use super::watch::in_service;
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use sycamore_call::key::{owner_of, KeyEnd, Released};
+use sycamore_call::{KeyDecision, KeyHash, Standing};
+use sycamore_http::{Client, ClientConfig, Framing, RequestHead};
+use sycamore_types::headers;
+use sycamore_types::prelude::*;
+
+/// Path by which a key's new owner asks an earlier one.
+const RELEASE: &str = "/shift/release";
+/// Longest time that an earlier owner may take to answer.
+const RELEASE_TIME: Duration = Duration::from_millis(300);
+/// Largest idempotency key, in bytes.
+const MAX_KEY_BYTES: usize = 256;
+
+type Stored = Rc<StoredAnswer>;
+
+/// Passes a keyed call to the node that owns its key.
+pub(super) async fn forward(state: &Rc<State>, out: Outgoing<'_>) -> std::io::Result<()> {
+    let Some(key) = key_of(&out.msg.head, &out.meta.service) else {
+        let detail = "the idempotency key is empty or over 256 bytes";
+        let answer = Answer::rejected(StatusCode::BAD_REQUEST, "malformed", detail);
+        return own_answer(state, out.inbound, &answer).await;
+    };
+    let view = state.hub.members.borrow().clone();
+    let serving = in_service(&view, &out.meta.service, |state| {
+        matches!(state, MemberState::Serving | MemberState::Suspect)
+    });
+    let owner = owner_of(&serving, key).and_then(|owner| view.members.get(owner));
+    match owner {
+        None => {
+            let answer = Answer::refused(RefusalReason::NoUpstream, RETRY_AFTER);
+            own_answer(state, out.inbound, &answer).await
+        }
+        Some(owner) if owner.instance == state.hub.settings.node.instance => {
+            keep_key(state, out, key).await
+        }
+        Some(owner) => relay(state, out, owner.endpoints.relay).await,
+    }
+}
+
+/// Serves a keyed call that another node passed to this one as the key's owner.
+pub(super) async fn keep(
+    state: &Rc<State>,
+    inbound: &mut Inbound,
+    msg: &mut Message,
+    meta: CallMeta,
+) -> std::io::Result<()> {
+    let snapshot = state.hub.snapshot.borrow().clone();
+    let service = snapshot.services.get(&meta.service);
+    let retry = service.map_or_else(RetryPolicy::default, |service| service.retry.clone());
+    strip_internal(&mut msg.head.headers);
+    let key = key_of(&msg.head, &meta.service);
+    let own = meta.service == state.hub.settings.node.service;
+    match key.filter(|_| own) {
+        Some(key) => keep_key(state, Outgoing { inbound, msg, meta, retry }, key).await,
+        None => {
+            let answer = Answer::refused(RefusalReason::NotReady, RETRY_AFTER);
+            own_answer(state, inbound, &answer).await
+        }
+    }
+}
+
+fn key_of(head: &RequestHead, service: &ServiceName) -> Option<KeyHash> {
+    let key = head.headers.get(headers::IDEMPOTENCY_KEY)?.as_bytes();
+    let fits = !key.is_empty() && key.len() <= MAX_KEY_BYTES;
+    fits.then(|| KeyHash::of(service, key))
+}
+
+/// One try only: where its answer is lost, the call may have run.
+async fn relay(state: &Rc<State>, out: Outgoing<'_>, owner: SocketAddr) -> std::io::Result<()> {
+    let Ok(mut stream) = state.relays.connect(owner).await else {
+        let answer = Answer::refused(RefusalReason::NoUpstream, RETRY_AFTER);
+        return own_answer(state, out.inbound, &answer).await;
+    };
+    let mut head = out.msg.head.clone();
+    let deployment = &state.hub.settings.node.deployment;
+    out.meta.write(state.now(), deployment, None, 1, &mut head.headers);
+    let left = out.meta.left(state.now());
+    let answered = match send(out.inbound, out.msg, &mut stream, head, true, left).await {
+        Ok(answered) => answered,
+        Err(Failure::CallerGone) => return Err(std::io::ErrorKind::ConnectionAborted.into()),
+        Err(_) => {
+            let answer = Answer::unknown(StatusCode::BAD_GATEWAY, "broken", "no answer came");
+            return own_answer(state, out.inbound, &answer).await;
+        }
+    };
+    let left = out.meta.left(state.now());
+    let edit = |head: &mut sycamore_http::ResponseHead| strip_internal(&mut head.headers);
+    match relay_answer(out.inbound, &mut stream, answered, left, edit).await {
+        Relayed::Failed(_) => Err(std::io::ErrorKind::ConnectionAborted.into()),
+        Relayed::Whole => Ok(()),
+        Relayed::Reusable => {
+            state.relays.put(owner, stream);
+            Ok(())
+        }
+    }
+}
+
+/// Runs a call whose key this node owns, or gives what is known of an earlier run.
+async fn keep_key(state: &Rc<State>, out: Outgoing<'_>, key: KeyHash) -> std::io::Result<()> {
+    let known = match claim(state, key, out.meta.fingerprint.0).await {
+        Ok(claim) => return run(state, out, claim).await,
+        Err(known) => known,
+    };
+    let answer = match known {
+        KeyDecision::Replay(stored) => {
+            return respond(out.inbound, &stored.to_response()).await;
+        }
+        KeyDecision::InProgress => Answer::refused(RefusalReason::InProgress, RETRY_AFTER),
+        KeyDecision::Full => Answer::refused(RefusalReason::Overloaded, RETRY_AFTER),
+        KeyDecision::Run | KeyDecision::Unknown => Answer::unknown(
+            StatusCode::BAD_GATEWAY,
+            "key-unknown",
+            "a call with this idempotency key may have run; its answer is not known",
+        ),
+        KeyDecision::Mismatch => Answer::rejected(
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "key-reused",
+            "the idempotency key was used for another request",
+        ),
+    };
+    own_answer(state, out.inbound, &answer).await
+}
+
+/// Claims `key` for a run, or gives what is known of an earlier one.
+async fn claim(
+    state: &Rc<State>,
+    key: KeyHash,
+    request: u64,
+) -> Result<Claim<'_>, KeyDecision<Stored>> {
+    let now = state.now();
+    if let Some(known) = state.keys.borrow().peek(now, key, request) {
+        return Err(known);
+    }
+    let standing = state.ownership.borrow().standing(now, key);
+    let earlier = match standing {
+        Standing::Owner => Vec::new(),
+        Standing::OwnerAfter(earlier) => earlier,
+        // Not the owner by its own view: somebody else may be running it.
+        Standing::InDoubt | Standing::Other(_) | Standing::Nobody => {
+            return Err(KeyDecision::Unknown);
+        }
+    };
+    let decision = state.keys.borrow_mut().begin(now, key, request);
+    if !matches!(decision, KeyDecision::Run) {
+        return Err(decision);
+    }
+    let mut claim = Claim { state, key, end: KeyEnd::Unknown };
+    for owner in &earlier {
+        match ask(state, owner, key).await {
+            Released::NotRun => {}
+            Released::Unknown => return Err(KeyDecision::Unknown),
+            Released::Answered(stored) => {
+                claim.end = KeyEnd::Answered(stored.clone(), stored.body.len());
+                return Err(KeyDecision::Replay(stored));
+            }
+        }
+    }
+    Ok(claim)
+}
+
+/// A key that runs; its end is recorded when this is dropped, whatever happens.
+struct Claim<'a> {
+    state: &'a State,
+    key: KeyHash,
+    end: KeyEnd<Stored>,
+}
+
+impl Drop for Claim<'_> {
+    fn drop(&mut self) {
+        let end = std::mem::replace(&mut self.end, KeyEnd::Unknown);
+        self.state.keys.borrow_mut().finish(self.state.now(), self.key, end);
+    }
+}
+
+async fn run(
+    state: &Rc<State>,
+    mut out: Outgoing<'_>,
+    mut claim: Claim<'_>,
+) -> std::io::Result<()> {
+    out.msg.proceed(out.inbound).await?;
+    if !out.msg.is_whole() && out.msg.read_prefix(out.inbound).await.is_err() {
+        claim.end = KeyEnd::NotRun;
+        return Err(std::io::ErrorKind::InvalidData.into());
+    }
+    match forward::attempts(state, &mut out).await {
+        Forwarded::CallerGone => Err(std::io::ErrorKind::ConnectionAborted.into()),
+        Forwarded::Own(answer) => {
+            if answer.outcome == Outcome::NotRun {
+                claim.end = KeyEnd::NotRun;
+            }
+            drop(claim);
+            own_answer(state, out.inbound, &answer).await
+        }
+        Forwarded::Answered(reply) => finish(state, out, *reply, claim).await,
+    }
+}
+
+/// Keeps a short answer and gives it; passes a long one through.
+async fn finish(
+    state: &Rc<State>,
+    out: Outgoing<'_>,
+    mut reply: Reply,
+    mut claim: Claim<'_>,
+) -> std::io::Result<()> {
+    let limit = state.keys.borrow().answer_bytes();
+    let short = match reply.answered.framing {
+        Framing::Empty => true,
+        Framing::Length(len) => len <= limit as u64,
+        Framing::Chunked => false,
+    };
+    if !short {
+        claim.end = KeyEnd::AnswerLost;
+        return forward::relay(state, out.inbound, &out.meta, reply).await;
+    }
+    let left = out.meta.left(state.now());
+    let Ok(body) = whole_body(&mut reply.stream, &reply.answered, limit, left).await else {
+        reply.failed(state);
+        drop(claim);
+        let answer = Answer::unknown(StatusCode::BAD_GATEWAY, "broken", "the answer was cut");
+        return own_answer(state, out.inbound, &answer).await;
+    };
+    let mut head = reply.answered.head.clone();
+    sycamore_http::wire::strip_hop_by_hop(&mut head.headers);
+    strip_internal(&mut head.headers);
+    reply.done(state);
+    let stored = Rc::new(StoredAnswer { head, body });
+    claim.end = KeyEnd::Answered(stored.clone(), stored.body.len());
+    drop(claim);
+    respond(out.inbound, &stored.to_response()).await
+}
+
+impl StoredAnswer {
+    fn to_response(&self) -> Response<Bytes> {
+        Response::from_parts(self.head.clone(), self.body.clone())
+    }
+}
+
+/// Asks an earlier owner of `key` for what it knows, and to let go of it.
+async fn ask(state: &State, owner: &InstanceId, key: KeyHash) -> Released<Stored> {
+    let relay = state.hub.members.borrow().members.get(owner).map(|m| m.endpoints.relay);
+    let Some(relay) = relay else { return Released::Unknown };
+    let node = &state.hub.settings.node;
+    let target = format!("{RELEASE}?key={:032x}&asker={}", key.0, node.instance);
+    let req = Request::get(target)
+        .header(headers::DEPLOYMENT, node.deployment.as_str())
+        .body(Bytes::new());
+    let Ok(req) = req else { return Released::Unknown };
+    let config = ClientConfig {
+        connect_time: RELEASE_TIME,
+        call_time: RELEASE_TIME,
+        ..ClientConfig::default()
+    };
+    let Ok(resp) = Client::new(relay, config).send(req).await else { return Released::Unknown };
+    let (mut head, body) = resp.into_parts();
+    match text(&head.headers, headers::KEEP) {
+        Some("not-run") => Released::NotRun,
+        Some("answered") => {
+            strip_internal(&mut head.headers);
+            Released::Answered(Rc::new(StoredAnswer { head, body }))
+        }
+        _ => Released::Unknown,
+    }
+}
+
+/// Whether a request of another node asks for a key.
+pub(super) fn is_release(head: &RequestHead) -> bool {
+    head.uri.path() == RELEASE && !head.headers.contains_key(headers::ROUTE)
+}
+
+/// Lets go of a key that another node owns now, and tells what is known of it.
+pub(super) fn release(state: &State, head: &RequestHead) -> Response<Bytes> {
+    let mut resp = Response::new(Bytes::new());
+    let released = match asked(head) {
+        None => Released::Unknown,
+        Some((key, asker)) => {
+            let now = state.now();
+            let certain = state.ownership.borrow().knows_all(now, key, &asker);
+            match state.keys.borrow_mut().release(now, key) {
+                Released::NotRun if !certain => Released::Unknown,
+                released => released,
+            }
+        }
+    };
+    let said = match released {
+        Released::NotRun => "not-run",
+        Released::Unknown => "unknown",
+        Released::Answered(stored) => {
+            resp = stored.to_response();
+            "answered"
+        }
+    };
+    let name = HeaderName::from_static(headers::KEEP);
+    resp.headers_mut().insert(name, HeaderValue::from_static(said));
+    resp
+}
+
+fn asked(head: &RequestHead) -> Option<(KeyHash, InstanceId)> {
+    let (key, asker) = head.uri.query()?.strip_prefix("key=")?.split_once("&asker=")?;
+    let key = u128::from_str_radix(key, 16).ok()?;
+    Some((KeyHash(key), InstanceId::new(asker).ok()?))
+}
--- a/crates/sycamore-node/src/hub/mod.rs
+++ b/crates/sycamore-node/src/hub/mod.rs
@@ -22,7 +22,7 @@
 const OUTCOME_QUEUE: usize = 16_384;
 
 /// What the node is doing.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
     /// It has no current configuration yet and serves nothing.
     Starting,
--- /dev/null
+++ b/crates/sycamore-node/tests/calls/main.rs
@@ -0,0 +1,11 @@
+//! Calls along the whole path: callers, nodes and upstreams on one loop, over loopback.
+#![allow(clippy::unwrap_used)]
+
+mod cancel;
+mod crash;
+mod key;
+mod path;
+mod refuse;
+mod upstream;
+mod world;
+mod wrong;
--- /dev/null
+++ b/crates/sycamore-node/tests/calls/upstream.rs
@@ -0,0 +1,194 @@
+//! A fake upstream, which does what the last part of a request's path says.
+
+use bytes::{Bytes, BytesMut};
+use monoio::io::Splitable;
+use monoio::net::{TcpListener, TcpStream};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use sycamore_http::conn::{write_all, Reader};
+use sycamore_http::wire::request_framing;
+use sycamore_http::{BodyDecoder, HeadLimits, RequestHead};
+
+#[derive(Default)]
+struct Shared {
+    runs: RefCell<Vec<String>>,
+    heads: RefCell<Vec<RequestHead>>,
+    running: Cell<usize>,
+    most_running: Cell<usize>,
+    cancelled: Cell<usize>,
+    crashed: Cell<bool>,
+    released: Cell<bool>,
+}
+
+/// A fake upstream.
+pub struct Upstream {
+    address: SocketAddr,
+    shared: Rc<Shared>,
+}
+
+impl Upstream {
+    pub fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let shared: Rc<Shared> = Rc::default();
+        monoio::spawn(accept(listener, shared.clone()));
+        Self { address, shared }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Requests that ran whose path ends in `name`.
+    pub fn runs(&self, name: &str) -> usize {
+        self.shared.runs.borrow().iter().filter(|path| path.ends_with(name)).count()
+    }
+
+    pub fn most_running(&self) -> usize {
+        self.shared.most_running.get()
+    }
+
+    /// Requests whose connection was closed while they ran.
+    pub fn cancelled(&self) -> usize {
+        self.shared.cancelled.get()
+    }
+
+    /// The field `name` of the last request.
+    pub fn last_field(&self, name: &str) -> Option<String> {
+        let heads = self.shared.heads.borrow();
+        let value = heads.last()?.headers.get(name)?;
+        Some(value.to_str().unwrap().to_owned())
+    }
+
+    /// Lets every `wait` end.
+    pub fn release(&self) {
+        self.shared.released.set(true);
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Rc<Shared>) {
+    while !shared.crashed.get() {
+        let waiting = monoio::time::timeout(Duration::from_millis(1), listener.accept());
+        if let Ok(Ok((stream, _))) = waiting.await {
+            stream.set_nodelay(true).unwrap();
+            let shared = shared.clone();
+            monoio::spawn(async move {
+                let serve = serve(stream, &shared);
+                let crash = crash(&shared);
+                futures::future::select(std::pin::pin!(serve), std::pin::pin!(crash)).await;
+            });
+        }
+    }
+}
+
+async fn crash(shared: &Shared) {
+    while !shared.crashed.get() {
+        monoio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+async fn serve(stream: TcpStream, shared: &Shared) {
+    let (read, mut writer) = stream.into_split();
+    let mut reader = Reader::new(read);
+    while let Ok(head) = reader.request_head(&HeadLimits::DEFAULT).await {
+        let path = head.uri.path().to_owned();
+        let framing = request_framing(&head).unwrap();
+        shared.heads.borrow_mut().push(head);
+        shared.runs.borrow_mut().push(path.clone());
+        let running = Running::new(shared);
+        let Ok(body) = reader.body(BodyDecoder::new(framing), usize::MAX).await else { return };
+        let answer = {
+            let work = work(&path, &body, shared);
+            let gone = reader.closed();
+            match futures::future::select(std::pin::pin!(work), std::pin::pin!(gone)).await {
+                futures::future::Either::Left((answer, _)) => answer,
+                futures::future::Either::Right(_) => {
+                    shared.cancelled.set(shared.cancelled.get() + 1);
+                    return;
+                }
+            }
+        };
+        drop(running);
+        let Some((bytes, keep)) = answer else { return };
+        if write_all(&mut writer, bytes).await.is_err() || !keep {
+            return;
+        }
+    }
+}
+
+struct Running<'a>(&'a Shared);
+
+impl<'a> Running<'a> {
+    fn new(shared: &'a Shared) -> Self {
+        shared.running.set(shared.running.get() + 1);
+        shared.most_running.set(shared.most_running.get().max(shared.running.get()));
+        Self(shared)
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get() - 1);
+    }
+}
+
+/// The answer's bytes, and whether the connection is kept; `None` closes it without an answer.
+async fn work(path: &str, body: &[u8], shared: &Shared) -> Option<(Bytes, bool)> {
+    let raw = |text: &str, keep| Some((Bytes::copy_from_slice(text.as_bytes()), keep));
+    match path.rsplit('/').next().unwrap_or_default() {
+        "wait" => {
+            while !shared.released.get() {
+                monoio::time::sleep(Duration::from_millis(1)).await;
+            }
+            whole("200 OK", body)
+        }
+        "slow" => {
+            monoio::time::sleep(Duration::from_millis(50)).await;
+            whole("200 OK", body)
+        }
+        "crash" => {
+            monoio::time::sleep(Duration::from_millis(5)).await;
+            shared.crashed.set(true);
+            None
+        }
+        "close" => None,
+        "cut" => raw("HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhello", false),
+        "cut-chunks" => {
+            raw("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n", false)
+        }
+        "both" => raw(
+            "HTTP/1.1 200 OK\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\nhello",
+            true,
+        ),
+        "unframed" => raw("HTTP/1.1 200 OK\r\n\r\nhello", false),
+        "extra" => raw(
+            "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nokHTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\ncross",
+            true,
+        ),
+        "chunks" => raw(
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5;x=y\r\nhello\r\n0\r\na: b\r\n\r\n",
+            true,
+        ),
+        "hop" => raw(
+            "HTTP/1.1 200 OK\r\nconnection: x-one\r\nx-one: 1\r\nx-shift-load: 9/9/9\r\ncontent-length: 2\r\n\r\nok",
+            true,
+        ),
+        "shed" => raw(
+            "HTTP/1.1 503 Service Unavailable\r\nshift-outcome: not-run\r\nretry-after: 1\r\ncontent-length: 0\r\n\r\n",
+            true,
+        ),
+        "liar" => raw("HTTP/1.1 200 OK\r\nshift-outcome: not-run\r\ncontent-length: 0\r\n\r\n", true),
+        "fail" => whole("500 Internal Server Error", b"failed"),
+        _ => whole("200 OK", body),
+    }
+}
+
+fn whole(status: &str, body: &[u8]) -> Option<(Bytes, bool)> {
+    let mut bytes = BytesMut::from(
+        format!("HTTP/1.1 {status}\r\ncontent-length: {}\r\n\r\n", body.len()).as_bytes(),
+    );
+    bytes.extend_from_slice(body);
+    Some((bytes.freeze(), true))
+}
--- /dev/null
+++ b/crates/sycamore-node/tests/calls/world.rs
@@ -0,0 +1,226 @@
+//! A few nodes and their upstreams on one loop.
+
+use super::upstream::Upstream;
+use bytes::Bytes;
+use http::{Request, Response};
+use monoio::{LegacyDriver, RuntimeBuilder};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use sycamore_http::{Client, ClientConfig, ClientError};
+use sycamore_node::calls::{self, Calls};
+use sycamore_node::hub::{AnnouncedUpstream, Hub};
+use sycamore_node::tasks::TaskGroup;
+use sycamore_settings::{calls::Calls as CallSettings, node, Settings};
+use sycamore_types::prelude::*;
+
+/// Longest time that a test waits for a condition.
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// Runs `test` on a loop of its own.
+pub fn run<F: Future>(test: F) -> F::Output {
+    let mut runtime =
+        RuntimeBuilder::<LegacyDriver>::new().enable_timer().build().expect("runtime starts");
+    runtime.block_on(async { monoio::time::timeout(LIMIT, test).await.expect("test ends in time") })
+}
+
+/// How a world is built.
+#[derive(Clone)]
+pub struct Options {
+    pub nodes: usize,
+    pub slots: u16,
+    pub limits: Limits,
+    pub timeout: Duration,
+    pub calls: CallSettings,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            nodes: 2,
+            slots: 4,
+            limits: Limits::default(),
+            timeout: Duration::from_secs(5),
+            calls: CallSettings { key_memory: Duration::ZERO, ..CallSettings::default() },
+        }
+    }
+}
+
+/// A node with the upstream beside it.
+pub struct Node {
+    pub hub: Rc<Hub>,
+    pub calls: Rc<Calls>,
+    pub upstream: Upstream,
+    pub member: Member,
+    pub caller: Client,
+    tasks: TaskGroup,
+}
+
+/// Nodes of one service, `counter`.
+pub struct World {
+    pub nodes: Vec<Node>,
+}
+
+pub fn service() -> ServiceName {
+    ServiceName::new("counter").unwrap()
+}
+
+pub fn version(text: &str) -> UpstreamVersion {
+    UpstreamVersion::new(text).unwrap()
+}
+
+fn free_addr() -> SocketAddr {
+    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+impl World {
+    pub async fn start(options: &Options) -> Self {
+        let mut nodes = Vec::new();
+        for i in 0..options.nodes {
+            nodes.push(start_node(i, options).await);
+        }
+        let world = Self { nodes };
+        world.publish_members(|_| true);
+        world
+    }
+
+    /// Tells every node of the members that `keep` takes.
+    pub fn publish_members(&self, keep: impl Fn(&Member) -> bool) {
+        let members = self.nodes.iter().map(|node| node.member.clone()).filter(|m| keep(m));
+        let members = members.map(|member| (member.instance.clone(), member)).collect();
+        let view = Arc::new(MemberView { members });
+        for node in &self.nodes {
+            node.hub.members.send_replace(view.clone());
+        }
+    }
+
+    /// Tells every node of the shares of `counter`'s versions.
+    pub fn publish_shares(&self, shares: &[VersionShare]) {
+        let mut table = ShareTable::default();
+        table.services.insert(service(), shares.to_vec());
+        for node in &self.nodes {
+            node.hub.shares.send_replace(Arc::new(table.clone()));
+        }
+    }
+
+    /// Calls the first node.
+    pub async fn call(&self, req: http::request::Builder, body: &str) -> Response<Bytes> {
+        self.try_call(0, req, body).await.expect("a whole answer comes")
+    }
+
+    /// Calls a node.
+    pub async fn try_call(
+        &self,
+        node: usize,
+        req: http::request::Builder,
+        body: &str,
+    ) -> Result<Response<Bytes>, ClientError> {
+        let req = req.body(Bytes::copy_from_slice(body.as_bytes())).unwrap();
+        self.nodes[node].caller.send(req).await.map_err(|report| *report.current_context())
+    }
+
+    /// Times that the upstreams ran requests whose path ends in `name`.
+    pub fn runs(&self, name: &str) -> usize {
+        self.nodes.iter().map(|node| node.upstream.runs(name)).sum()
+    }
+
+    /// Stops every node and joins its tasks.
+    pub async fn stop(self) {
+        for node in &self.nodes {
+            node.tasks.stop();
+        }
+        for node in self.nodes {
+            node.tasks.join().await;
+        }
+    }
+}
+
+/// Lets the tasks that follow the hub run.
+pub async fn settle() {
+    monoio::time::sleep(Duration::from_millis(5)).await;
+}
+
+/// Waits until `condition` holds.
+pub async fn until(condition: impl Fn() -> bool) {
+    while !condition() {
+        monoio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+async fn start_node(i: usize, options: &Options) -> Node {
+    let listen = node::Listen {
+        caller: free_addr(),
+        upstream: free_addr(),
+        relay: free_addr(),
+        peer: free_addr(),
+        operator: free_addr(),
+    };
+    let instance = InstanceId::new(format!("counter-{i}")).unwrap();
+    let settings = Settings {
+        node: node::Node { instance: instance.clone(), ..node::Node::default() },
+        listen: listen.clone(),
+        calls: options.calls.clone(),
+        log: sycamore_settings::operator::Log {
+            level: sycamore_settings::operator::LogLevel::Error,
+        },
+        ..Settings::default()
+    };
+    let member = Member {
+        instance,
+        incarnation: Incarnation(1),
+        state: MemberState::Serving,
+        service: service(),
+        version: version("1.0.0"),
+        data_centre: settings.node.data_centre.clone(),
+        region: settings.node.region.clone(),
+        endpoints: Endpoints { peer: listen.peer, relay: listen.relay },
+        slots: options.slots,
+    };
+    let hub = Hub::new(settings);
+    let tasks = TaskGroup::default();
+    let calls = calls::start(&hub, &tasks).await.unwrap();
+    let upstream = Upstream::start();
+    hub.publish_snapshot(snapshot(options));
+    hub.upstream.send_replace(Some(AnnouncedUpstream {
+        version: version("1.0.0"),
+        address: upstream.address(),
+        slots: options.slots,
+        connections: 120,
+        warm_at: Time(0),
+        draining: false,
+    }));
+    let config = ClientConfig { body_bytes: 64 << 20, ..ClientConfig::default() };
+    let caller = Client::new(listen.caller, config);
+    Node { hub, calls, upstream, member, caller, tasks }
+}
+
+fn snapshot(options: &Options) -> Snapshot {
+    let service =
+        Service { name: service(), limits: options.limits.clone(), retry: RetryPolicy::default() };
+    let route = Route {
+        name: RouteName::new("counter").unwrap(),
+        prefix: "/counter".into(),
+        service: service.name.clone(),
+        timeout: options.timeout,
+    };
+    Snapshot {
+        version: ConfigVersion(1),
+        services: [(service.name.clone(), service)].into(),
+        routes: vec![route],
+    }
+}
+
+pub fn get(path: &str) -> http::request::Builder {
+    Request::get(path)
+}
+
+pub fn post(path: &str) -> http::request::Builder {
+    Request::post(path)
+}
+
+/// The field `name` of an answer, or nothing.
+pub fn field<'a>(resp: &'a Response<Bytes>, name: &str) -> &'a str {
+    resp.headers().get(name).map_or("", |value| value.to_str().unwrap())
+}
--- a/crates/sycamore-settings/src/calls.rs
+++ b/crates/sycamore-settings/src/calls.rs
@@ -28,6 +28,10 @@
     /// Time that a request stays quarantined.
     #[serde_as(as = "Span")]
     pub quarantine: Duration,
+    /// Time that an idempotency key is remembered after its call; a new owner of a key answers
+    /// "unknown" for as long where the old one can't be asked.
+    #[serde_as(as = "Span")]
+    pub key_memory: Duration,
 }
 
 impl Default for Calls {
@@ -39,6 +43,7 @@
             body_memory: 16 << 20,
             drain_timeout: Duration::from_secs(60),
             quarantine: Duration::from_secs(600),
+            key_memory: Duration::from_secs(60),
         }
     }
 }
--- a/crates/sycamore-types/src/headers.rs
+++ b/crates/sycamore-types/src/headers.rs
@@ -19,7 +19,8 @@
 
 /// Among nodes: the call's identifier.
 pub const CALL_ID: &str = "x-shift-call";
-/// Among nodes, and towards an upstream that calls on: nodes that the call has passed.
+/// Among nodes, and towards an upstream that calls on: levels that the call is deep; a trailing `r`
+/// says that an attempt on the way was a retry.
 pub const HOPS: &str = "x-shift-hops";
 /// Among nodes: the attempt's number within the call, from 1.
 pub const ATTEMPT: &str = "x-shift-attempt";
@@ -27,5 +28,11 @@
 pub const ROUTE: &str = "x-shift-route";
 /// Among nodes, on answers: load of the upstream, `in-flight/limit/queued`.
 pub const LOAD: &str = "x-shift-load";
+/// Among nodes: what identifies the request across its repeats.
+pub const FINGERPRINT: &str = "x-shift-fingerprint";
+/// Among nodes: the receiver is asked to keep the record of the call's idempotency key.
+pub const KEEP: &str = "x-shift-keep";
+/// Among nodes: hash of the caller's name or address.
+pub const CALLER_HASH: &str = "x-shift-caller";
 /// Among nodes: the deployment's name.
 pub const DEPLOYMENT: &str = "x-shift-deployment";
