feat(member): membership and spread facts as a pure state machine

Cause: 930 nodes must learn joins, drains, deaths, verdicts and new heads within seconds at 3 KB/s each, through lost datagrams, pauses, cuts and herds. Ruled out: a heartbeat in the platform's table (930 writes/s); suspicion on one missed probe; taking silence across a cut for deaths, since half the fleet would have to refute when the cut heals. A verdict needs a witness: an answer from another member of the same data centre since the probe, so that a cut is told from a death. News is pushed to 4 members at once and rides on 4 datagrams; digests on every probe start a comparison of the buckets that differ. Tables, queues and messages are bounded; a process that was paused drops what it judged by.

--- /dev/null
+++ b/crates/sycamore-member/src/machine/exchange.rs
@@ -0,0 +1,187 @@
+//! Comparing tables with another node: buckets whose digests differ are exchanged.
+
+use super::{Action, Membership, Now};
+use crate::message::{ExchangeReply, ExchangeRequest, Item, ItemKey};
+use crate::table::{supersedes, BUCKETS};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use sycamore_types::prelude::*;
+
+/// Exchanges that this node has under way at most.
+const MAX_EXCHANGES: usize = 2;
+/// An exchange whose end was not told is taken for failed after this time.
+const EXCHANGE_LIMIT: Duration = Duration::from_secs(10);
+
+impl Membership {
+    /// Answers another node's request.
+    pub fn answer(&mut self, now: Now, request: &ExchangeRequest) -> (ExchangeReply, Vec<Action>) {
+        let mut actions = Vec::new();
+        let reply = self.differing(request);
+        self.catch_up(now, request.items.clone(), &mut actions);
+        (reply, actions)
+    }
+
+    /// The items of the buckets that differ from those of `request`, as far as they fit.
+    fn differing(&self, request: &ExchangeRequest) -> ExchangeReply {
+        let mut reply = ExchangeReply::default();
+        if request.buckets.len() != BUCKETS {
+            return reply;
+        }
+        let mut left = self.options.exchange_bytes;
+        for bucket in (request.first as usize).min(BUCKETS)..BUCKETS {
+            if request.buckets.get(bucket) == self.table.buckets().get(bucket) {
+                continue;
+            }
+            let items = self.table.bucket_items(bucket);
+            let size: usize = items.iter().map(Item::size).sum();
+            let first = reply.differing.is_empty();
+            if size > left && !first {
+                reply.next = u32::try_from(bucket).ok();
+                break;
+            }
+            left = left.saturating_sub(size);
+            reply.differing.extend(u32::try_from(bucket));
+            reply.items.extend(items);
+        }
+        reply
+    }
+
+    /// Takes members from the platform's table; a node that has not compared its table yet starts
+    /// with one of them.
+    pub(super) fn rows(&mut self, now: Now, rows: Vec<Member>, actions: &mut Vec<Action>) {
+        self.join(now, rows.into_iter().map(Item::Member).collect(), actions);
+        if !self.synced {
+            self.exchange_with_any(now, actions);
+        }
+    }
+
+    /// Meets a node that the table doesn't have yet.
+    pub(super) fn meet(
+        &mut self,
+        now: Now,
+        peer: &InstanceId,
+        to: SocketAddr,
+        actions: &mut Vec<Action>,
+    ) {
+        if now.mono >= self.next_exchange {
+            self.exchange(now, peer.clone(), to, 0, actions);
+        }
+    }
+
+    /// Notes whether another node's table has the digest that this one has.
+    pub(super) fn compare(&mut self, now: Now, peer: &InstanceId, digest: u64) {
+        if digest == self.table.digest() {
+            self.mismatch = None;
+            self.mismatch_peer = None;
+            return;
+        }
+        self.mismatch.get_or_insert(now.mono);
+        self.mismatch_peer = Some(peer.clone());
+    }
+
+    /// Starts an exchange where tables have differed for long enough.
+    pub(super) fn start_exchange(&mut self, now: Now, actions: &mut Vec<Action>) {
+        self.exchanging.retain(|_, since| now.mono.since(*since) < EXCHANGE_LIMIT);
+        if now.mono < self.next_exchange {
+            return;
+        }
+        if !self.synced {
+            self.exchange_with_any(now, actions);
+            return;
+        }
+        let Some(since) = self.mismatch else { return };
+        let quiet = now.mono.since(self.last_change) >= self.options.quiet;
+        if !quiet && now.mono.since(since) < self.options.patience {
+            return;
+        }
+        let peer = self.mismatch_peer.take();
+        let known = peer.and_then(|peer| self.table.member(&peer).cloned());
+        if let Some(member) = known {
+            self.mismatch = None;
+            self.exchange(now, member.instance, member.endpoints.peer, 0, actions);
+        }
+    }
+
+    fn exchange_with_any(&mut self, now: Now, actions: &mut Vec<Action>) {
+        let live = |m: &&Member| m.state != MemberState::Dead && m.instance != self.me.instance;
+        let mut peers: Vec<Member> = self.table.members().filter(live).cloned().collect();
+        if peers.is_empty() {
+            return;
+        }
+        let peer = peers.swap_remove(self.random.index(peers.len()));
+        self.exchange(now, peer.instance, peer.endpoints.peer, 0, actions);
+    }
+
+    fn exchange(
+        &mut self,
+        now: Now,
+        peer: InstanceId,
+        to: SocketAddr,
+        first: u32,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.exchanging.len() >= MAX_EXCHANGES {
+            return;
+        }
+        let interval =
+            if self.synced { self.options.exchange_interval } else { self.options.probe_interval };
+        self.next_exchange = now.mono + interval + self.random.up_to(interval);
+        self.exchanging.insert(peer.clone(), now.mono);
+        let buckets = self.table.buckets().to_vec();
+        let request = ExchangeRequest { buckets, first, items: Vec::new() };
+        actions.push(Action::Exchange { peer, to, request });
+    }
+
+    /// Takes an exchange's answer; offers what the other node lacks.
+    pub(super) fn exchanged(
+        &mut self,
+        now: Now,
+        peer: &InstanceId,
+        reply: Option<ExchangeReply>,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.exchanging.remove(peer).is_none() {
+            return;
+        }
+        let Some(reply) = reply else { return };
+        let offers = self.offers(&reply);
+        self.catch_up(now, reply.items, actions);
+        let Some(to) = self.table.member(peer).map(|member| member.endpoints.peer) else { return };
+        if !offers.is_empty() {
+            let request = ExchangeRequest { items: offers, ..ExchangeRequest::default() };
+            actions.push(Action::Exchange { peer: peer.clone(), to, request });
+        }
+        match reply.next {
+            Some(first) => self.exchange(now, peer.clone(), to, first, actions),
+            None => self.synced = true,
+        }
+    }
+
+    /// Items of the differing buckets of which this node knows more than `reply` says.
+    fn offers(&self, reply: &ExchangeReply) -> Vec<Item> {
+        let theirs: BTreeMap<ItemKey, &Item> =
+            reply.items.iter().map(|item| (item.key(), item)).collect();
+        let mut left = self.options.exchange_bytes;
+        let mut offers = Vec::new();
+        for bucket in &reply.differing {
+            for item in self.table.bucket_items(*bucket as usize) {
+                let more = theirs.get(&item.key()).is_none_or(|their| tells_more(&item, their));
+                let rest = left.checked_sub(item.size());
+                if let (true, Some(rest)) = (more, rest) {
+                    left = rest;
+                    offers.push(item);
+                }
+            }
+        }
+        offers
+    }
+}
+
+fn tells_more(mine: &Item, theirs: &Item) -> bool {
+    match (mine, theirs) {
+        (Item::Member(mine), Item::Member(theirs)) => supersedes(mine, theirs),
+        (Item::Fact(mine), Item::Fact(theirs)) => mine.replaces(theirs),
+        _ => false,
+    }
+}
--- a/crates/sycamore-member/src/message.rs
+++ b/crates/sycamore-member/src/message.rs
@@ -4,7 +4,7 @@
 use sycamore_types::prelude::*;
 
 /// A member or a fact: what tables hold and messages carry.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Item {
     /// A member as its highest known incarnation.
     Member(Member),
@@ -68,7 +68,7 @@
 }
 
 /// What a datagram is for.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Body {
     /// Asks for an [`Body::Ack`].
     Ping {
@@ -101,7 +101,7 @@
 }
 
 /// One datagram between nodes.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Packet {
     /// The sending instance.
     pub from: InstanceId,
@@ -112,7 +112,7 @@
 }
 
 /// Compares tables bucket by bucket, offers items, or both.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct ExchangeRequest {
     /// Digest of each bucket of the caller's table; empty where items are only offered.
     pub buckets: Vec<u32>,
@@ -123,7 +123,7 @@
 }
 
 /// Answers an [`ExchangeRequest`].
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct ExchangeReply {
     /// Buckets that differ and whose items are all given.
     pub differing: Vec<u32>,
--- a/crates/sycamore-types/src/fact.rs
+++ b/crates/sycamore-types/src/fact.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 /// A fact that spreads.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(tag = "fact", rename_all = "kebab-case")]
 pub enum Fact {
     /// A version was found bad: it gets no more work, and the verdict is never unlearnt.
--- a/crates/sycamore-types/src/member.rs
+++ b/crates/sycamore-types/src/member.rs
@@ -38,7 +38,7 @@
 }
 
 /// An upstream and its node, as other nodes know it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Member {
     /// The instance.
     pub instance: InstanceId,
--- a/crates/sycamore-types/src/resource.rs
+++ b/crates/sycamore-types/src/resource.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 /// Names the current configuration: the row that the platform's table holds.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ConfigHead {
     /// Its number.
     pub version: ConfigVersion,
