feat(node): membership over datagrams, registration and leaving

Cause: the hub needs the members and the facts of other nodes. Ruled out: publishing the view at each change (a herd would copy 930 members hundreds of times a second); recording every node's sight of each change on the time line, which grows with the square of the fleet. Change: a driver runs the machine; tasks tick, receive, answer exchanges and follow the upstream, the phase and the facts. A stopping node says so and deletes its row. Metrics: sycamore_peer_bytes_total, sycamore_members and others. Conclusion: members and facts spread between nodes.

--- /dev/null
+++ b/crates/sycamore-node/src/peers/metrics.rs
@@ -0,0 +1,84 @@
+//! Metrics of membership and of traffic between nodes.
+
+use prometheus::{IntCounter, IntCounterVec, IntGaugeVec, Opts, Registry, Result};
+use sycamore_peer::Counters;
+use sycamore_types::prelude::*;
+
+/// Metrics of membership and of traffic between nodes.
+pub(super) struct Metrics {
+    bytes: IntCounterVec,
+    connections: IntCounterVec,
+    refused: IntCounter,
+    dropped: IntCounter,
+    members: IntGaugeVec,
+}
+
+const STATES: [(MemberState, &str); 4] = [
+    (MemberState::Joining, "joining"),
+    (MemberState::Serving, "serving"),
+    (MemberState::Suspect, "suspect"),
+    (MemberState::Draining, "draining"),
+];
+
+impl Metrics {
+    /// Registers the metrics.
+    pub(super) fn register(registry: &Registry) -> Result<Self> {
+        let metrics = Self {
+            bytes: IntCounterVec::new(
+                Opts::new("sycamore_peer_bytes_total", "Control bytes between nodes."),
+                &["direction"],
+            )?,
+            connections: IntCounterVec::new(
+                Opts::new("sycamore_peer_connections_total", "Connections between nodes."),
+                &["kind"],
+            )?,
+            refused: IntCounter::new(
+                "sycamore_peer_messages_refused_total",
+                "Messages that were malformed, oversized or of another deployment.",
+            )?,
+            dropped: IntCounter::new(
+                "sycamore_peer_messages_dropped_total",
+                "Messages not sent because a queue was full.",
+            )?,
+            members: IntGaugeVec::new(
+                Opts::new("sycamore_members", "Members known by state."),
+                &["state"],
+            )?,
+        };
+        registry.register(Box::new(metrics.bytes.clone()))?;
+        registry.register(Box::new(metrics.connections.clone()))?;
+        registry.register(Box::new(metrics.refused.clone()))?;
+        registry.register(Box::new(metrics.dropped.clone()))?;
+        registry.register(Box::new(metrics.members.clone()))?;
+        Ok(metrics)
+    }
+
+    /// Takes over the counts of the sockets.
+    pub(super) fn traffic(&self, counters: &Counters) {
+        raise(&self.bytes.with_label_values(&["in"]), counters.bytes_in());
+        raise(&self.bytes.with_label_values(&["out"]), counters.bytes_out());
+        let connections = |kind| self.connections.with_label_values(&[kind]);
+        raise(&connections("accepted"), counters.connections_in());
+        raise(&connections("opened"), counters.connections_out());
+        raise(&connections("refused"), counters.connections_refused());
+        raise(&self.refused, counters.refused());
+    }
+
+    /// Counts the members in `view`.
+    pub(super) fn members(&self, view: &MemberView) {
+        for (state, label) in STATES {
+            let count = view.members.values().filter(|member| member.state == state).count();
+            self.members.with_label_values(&[label]).set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
+    }
+
+    /// Counts a message that was not sent because a queue was full.
+    pub(super) fn dropped(&self) {
+        self.dropped.inc();
+    }
+}
+
+/// Raises `counter` to `total`.
+fn raise(counter: &IntCounter, total: u64) {
+    counter.inc_by(total.saturating_sub(counter.get()));
+}
--- a/crates/sycamore-node/src/peers/mod.rs
+++ b/crates/sycamore-node/src/peers/mod.rs
@@ -1,17 +1,25 @@
 //! Membership and spreading.
 
+mod driver;
+mod leave;
 mod listener;
+mod metrics;
+mod register;
+mod tasks;
 
 use crate::hub::Hub;
 use crate::platform::Platform;
 use crate::tasks::TaskGroup;
 use bytes::Bytes;
-use error_stack::Report;
+use driver::Driver;
+use error_stack::{Report, ResultExt};
 use futures::channel::mpsc;
+use metrics::Metrics;
 use std::cell::RefCell;
+use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
-use sycamore_peer::{Call, Counters, Evidence, Objects, PeersOptions};
+use sycamore_peer::{Call, Counters, Datagrams, Evidence, Objects, PeersOptions};
 use sycamore_types::prelude::*;
 
 /// Calls for configuration objects.
@@ -19,9 +27,30 @@
 /// Calls that deliver evidence.
 pub type EvidenceCalls = mpsc::Receiver<Call<Evidence, Bytes>>;
 
+/// Why membership could not start.
+#[derive(Debug)]
+pub enum PeersError {
+    /// The peer address can't be bound.
+    Bind,
+    /// A metric can't be registered.
+    Metrics,
+}
+
+impl fmt::Display for PeersError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            PeersError::Bind => f.write_str("the peer address can't be bound"),
+            PeersError::Metrics => f.write_str("the metrics of peers can't be registered"),
+        }
+    }
+}
+
+impl std::error::Error for PeersError {}
+
 /// Membership and spreading.
 pub struct Peers {
     calls: sycamore_peer::Peers,
+    driver: Rc<Driver>,
     fetch: RefCell<Option<FetchCalls>>,
     evidence: RefCell<Option<EvidenceCalls>>,
 }
@@ -32,6 +61,11 @@
         &self.calls
     }
 
+    /// Whether this node has compared its table with another's since it started.
+    pub fn is_synced(&self) -> bool {
+        self.driver.is_synced()
+    }
+
     /// Takes the queue of other nodes' calls for configuration objects; `None` the second time.
     pub fn take_fetch(&self) -> Option<FetchCalls> {
         self.fetch.borrow_mut().take()
@@ -46,24 +80,32 @@
 /// Starts the slice's tasks.
 ///
 /// # Errors
-/// The peer address can't be bound.
+/// [`PeersError`] where the peer address can't be bound.
 pub async fn start(
     hub: &Rc<Hub>,
     tasks: &TaskGroup,
-    _platform: &Rc<Platform>,
-) -> Result<Rc<Peers>, Report<std::io::Error>> {
+    platform: &Rc<Platform>,
+) -> Result<Rc<Peers>, Report<PeersError>> {
     let counters = Arc::new(Counters::default());
-    let inbox = listener::start(hub, tasks, counters.clone())?;
+    let inbox = listener::start(hub, tasks, counters.clone()).change_context(PeersError::Bind)?;
     let node = &hub.settings.node;
+    let datagrams = Datagrams::bind(hub.settings.listen.peer, &node.deployment, counters.clone())
+        .change_context(PeersError::Bind)?;
     let calls = sycamore_peer::Peers::new(
         node.deployment.clone(),
         node.instance.clone(),
         PeersOptions::default(),
-        counters,
+        counters.clone(),
     );
+    let metrics = Metrics::register(&hub.registry).change_context(PeersError::Metrics)?;
+    let driver = Driver::start(hub, tasks, platform, calls.clone(), Rc::new(datagrams), metrics);
     listener::answer_heads(hub, tasks, inbox.head);
+    tasks::start(&driver, tasks, inbox.exchange);
+    register::start(&driver, platform, tasks);
+    leave::start(&driver, platform, tasks);
     Ok(Rc::new(Peers {
         calls,
+        driver,
         fetch: RefCell::new(Some(inbox.fetch)),
         evidence: RefCell::new(Some(inbox.evidence)),
     }))
--- /dev/null
+++ b/crates/sycamore-node/src/peers/tasks.rs
@@ -0,0 +1,91 @@
+//! The tasks that give the machine its inputs.
+
+use super::driver::Driver;
+use crate::tasks::TaskGroup;
+use futures::StreamExt;
+use slog::warn;
+use std::rc::Rc;
+use std::time::Duration;
+use sycamore_member::message::{ExchangeReply, ExchangeRequest};
+use sycamore_member::Input;
+use sycamore_peer::Call;
+
+/// Time between two ticks of the machine.
+const TICK: Duration = Duration::from_millis(100);
+/// Ticks between two rounds of housekeeping.
+const HOUSEKEEPING_TICKS: u32 = 10;
+/// Pause after a failure of the datagram socket.
+const SOCKET_PAUSE: Duration = Duration::from_millis(100);
+
+type ExchangeCalls = futures::channel::mpsc::Receiver<Call<ExchangeRequest, ExchangeReply>>;
+
+/// Starts the tasks.
+pub(super) fn start(driver: &Rc<Driver>, tasks: &TaskGroup, exchanges: ExchangeCalls) {
+    tasks.spawn_until_stop(tick(driver.clone()));
+    tasks.spawn_until_stop(receive(driver.clone()));
+    tasks.spawn_until_stop(answer(driver.clone(), exchanges));
+    tasks.spawn_until_stop(follow_local(driver.clone()));
+    tasks.spawn_until_stop(follow_facts(driver.clone()));
+}
+
+async fn tick(driver: Rc<Driver>) {
+    for round in 1u32.. {
+        monoio::time::sleep(TICK).await;
+        driver.input(Input::Tick);
+        driver.publish_changes();
+        if round.is_multiple_of(HOUSEKEEPING_TICKS) {
+            driver.calls.close_idle();
+            driver.hub.facts.expire(driver.hub.clock.wall());
+            driver.metrics.traffic(driver.calls.counters());
+        }
+    }
+}
+
+async fn receive(driver: Rc<Driver>) {
+    loop {
+        match driver.datagrams.recv().await {
+            Ok((packet, from)) => driver.input(Input::Packet { from, packet }),
+            Err(report) => {
+                warn!(driver.hub.log, "datagram socket failed"; "error" => %report);
+                monoio::time::sleep(SOCKET_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn answer(driver: Rc<Driver>, mut calls: ExchangeCalls) {
+    while let Some(call) = calls.next().await {
+        let reply = driver.answer(&call.body);
+        // The caller may have given up; then nobody takes the answer.
+        let _ = call.tx.send(reply);
+    }
+}
+
+/// Follows the upstream and the node's phase.
+async fn follow_local(driver: Rc<Driver>) {
+    let mut upstream = driver.hub.upstream.subscribe();
+    let mut phases = driver.hub.phases();
+    loop {
+        driver.update_local();
+        let ended = monoio::select! {
+            changed = upstream.changed() => changed.is_err(),
+            changed = phases.changed() => changed.is_err(),
+        };
+        if ended {
+            return;
+        }
+    }
+}
+
+/// Spreads the facts that this node raises.
+async fn follow_facts(driver: Rc<Driver>) {
+    let mut raised = driver.hub.facts.raised();
+    loop {
+        for fact in driver.hub.facts.take_fresh() {
+            driver.input(Input::Raise(fact));
+        }
+        if raised.changed().await.is_err() {
+            return;
+        }
+    }
+}
