--- a/crates/sycamore-cli/src/commands/check.rs
+++ b/crates/sycamore-cli/src/commands/check.rs
@@ -47,8 +47,13 @@
 ///
 /// # Errors
 /// [`CliError::BadInput`] with every fault by line and column.
-pub fn sheet(_text: &str) -> Result<usize, Report<CliError>> {
-    Ok(0)
+pub fn sheet(text: &str) -> Result<usize, Report<CliError>> {
+    sycamore_moves::sheet::parse(text.as_bytes()).map(|moves| moves.len()).map_err(|faults| {
+        Report::new(CliError::BadInput {
+            error: format!("{} faults in the sheet", faults.len()),
+            faults: faults.iter().map(ToString::to_string).collect(),
+        })
+    })
 }
 
 /// Checks the resources of a configuration.
--- a/crates/sycamore-cli/src/queries/mod.rs
+++ b/crates/sycamore-cli/src/queries/mod.rs
@@ -5,8 +5,10 @@
 use crate::client::Client;
 use crate::error::CliError;
 use crate::output::{Column, Output};
-use error_stack::Report;
+use error_stack::{Report, ResultExt};
+use serde::Deserialize;
 use serde_json::Value;
+use sycamore_moves::report::MoveReport;
 use sycamore_types::id::PlanId;
 
 const PLANS: [Column; 5] = [
@@ -17,25 +19,13 @@
     ("state", "/state"),
 ];
 
-const MOVES: [Column; 8] = [
+const MOVES: [Column; 6] = [
     ("move", "/move"),
     ("service", "/service"),
     ("from", "/from"),
     ("to", "/to"),
     ("state", "/state"),
-    ("share", "/share"),
-    ("deadline", "/deadline"),
-    ("reason", "/reason"),
-];
-
-const REPORT: [Column; 7] = [
-    ("move", "/move"),
-    ("service", "/service"),
-    ("to", "/to"),
-    ("outcome", "/outcome"),
-    ("ended", "/ended"),
-    ("requests", "/requests"),
-    ("reason", "/reason"),
+    ("share in basis points", "/share"),
 ];
 
 const NODES: [Column; 7] = [
@@ -93,7 +83,9 @@
     output: &Output,
 ) -> Result<(), Report<CliError>> {
     let value = client.query(&of_plan("report", plan)).await?;
-    output.rows(&value, list(&value, "moves"), &REPORT);
+    let unreadable = || CliError::Failed("the node's report can't be read".to_owned());
+    let moves = Vec::<MoveReport>::deserialize(&value["moves"]).change_context_lazy(unreadable)?;
+    output.answer(&value, sycamore_moves::report::table(&moves).trim_end());
     Ok(())
 }
 
--- a/crates/sycamore-cli/tests/program.rs
+++ b/crates/sycamore-cli/tests/program.rs
@@ -51,3 +51,32 @@
     let told: serde_json::Value = serde_json::from_slice(&failed.stderr).expect("JSON");
     assert_eq!(told["error"], "node 127.0.0.1:1 gave no answer");
 }
+
+fn sheet(name: &str, text: &str) -> String {
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).expect("a sheet is written");
+    path.display().to_string()
+}
+
+#[test]
+fn a_sheet_with_faults_names_each_by_line() {
+    let path = sheet(
+        "faulty.csv",
+        "move,service,from,to,start,deadline\nm1,counter,1,1,today,later\nm 2,counter,1,2,,\n",
+    );
+    let checked = run(&["check", "sheet", &path]);
+    let told = String::from_utf8_lossy(&checked.stderr).into_owned();
+    assert_eq!(checked.status.code(), Some(2), "{told}");
+    assert!(told.contains("line 2") && told.contains("line 3"), "{told}");
+}
+
+#[test]
+fn a_sheet_as_a_spreadsheet_exports_it_is_accepted() {
+    let path = sheet(
+        "good.csv",
+        "\u{feff}move;service;from;to;start;deadline\r\n\
+         m1;counter;1;2;2026-12-04 08:00 Europe/Zagreb;2026-12-04 09:00 Europe/Zagreb\r\n",
+    );
+    let checked = run(&["check", "sheet", &path]);
+    assert_eq!(checked.status.code(), Some(0), "{}", String::from_utf8_lossy(&checked.stderr));
+}
