--- a/crates/sycamore-cli/src/commands/check.rs
+++ b/crates/sycamore-cli/src/commands/check.rs
@@ -56,10 +56,16 @@
     })
 }
 
-/// Checks the resources of a configuration.
+/// Checks the resources of a configuration together.
 ///
 /// # Errors
-/// [`CliError::BadInput`] with every fault and the resource that it is in.
-pub fn resources(_resources: &[Value]) -> Result<(), Report<CliError>> {
-    Ok(())
+/// [`CliError::BadInput`] with every fault and the place that it is in.
+pub fn resources(resources: &[Value]) -> Result<(), Report<CliError>> {
+    let resources = Value::Array(resources.to_vec());
+    sycamore_config::Bundle::from_json(&resources).map(drop).map_err(|faults| {
+        Report::new(CliError::BadInput {
+            error: format!("{} faults in the configuration", faults.len()),
+            faults: faults.iter().map(ToString::to_string).collect(),
+        })
+    })
 }
--- a/crates/sycamore-cli/tests/program.rs
+++ b/crates/sycamore-cli/tests/program.rs
@@ -52,15 +52,15 @@
     assert_eq!(told["error"], "node 127.0.0.1:1 gave no answer");
 }
 
-fn sheet(name: &str, text: &str) -> String {
+fn written(name: &str, text: &str) -> String {
     let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    std::fs::write(&path, text).expect("a sheet is written");
+    std::fs::write(&path, text).expect("a file is written");
     path.display().to_string()
 }
 
 #[test]
 fn a_sheet_with_faults_names_each_by_line() {
-    let path = sheet(
+    let path = written(
         "faulty.csv",
         "move,service,from,to,start,deadline\nm1,counter,1,1,today,later\nm 2,counter,1,2,,\n",
     );
@@ -72,7 +72,7 @@
 
 #[test]
 fn a_sheet_as_a_spreadsheet_exports_it_is_accepted() {
-    let path = sheet(
+    let path = written(
         "good.csv",
         "\u{feff}move;service;from;to;start;deadline\r\n\
          m1;counter;1;2;2026-12-04 08:00 Europe/Zagreb;2026-12-04 09:00 Europe/Zagreb\r\n",
@@ -80,3 +80,24 @@
     let checked = run(&["check", "sheet", &path]);
     assert_eq!(checked.status.code(), Some(0), "{}", String::from_utf8_lossy(&checked.stderr));
 }
+
+#[test]
+fn a_configuration_with_a_dangling_route_is_refused() {
+    let route = r#"{"kind":"route","name":"r","prefix":"/r","service":"gone","timeout_ms":1000}"#;
+    let path = written("dangling.json", &format!("[{route}]"));
+    let checked = run(&["check", "config", &path]);
+    let told = String::from_utf8_lossy(&checked.stderr).into_owned();
+    assert_eq!(checked.status.code(), Some(2), "{told}");
+    assert!(told.contains("gone"), "{told}");
+}
+
+#[test]
+fn a_configuration_may_be_a_folder_of_files() {
+    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("configuration");
+    std::fs::create_dir_all(&folder).expect("a folder is made");
+    let route = r#"[{"kind":"route","name":"r","prefix":"/r","service":"s","timeout_ms":1000}]"#;
+    std::fs::write(folder.join("routes.json"), route).expect("a file is written");
+    std::fs::write(folder.join("services.json"), r#"[{"kind":"service","name":"s"}]"#)
+        .expect("a file is written");
+    assert_eq!(code(&["check", "config", &folder.display().to_string()]), Some(0));
+}
