--- a/crates/sycamore-cli/tests/program.rs
+++ b/crates/sycamore-cli/tests/program.rs
@@ -101,3 +101,16 @@
         .expect("a file is written");
     assert_eq!(code(&["check", "config", &folder.display().to_string()]), Some(0));
 }
+
+#[test]
+fn the_examples_have_no_fault() {
+    for deployment in ["zlatna-klupa", "sutokatha"] {
+        let example =
+            |what| format!("{}/../../examples/{deployment}/{what}", env!("CARGO_MANIFEST_DIR"));
+        for (kind, path) in [("config", example("config")), ("sheet", example("morning.csv"))] {
+            let checked = run(&["check", kind, &path]);
+            let told = String::from_utf8_lossy(&checked.stderr).into_owned();
+            assert_eq!(checked.status.code(), Some(0), "{told}");
+        }
+    }
+}
