feat(bench): measure moves on faked time against a threshold baseline

Cause: error rates of the verdict have to be measured over many moves. Ruled out: real processes for thousands of moves. Change: measure moves draws traffic, kinds of badness and innocent trouble, runs the product's machines with lossy messages, and a witness with every outcome at hand says when the evidence sufficed. The judge tabulates its samples once a tick and skips tests without hits.

--- a/crates/sycamore-bench/src/measure/mod.rs
+++ b/crates/sycamore-bench/src/measure/mod.rs
@@ -1,6 +1,7 @@
 //! Measurements: each a command that prints a summary on standard error and one JSON object as the
 //! last line of standard output.
 
+mod moves;
 mod path;
 mod violations;
 
@@ -20,6 +21,8 @@
 pub enum Command {
     /// Mixed calls along the whole path.
     Path(path::Options),
+    /// Release moves.
+    Moves(moves::Options),
 }
 
 /// The parser of all measurements.
@@ -29,7 +32,12 @@
         .descr("Mixed calls along the whole path, at a deployment's size of today.")
         .command("path")
         .map(Command::Path);
-    construct!([path])
+    let moves = moves::parser()
+        .to_options()
+        .descr("Release moves: good ones done, bad ones taken back.")
+        .command("moves")
+        .map(Command::Moves);
+    construct!([path, moves])
 }
 
 /// Runs the measurement `command`.
@@ -40,6 +48,7 @@
     let _limit = crate::fleet::guard::limit_run(LIMIT);
     match command {
         Command::Path(options) => path::run(options).await,
+        Command::Moves(options) => moves::run(options).await,
     }
 }
 
--- a/crates/sycamore-moves/src/control/machine.rs
+++ b/crates/sycamore-moves/src/control/machine.rs
@@ -40,7 +40,7 @@
     Registry(Vec<Peer>),
     /// Evidence of a process, the own one included.
     Report(Box<Report>),
-    /// Time passes.
+    /// Time passes: the only input on which the evidence is judged.
     Tick,
 }
 
@@ -130,6 +130,7 @@
 
     /// Takes in one input.
     pub fn step(&mut self, now: Moment, input: Input) -> Vec<Action> {
+        let is_tick = matches!(input, Input::Tick);
         match input {
             Input::Row { row, revision } => self.learn_row(*row, revision),
             Input::Fact(fact) => self.learn_fact(&fact),
@@ -149,7 +150,7 @@
             return Vec::new();
         }
         self.sign();
-        let mut actions = self.judge(now);
+        let mut actions = if is_tick { self.judge(now) } else { Vec::new() };
         actions.extend(self.decide(now));
         actions
     }
--- a/crates/sycamore-moves/src/verdict/sample.rs
+++ b/crates/sycamore-moves/src/verdict/sample.rs
@@ -2,7 +2,7 @@
 
 use super::{Scope, Signal};
 use crate::evidence::{Cell, Counts, Totals};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use sycamore_types::prelude::*;
 
 /// Hits among calls.
@@ -66,74 +66,51 @@
     Old,
 }
 
-/// All tests that the counters allow.
-pub(super) fn keys(new: &Totals, cuts: &SlowCuts) -> Vec<(Signal, Scope)> {
-    let routes: BTreeSet<&RouteName> = new.cells.keys().map(|cell| &cell.route).collect();
-    let mut keys = Vec::new();
-    for signal in [Signal::Failed, Signal::Rejected, Signal::Shed] {
-        keys.push((signal, Scope::All));
-        keys.extend(routes.iter().map(|route| (signal, Scope::Route((*route).clone()))));
-    }
-    for route in routes.iter().filter(|route| cuts.contains_key(**route)) {
-        keys.push((Signal::Slow90, Scope::Route((*route).clone())));
-        keys.push((Signal::Slow99, Scope::Route((*route).clone())));
-    }
-    let groups = new.callers.iter().enumerate().filter(|(_, counts)| counts.calls > 0);
-    // A group's number is below the number of groups, which fits.
-    keys.extend(groups.map(|(group, _)| (Signal::Failed, Scope::Callers(group as u8))));
-    keys.push((Signal::Crash, Scope::All));
-    keys
-}
+/// Samples of every test, each by band of offered load.
+pub(super) type Tabulated = BTreeMap<(Signal, Scope), BTreeMap<u8, Sample>>;
 
-/// The samples of one test by band of offered load.
-pub(super) fn by_band(
-    totals: &Totals,
-    side: Side,
-    signal: Signal,
-    scope: &Scope,
-    cuts: &SlowCuts,
-) -> BTreeMap<u8, Sample> {
-    let mut bands = BTreeMap::new();
-    if let Scope::Callers(group) = scope {
-        let counts = totals.callers[usize::from(*group)];
-        bands.insert(0, Sample { calls: counts.calls, hits: counts.bad });
-        return bands;
-    }
-    if signal == Signal::Crash {
-        let calls = totals.answered() + totals.crashes;
-        bands.insert(0, Sample { calls, hits: totals.crashes });
-        return bands;
+/// The samples of every test that the counters of one version allow.
+pub(super) fn tabulate(totals: &Totals, side: Side, cuts: &SlowCuts) -> Tabulated {
+    let mut table = Tabulated::new();
+    for (cell, counts) in &totals.cells {
+        let route = Scope::Route(cell.route.clone());
+        for (signal, sample) in of_counts(counts) {
+            add(&mut table, (signal, Scope::All), cell, sample);
+            add(&mut table, (signal, route.clone()), cell, sample);
+        }
+        if let Some(cuts) = cuts.get(&cell.route) {
+            let calls = counts.latency.total();
+            for (signal, cut) in [Signal::Slow90, Signal::Slow99].into_iter().zip(cuts) {
+                let shift = if side == Side::New { SLOW_SHIFT } else { 0 };
+                let hits = counts.latency.above(cut + shift);
+                add(&mut table, (signal, route.clone()), cell, Sample { calls, hits });
+            }
+        }
     }
-    for (cell, counts) in totals.cells.iter().filter(|(cell, _)| is_in(scope, cell)) {
-        let sample = sample(counts, side, signal, cuts.get(&cell.route));
-        let sum: &mut Sample = bands.entry(cell.band).or_default();
-        *sum = sum.plus(sample);
+    let groups = totals.callers.iter().enumerate().filter(|(_, counts)| counts.calls > 0);
+    for (group, counts) in groups {
+        let sample = Sample { calls: counts.calls, hits: counts.bad };
+        // A group's number is below the number of groups, which fits.
+        table.insert((Signal::Failed, Scope::Callers(group as u8)), BTreeMap::from([(0, sample)]));
     }
-    bands
+    let calls = totals.answered() + totals.crashes;
+    let crashes = Sample { calls, hits: totals.crashes };
+    table.insert((Signal::Crash, Scope::All), BTreeMap::from([(0, crashes)]));
+    table
 }
 
-fn is_in(scope: &Scope, cell: &Cell) -> bool {
-    match scope {
-        Scope::All => true,
-        Scope::Route(route) => *route == cell.route,
-        Scope::Callers(_) => false,
-    }
+fn of_counts(counts: &Counts) -> [(Signal, Sample); 3] {
+    let calls = counts.answered();
+    [
+        (Signal::Failed, Sample { calls, hits: counts.failed }),
+        (Signal::Rejected, Sample { calls, hits: counts.rejected }),
+        (Signal::Shed, Sample { calls: calls + counts.shed, hits: counts.shed }),
+    ]
 }
 
-fn sample(counts: &Counts, side: Side, signal: Signal, cuts: Option<&[usize; 2]>) -> Sample {
-    let answered = counts.answered();
-    let beyond = |cut: usize| {
-        let shift = if side == Side::New { SLOW_SHIFT } else { 0 };
-        Sample { calls: counts.latency.total(), hits: counts.latency.above(cut + shift) }
-    };
-    match (signal, cuts) {
-        (Signal::Failed, _) => Sample { calls: answered, hits: counts.failed },
-        (Signal::Rejected, _) => Sample { calls: answered, hits: counts.rejected },
-        (Signal::Shed, _) => Sample { calls: answered + counts.shed, hits: counts.shed },
-        (Signal::Slow90, Some(cuts)) => beyond(cuts[0]),
-        (Signal::Slow99, Some(cuts)) => beyond(cuts[1]),
-        (Signal::Slow90 | Signal::Slow99, None) | (Signal::Crash, _) => Sample::default(),
-    }
+fn add(table: &mut Tabulated, key: (Signal, Scope), cell: &Cell, sample: Sample) {
+    let sum = table.entry(key).or_default().entry(cell.band).or_default();
+    *sum = sum.plus(sample);
 }
 
 /// Sum over all bands.
--- a/crates/sycamore-moves/src/verdict/sequential.rs
+++ b/crates/sycamore-moves/src/verdict/sequential.rs
@@ -37,6 +37,9 @@
 impl PairTest {
     /// Natural logarithm of the evidence, with the counts of the open stratum.
     pub fn evidence(&self, open: &Pair) -> f64 {
+        if open.new.hits == 0 && self.closed.iter().all(|closed| *closed <= 0.0) {
+            return 0.0;
+        }
         let sums = self.closed.iter().zip(&PAIR_RATES);
         log_mean_exp(sums.map(|(closed, rates)| closed + pair_ratio(open, *rates)))
     }
@@ -71,6 +74,10 @@
 impl ReferenceTest {
     /// Natural logarithm of the evidence, with the open stratum: samples and the rate allowed to each.
     pub fn evidence(&self, open: &[(Sample, f64)]) -> f64 {
+        let hits: u64 = open.iter().map(|(sample, _)| sample.hits).sum();
+        if hits == 0 && self.closed.iter().all(|closed| *closed <= 0.0) {
+            return 0.0;
+        }
         let sums = self.closed.iter().zip(&REFERENCE_RATES);
         log_mean_exp(sums.map(|(closed, rate)| closed + reference_ratio(open, *rate)))
     }
