feat: time line ring, batches within the write budget, and merge

Cause: instances keep nothing, so events must outlive them without costing the platform a write each. Ruled out: one object an event (a fleet would write hundreds a second), and a batch on a fixed period (grows with the fleet). Change: bounded ring with visible loss, batches keyed by their first number, interval by the fleet's size, merge in one order with duplicates dropped, filters and a cursor to follow.

--- /dev/null
+++ b/crates/sycamore-timeline/tests/timeline.rs
@@ -0,0 +1,115 @@
+//! The time line.
+
+use quickcheck::quickcheck;
+use std::time::Duration;
+use sycamore_timeline::{gaps, merge, BatchOptions, Batcher, Cursor, Filter, Ring, Source};
+use sycamore_types::prelude::*;
+
+fn source(name: &str) -> Source {
+    Source { instance: InstanceId::new(name).expect("valid"), incarnation: Incarnation(1) }
+}
+
+fn step(mv: &str) -> EventKind {
+    let mv = MoveId::new(mv).expect("valid");
+    EventKind::MoveStep { mv, share: Share::from_basis_points(500) }
+}
+
+/// Events of `name`, one for each wall time.
+fn events(name: &str, walls: &[u64]) -> Vec<Event> {
+    let mut ring = Ring::new(source(name), 1_000);
+    walls.iter().map(|wall| ring.record(EventKind::Draining, WallTime(*wall)).clone()).collect()
+}
+
+#[test]
+fn a_full_ring_shows_what_it_lost() {
+    let mut ring = Ring::new(source("a"), 3);
+    for wall in 0..5 {
+        ring.record(EventKind::Started, WallTime(wall));
+    }
+    let page = ring.after(1);
+    assert_eq!(page.events.iter().map(|event| event.seq).collect::<Vec<_>>(), [3, 4, 5]);
+    assert_eq!(page.lost, 1);
+    assert_eq!(ring.after(5).events, []);
+}
+
+#[test]
+fn an_effect_is_ordered_after_its_cause_though_its_clock_is_behind() {
+    let mut cause = Ring::new(source("a"), 10);
+    let mut effect = Ring::new(source("b"), 10);
+    let first = cause.record(step("m"), WallTime(5_000)).clone();
+    effect.observe(first.at, WallTime(1_000));
+    let second = effect.record(step("m"), WallTime(1_001)).clone();
+    assert_eq!(merge([second.clone(), first.clone()]), [first, second]);
+}
+
+#[test]
+fn missing_numbers_are_found() {
+    let mut kept = events("a", &[1, 2, 3, 4, 5]);
+    kept.remove(2);
+    kept.remove(0);
+    let found: Vec<_> = gaps(&kept).iter().map(|gap| (gap.first, gap.last)).collect();
+    assert_eq!(found, [(1, 1), (3, 3)]);
+}
+
+#[test]
+fn filters_pass_what_they_name() {
+    let mut ring = Ring::new(source("a"), 10);
+    let about = ring.record(step("m"), WallTime(1)).clone();
+    let other = ring.record(EventKind::Started, WallTime(2)).clone();
+    let mv = Filter { mv: Some(MoveId::new("m").expect("valid")), ..Filter::default() };
+    let kind = Filter { kind: Some("started".to_owned()), ..Filter::default() };
+    assert!(mv.passes(&about) && !mv.passes(&other));
+    assert!(!kind.passes(&about) && kind.passes(&other));
+}
+
+#[test]
+fn following_shows_each_event_once() {
+    let all = events("a", &[1, 2, 3]);
+    let mut cursor = Cursor::default();
+    assert_eq!(cursor.advance(all[..2].to_vec()).len(), 2);
+    assert_eq!(cursor.advance(all.clone()).len(), 1);
+    assert_eq!(cursor.advance(all).len(), 0);
+}
+
+fn batcher(options: BatchOptions) -> Batcher {
+    Batcher::new(source("a"), options, 0, Time(0))
+}
+
+#[test]
+fn a_batch_comes_again_until_it_is_stored() {
+    let mut batcher = batcher(BatchOptions::default());
+    events("a", &[1, 2]).iter().for_each(|event| batcher.push(event));
+    let first = batcher.due(Time(0), 1).expect("due");
+    assert_eq!(first.key, "events/a/1/000000000001");
+    assert!(batcher.due(Time::from_secs(1), 1).is_none(), "the budget is spent");
+    batcher.push(&events("a", &[1, 2, 3])[2]);
+    assert_eq!(batcher.due(Time::from_secs(2), 1), Some(first.clone()));
+    batcher.stored(&first.key);
+    assert_eq!(batcher.due(Time::from_secs(4), 1).expect("due").events[0].seq, 3);
+}
+
+#[test]
+fn the_fleets_writes_stay_within_the_budget() {
+    let batcher = batcher(BatchOptions::default());
+    assert_eq!(batcher.interval(1), Duration::from_secs(2));
+    assert_eq!(batcher.interval(930), Duration::from_millis(46_500));
+}
+
+#[test]
+fn an_outage_loses_the_oldest_events_and_says_how_many() {
+    let mut batcher = batcher(BatchOptions { max_waiting: 3, ..BatchOptions::default() });
+    events("a", &[1, 2, 3, 4, 5]).iter().for_each(|event| batcher.push(event));
+    assert_eq!(batcher.lost(), 2);
+    assert_eq!(batcher.flush().expect("waiting").events[0].seq, 3);
+}
+
+quickcheck! {
+    fn merging_does_not_depend_on_order_or_repeats(a: Vec<u16>, b: Vec<u16>) -> bool {
+        let walls = |list: &[u16]| list.iter().map(|wall| u64::from(*wall)).collect::<Vec<_>>();
+        let (a, b) = (events("a", &walls(&a)), events("b", &walls(&b)));
+        let forward = merge(a.iter().chain(&b).cloned());
+        let backward = merge(b.iter().chain(&a).chain(&b).rev().cloned());
+        let ordered = forward.windows(2).all(|pair| pair[0].at <= pair[1].at);
+        forward == backward && ordered && forward.len() == a.len() + b.len()
+    }
+}
