feat(node): run release moves and keep the time line

Cause: the decisions had no sockets or clocks around them. Ruled out: reading rows from every node on a short period (grows with the fleet); a message of its own for verdicts (the answer to evidence carries it, and the fact spreads). Change: rows by budgeted polls and facts, evidence to the two merging nodes, shares published, outcomes by compare-and-set with read-back, commands and queries for operators, events batched to the object store and read back from it. A service with several versions and no move is served by the version that most members run. Signatures follow a process through refutations of its death.

--- a/crates/sycamore-moves/src/control/machine.rs
+++ b/crates/sycamore-moves/src/control/machine.rs
@@ -138,7 +138,7 @@
                 self.peers.update(now.time, live, regions, &self.row.spec.to);
             }
             Input::Registry(listed) => {
-                self.peers.register(now.time, &listed, &self.row.spec.to);
+                self.peers.register(now.time, &listed, &self.row.spec.from);
                 self.registry_read = true;
             }
             Input::Report(report) if report.mv == self.row.spec.mv => {
--- a/crates/sycamore-moves/src/control/merger.rs
+++ b/crates/sycamore-moves/src/control/merger.rs
@@ -52,7 +52,7 @@
 #[derive(Debug, Clone)]
 pub struct Merger {
     ledger: Ledger,
-    heard: BTreeMap<Source, Time>,
+    heard: BTreeMap<InstanceId, (Time, UpstreamVersion)>,
     judge: Judge,
     step: Option<(usize, WallTime)>,
 }
@@ -70,9 +70,9 @@
 
     /// Takes in a report.
     pub fn take(&mut self, now: Time, report: Report) {
-        let source = Source { instance: report.instance.clone(), incarnation: report.incarnation };
+        let heard = (report.instance.clone(), (now, report.version.clone()));
         if self.ledger.merge(report) {
-            self.heard.insert(source, now);
+            self.heard.extend([heard]);
         }
     }
 
@@ -110,12 +110,12 @@
         if wall.since(opened) < row.schedule.hold(step, opened) {
             return Err(Hold::Time);
         }
-        let is_fresh =
-            |source: &Source| self.heard.get(source).is_some_and(|at| now.since(*at) <= fresh);
-        let heard = needed.iter().filter(|source| is_fresh(source)).count();
-        let old = self.heard.keys().filter(|source| is_fresh(source)).any(|source| {
-            self.ledger.report(source).is_some_and(|report| report.version == row.spec.from)
-        });
+        let is_fresh = |at: &Time| now.since(*at) <= fresh;
+        let heard_of = |source: &&Source| self.heard.get(&source.instance);
+        let heard = needed.iter().filter_map(|source| heard_of(&source));
+        let heard = heard.filter(|(at, _)| is_fresh(at)).count();
+        let mut fresh_ones = self.heard.values().filter(|(at, _)| is_fresh(at));
+        let old = fresh_ones.any(|(_, version)| *version == row.spec.from);
         if heard * 2 <= needed.len() || (old_expected && !old) {
             return Err(Hold::Cut);
         }
@@ -127,7 +127,7 @@
 
     /// Whether `source` has signed.
     pub fn has_signed(&self, source: &Source) -> bool {
-        self.ledger.report(source).is_some_and(|report| report.signed)
+        self.ledger.report_of(source).is_some_and(|report| report.signed)
     }
 
     /// The counts so far.
--- a/crates/sycamore-moves/src/control/peers.rs
+++ b/crates/sycamore-moves/src/control/peers.rs
@@ -57,13 +57,18 @@
         }
     }
 
-    /// Takes in the instances that the platform's table lists.
-    pub fn register(&mut self, now: Time, registered: &[Peer], to: &UpstreamVersion) {
-        for peer in registered.iter().filter(|peer| peer.version == *to) {
+    /// Takes in the instances that the platform's table lists. A row may be older than the version
+    /// that its upstream announced, so one that is not seen and not known to run `from` counts as
+    /// one of the new version.
+    pub fn register(&mut self, now: Time, registered: &[Peer], from: &UpstreamVersion) {
+        let unseen = |peer: &&Peer| !self.live.contains_key(&peer.instance);
+        let unseen: Vec<&Peer> =
+            registered.iter().filter(|peer| peer.version != *from).filter(unseen).collect();
+        for peer in unseen {
             let known = self.seen.get(&peer.instance);
             if known.is_none_or(|seen| seen.incarnation < peer.incarnation) {
-                let gone_since = (!self.live.contains_key(&peer.instance)).then_some(now);
-                self.seen.insert(peer.instance.clone(), Seen { gone_since, ..Seen::of(peer) });
+                let seen = Seen { gone_since: Some(now), ..Seen::of(peer) };
+                self.seen.insert(peer.instance.clone(), seen);
             }
         }
     }
--- a/crates/sycamore-moves/src/evidence/codec.rs
+++ b/crates/sycamore-moves/src/evidence/codec.rs
@@ -7,7 +7,7 @@
 use sycamore_types::prelude::*;
 
 /// Longest encoded report, in bytes.
-pub const MAX_REPORT_BYTES: usize = 64 << 10;
+pub const MAX_REPORT_BYTES: usize = 32 << 10;
 
 #[derive(Clone, PartialEq, Message)]
 struct WireReport {
@@ -32,6 +32,8 @@
     callers: Vec<u64>,
     #[prost(message, repeated, tag = "10")]
     cells: Vec<WireCell>,
+    #[prost(uint64, tag = "11")]
+    generation: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -91,6 +93,7 @@
         mv: report.mv.to_string(),
         instance: report.instance.to_string(),
         incarnation: report.incarnation.0,
+        generation: report.generation.0,
         seq: report.seq,
         version: report.version.to_string(),
         signed: report.signed,
@@ -140,6 +143,7 @@
         mv: wire.mv.parse()?,
         instance: wire.instance.parse()?,
         incarnation: Incarnation(wire.incarnation),
+        generation: Incarnation(wire.generation),
         seq: wire.seq,
         version: wire.version.parse()?,
         signed: wire.signed,
--- a/crates/sycamore-moves/src/evidence/collector.rs
+++ b/crates/sycamore-moves/src/evidence/collector.rs
@@ -68,6 +68,7 @@
             mv,
             instance: member.instance.clone(),
             incarnation: member.incarnation,
+            generation: member.incarnation,
             seq: 0,
             version: member.version.clone(),
             signed: false,
@@ -119,6 +120,14 @@
         self.changed = true;
     }
 
+    /// Takes note that membership knows the process by `generation` now.
+    pub fn known_as(&mut self, generation: Incarnation) {
+        if generation > self.report.generation {
+            self.report.generation = generation;
+            self.changed = true;
+        }
+    }
+
     /// The report to send at `now`; `None` where nothing changed since the last one.
     pub fn report(&mut self, now: Time, signed: bool) -> Option<Report> {
         self.roll(now);
--- a/crates/sycamore-moves/src/evidence/ledger.rs
+++ b/crates/sycamore-moves/src/evidence/ledger.rs
@@ -53,9 +53,12 @@
         totals
     }
 
-    /// The newest report of `source`.
-    pub fn report(&self, source: &Source) -> Option<&Report> {
-        self.reports.get(source)
+    /// The newest report of the process that membership knows as `member`, or by a later generation.
+    pub fn report_of(&self, member: &Source) -> Option<&Report> {
+        let of_member = self.reports.values().filter(|report| {
+            report.instance == member.instance && report.generation >= member.incarnation
+        });
+        of_member.max_by_key(|report| report.incarnation)
     }
 
     /// The newest report of each process.
--- a/crates/sycamore-moves/src/evidence/mod.rs
+++ b/crates/sycamore-moves/src/evidence/mod.rs
@@ -25,8 +25,11 @@
     pub mv: MoveId,
     /// The reporting node's instance.
     pub instance: InstanceId,
-    /// Its generation.
+    /// The process, by the generation that it started with.
     pub incarnation: Incarnation,
+    /// The generation that membership knows it by when it reports: higher than the first one where it
+    /// had to refute its death.
+    pub generation: Incarnation,
     /// Grows with each report of this process.
     pub seq: u64,
     /// The version of its upstream.
--- a/crates/sycamore-moves/tests/support/mod.rs
+++ b/crates/sycamore-moves/tests/support/mod.rs
@@ -51,6 +51,7 @@
         mv: id(mv),
         instance: id(instance),
         incarnation: Incarnation(1),
+        generation: Incarnation(1),
         seq,
         version: id(version),
         signed: false,
--- /dev/null
+++ b/crates/sycamore-node/src/moves/evidence.rs
@@ -0,0 +1,163 @@
+//! Evidence: counted beside the upstream, sent to the merging nodes, and taken in there.
+
+use super::state::{Entry, State};
+use bytes::Bytes;
+use futures::StreamExt;
+use std::rc::Rc;
+use std::time::Duration;
+use sycamore_moves::control::Input;
+use sycamore_moves::evidence::{decode, encode, Collector, CollectorOptions, Report};
+use sycamore_peer::Evidence;
+use sycamore_types::prelude::*;
+
+/// Layout of the messages: a report of `sycamore_moves::evidence`.
+const KIND_REPORT: u32 = 1;
+/// Evidence is counted from this long before a move starts, to know the old version.
+const LEAD: Duration = Duration::from_secs(60);
+/// A report that says nothing new is repeated after this time, as a sign of life.
+const REPEAT: Duration = Duration::from_millis(1_500);
+
+/// Counts the outcomes of calls beside this node.
+pub(super) async fn collect(state: Rc<State>) {
+    let Some(mut outcomes) = state.hub.take_outcomes() else { return };
+    while let Some(outcome) = outcomes.recv().await {
+        let now = state.now();
+        for entry in state.moves.borrow_mut().values_mut() {
+            let spec = &entry.control.row().0.spec;
+            if spec.service != outcome.service || entry.control.row().0.is_ended() {
+                continue;
+            }
+            if let Some(collector) = collector(&state, entry) {
+                collector.record(now.time, &outcome);
+            }
+        }
+    }
+}
+
+/// Counts a crash where the upstream is gone without having asked to leave.
+pub(super) async fn watch_upstream(state: Rc<State>) {
+    let mut upstream = state.hub.upstream.subscribe();
+    let mut before = upstream.borrow_and_update().clone();
+    while upstream.changed().await.is_ok() {
+        let now = upstream.borrow_and_update().clone();
+        let was_serving = before.as_ref().is_some_and(|upstream| !upstream.draining);
+        if was_serving && now.is_none() {
+            for entry in state.moves.borrow_mut().values_mut() {
+                if let Some(collector) = &mut entry.collector {
+                    collector.crash();
+                }
+            }
+        }
+        before = now;
+    }
+}
+
+/// The collector of a move about this node's service, from some time before its start on.
+fn collector<'a>(state: &State, entry: &'a mut Entry) -> Option<&'a mut Collector> {
+    let (row, _) = entry.control.row();
+    let spec = &row.spec;
+    let now = state.now();
+    let begun = now.wall + LEAD >= spec.start;
+    if entry.collector.is_none() && begun && !row.is_ended() && state.is_own(&spec.service) {
+        let me = state.me()?;
+        if me.version != spec.from && me.version != spec.to {
+            return None;
+        }
+        let me = Member { incarnation: state.hub.incarnation, ..me };
+        let options = CollectorOptions::default();
+        entry.collector = Some(Collector::new(spec.mv.clone(), &me, options, now.time));
+    }
+    entry.collector.as_mut()
+}
+
+/// Sends what is due to the merging nodes.
+pub(super) fn send(state: &Rc<State>) {
+    let now = state.now();
+    let interval = state.hub.settings.moves.evidence_interval;
+    let mut own = Vec::new();
+    for (mv, entry) in state.moves.borrow_mut().iter_mut() {
+        if entry.control.row().0.is_ended() || now.time.since(entry.sent) < interval {
+            continue;
+        }
+        let Some(report) = due(state, entry) else { continue };
+        entry.sent = now.time;
+        let mergers: Vec<InstanceId> = entry.control.mergers().into_iter().cloned().collect();
+        for merger in mergers {
+            if merger == state.hub.settings.node.instance {
+                own.push(report.clone());
+            } else {
+                send_to(state, mv, merger, &report);
+            }
+        }
+    }
+    own.into_iter().for_each(|report| take(state, report));
+}
+
+fn due(state: &State, entry: &mut Entry) -> Option<Report> {
+    let now = state.now().time;
+    let signed = entry.control.signed();
+    let silent = now.since(entry.sent) >= REPEAT;
+    let generation = state.me()?.incarnation;
+    let collector = collector(state, entry)?;
+    collector.known_as(generation);
+    collector.report(now, signed).or_else(|| silent.then(|| collector.repeat()))
+}
+
+fn send_to(state: &Rc<State>, mv: &MoveId, merger: InstanceId, report: &Report) {
+    let Some(to) = state.hub.members.borrow().members.get(&merger).map(|m| m.endpoints.peer) else {
+        return;
+    };
+    let key = (mv.clone(), merger);
+    // One message to a merging node at a time: the next one holds all that this one does.
+    if !state.sending.borrow_mut().insert(key.clone()) {
+        return;
+    }
+    let evidence = Evidence { kind: KIND_REPORT, body: Bytes::from(encode(report)) };
+    let errand_state = state.clone();
+    state.errands.spawn_until_stop(async move {
+        let answer = errand_state.peers.calls().evidence(to, evidence).await;
+        errand_state.sending.borrow_mut().remove(&key);
+        let verdict = answer.ok().and_then(|body| serde_json::from_slice::<Fact>(&body).ok());
+        if let Some(verdict @ Fact::BadVersion { .. }) = verdict {
+            errand_state.hub.raise(verdict);
+        }
+    });
+}
+
+/// Takes in the evidence of other nodes. The answer carries the verdict, where there is one.
+pub(super) async fn receive(state: Rc<State>) {
+    let Some(mut calls) = state.peers.take_evidence() else { return };
+    while let Some(call) = calls.next().await {
+        if call.body.kind != KIND_REPORT {
+            continue;
+        }
+        let Ok(report) = decode(&call.body.body) else { continue };
+        let answer = verdict(&state, &report.mv);
+        take(&state, report);
+        // The sender may have given up; then nobody takes the answer.
+        let _ = call.tx.send(answer);
+    }
+}
+
+fn verdict(state: &State, mv: &MoveId) -> Bytes {
+    let key = match state.moves.borrow().get(mv) {
+        Some(entry) => {
+            let spec = &entry.control.row().0.spec;
+            FactKey::BadVersion(spec.service.clone(), spec.to.clone())
+        }
+        None => return Bytes::new(),
+    };
+    let known = state.hub.facts.known();
+    let fact = known.get(&key).and_then(|fact| serde_json::to_vec(fact).ok());
+    fact.map(Bytes::from).unwrap_or_default()
+}
+
+fn take(state: &Rc<State>, report: Report) {
+    let now = state.now();
+    let mv = report.mv.clone();
+    let actions = match state.moves.borrow_mut().get_mut(&mv) {
+        Some(entry) => entry.control.step(now, Input::Report(Box::new(report))),
+        None => Vec::new(),
+    };
+    super::act::perform(state, actions.into_iter().map(|action| (mv.clone(), action)).collect());
+}
--- a/crates/sycamore-node/src/moves/mod.rs
+++ b/crates/sycamore-node/src/moves/mod.rs
@@ -1,67 +1,61 @@
-//! Release moves.
+//! Release moves: the tasks around the state machines of `sycamore-moves`.
+
+mod act;
+mod commands;
+mod evidence;
+mod queries;
+mod rows;
+mod shares;
+mod state;
 
 use crate::hub::Hub;
-use crate::operator::OperatorError;
 use crate::peers::Peers;
 use crate::platform::Platform;
 use crate::tasks::TaskGroup;
 use error_stack::Report;
+use state::State;
 use std::rc::Rc;
+use std::time::Duration;
+
+/// Time between two looks at the clock and the evidence.
+const TICK: Duration = Duration::from_millis(200);
 
 /// Release moves.
-pub struct Moves;
+pub struct Moves {
+    state: Rc<State>,
+}
 
 /// Starts the slice's tasks.
 ///
 /// # Errors
 /// None so far.
 pub async fn start(
-    _hub: &Rc<Hub>,
-    _tasks: &TaskGroup,
-    _platform: &Rc<Platform>,
-    _peers: &Rc<Peers>,
+    hub: &Rc<Hub>,
+    tasks: &TaskGroup,
+    platform: &Rc<Platform>,
+    peers: &Rc<Peers>,
 ) -> Result<Rc<Moves>, Report<std::io::Error>> {
-    Ok(Rc::new(Moves))
+    let state = Rc::new(State::new(hub.clone(), platform.clone(), peers.clone()));
+    tasks.spawn_until_stop(rows::poll(state.clone()));
+    tasks.spawn_until_stop(rows::follow_facts(state.clone()));
+    tasks.spawn_until_stop(evidence::collect(state.clone()));
+    tasks.spawn_until_stop(evidence::watch_upstream(state.clone()));
+    tasks.spawn_until_stop(evidence::receive(state.clone()));
+    let ticking = state.clone();
+    let mut stop = tasks.stop_signal();
+    tasks.spawn(async move {
+        stop.or(tick(ticking.clone())).await;
+        ticking.errands.stop();
+        ticking.errands.join().await;
+    });
+    Ok(Rc::new(Moves { state }))
 }
 
-impl Moves {
-    /// Imports the sheet in `body` as a plan.
-    ///
-    /// # Errors
-    /// [`OperatorError`] where the sheet is faulty, somebody else won or the platform is out.
-    pub async fn import(&self, _body: &[u8]) -> Result<serde_json::Value, OperatorError> {
-        Err(OperatorError::Unavailable("not built yet".to_owned()))
-    }
-
-    /// Aborts a move; works with the platform out as well.
-    ///
-    /// # Errors
-    /// [`OperatorError`] where there is no such move or it has ended.
-    pub async fn abort(&self, _body: &[u8]) -> Result<serde_json::Value, OperatorError> {
-        Err(OperatorError::Unavailable("not built yet".to_owned()))
-    }
-
-    /// The plans.
-    ///
-    /// # Errors
-    /// [`OperatorError::Unavailable`] where the platform is out.
-    pub async fn plans(&self) -> Result<serde_json::Value, OperatorError> {
-        Err(OperatorError::Unavailable("not built yet".to_owned()))
-    }
-
-    /// The moves of `plan`, or of all plans.
-    ///
-    /// # Errors
-    /// [`OperatorError`] where there is no such plan or the platform is out.
-    pub async fn moves(&self, _plan: Option<&str>) -> Result<serde_json::Value, OperatorError> {
-        Err(OperatorError::Unavailable("not built yet".to_owned()))
-    }
-
-    /// The report on `plan`, or on all plans.
-    ///
-    /// # Errors
-    /// [`OperatorError`] where there is no such plan or the platform is out.
-    pub async fn report(&self, _plan: Option<&str>) -> Result<serde_json::Value, OperatorError> {
-        Err(OperatorError::Unavailable("not built yet".to_owned()))
+async fn tick(state: Rc<State>) {
+    loop {
+        monoio::time::sleep(TICK).await;
+        act::tick(&state);
+        evidence::send(&state);
+        shares::publish(&state);
     }
 }
--- a/crates/sycamore-node/src/operator/queries.rs
+++ b/crates/sycamore-node/src/operator/queries.rs
@@ -2,6 +2,7 @@
 
 use super::OperatorError;
 use crate::run::Node;
+use crate::timeline::read_archive;
 use serde::Serialize;
 use serde_json::{json, Value};
 use std::collections::HashMap;
@@ -21,7 +22,7 @@
         "moves" => node.moves.moves(args.get("plan").map(String::as_str)).await,
         "report" => node.moves.report(args.get("plan").map(String::as_str)).await,
         "nodes" => Ok(nodes(node)),
-        "timeline" => timeline(node, args),
+        "timeline" => timeline(node, args).await,
         _ => Err(OperatorError::NotFound(format!("query {name:?}"))),
     }
 }
@@ -49,14 +50,21 @@
     serde_json::to_value(nodes).unwrap_or_default()
 }
 
-fn timeline(node: &Node, args: &Arguments) -> Result<Value, OperatorError> {
+async fn timeline(node: &Node, args: &Arguments) -> Result<Value, OperatorError> {
     let after = match args.get("after") {
         None => 0,
         Some(text) => text
             .parse()
             .map_err(|_| OperatorError::bad_input(format!("after={text} is no event number")))?,
     };
-    let mut events = node.hub.timeline().borrow().after(after);
+    let mut events = match args.get("archive").map(String::as_str) {
+        Some("true") => {
+            let instance = args.get("instance").map(InstanceId::new).transpose();
+            let instance = instance.map_err(OperatorError::bad_input)?;
+            read_archive(&node.platform, instance.as_ref()).await?
+        }
+        _ => node.hub.timeline().borrow().after(after),
+    };
     if let Some(kind) = args.get("kind") {
         events.retain(|event| event.kind.name() == kind);
     }
--- a/crates/sycamore-node/src/run.rs
+++ b/crates/sycamore-node/src/run.rs
@@ -45,6 +45,8 @@
 pub struct Node {
     /// What the slices share.
     pub hub: Rc<Hub>,
+    /// The platform's table and object store.
+    pub platform: Rc<Platform>,
     /// Membership and spreading.
     pub peers: Rc<peers::Peers>,
     /// Finding and applying configurations.
@@ -100,7 +102,7 @@
     timeline::start(hub, tasks, &platform).await.change_context(RunError::Slice("time line"))?;
     let calls =
         calls::start(hub, tasks).await.change_context(RunError::Slice("callers' listener"))?;
-    Ok(Node { hub: hub.clone(), peers, config, moves, calls })
+    Ok(Node { hub: hub.clone(), platform, peers, config, moves, calls })
 }
 
 /// Announces the drain, lets calls in flight end, then stops and joins every task.
--- a/crates/sycamore-types/src/event.rs
+++ b/crates/sycamore-types/src/event.rs
@@ -93,7 +93,8 @@
         match self {
             EventKind::MoveStep { mv, .. } | EventKind::MoveEnded { mv, .. } => Some(mv),
             EventKind::FactRaised {
-                fact: Fact::BadVersion { by, .. } | Fact::Aborted { by, .. },
+                fact:
+                    Fact::BadVersion { by, .. } | Fact::Aborted { by, .. } | Fact::Cleared { by, .. },
             } => Some(by),
             _ => None,
         }
