fix(model): hold each state once, and stop well before memory ends

Cause: an exploration kept every state three times with its action's text, and its bound of 5,000,000 states let one model take all of the machine's memory before it could say that it was too large. Change: one copy a state; a trace is searched only once a property is broken; the bound is 500,000. Ruled out: a bound on memory itself, which would not give the same verdict on each machine. Conclusion: the explorer's, configuration's and moves' tests pass unchanged.

--- a/crates/sycamore-model/src/lib.rs
+++ b/crates/sycamore-model/src/lib.rs
@@ -4,8 +4,7 @@
 //! crashes, pauses, lost answers) and what must hold in every state. [`explore`] visits every state
 //! that can be reached, breadth first, so that a counterexample is a shortest one.
 
-use pathfinding::directed::bfs::bfs_reach;
-use std::collections::HashMap;
+use pathfinding::directed::bfs::{bfs, bfs_reach};
 use std::fmt;
 use std::hash::Hash;
 
@@ -73,28 +72,18 @@
 
 impl Default for Options {
     fn default() -> Self {
-        Self { max_states: 5_000_000 }
+        Self { max_states: 500_000 }
     }
 }
 
-/// Visits every state of `model` that can be reached, breadth first.
+/// Visits every state of `model` that can be reached, breadth first. Holds one copy of each state;
+/// a trace is only worked out once a property is found broken.
 pub fn explore<M: Model>(model: &M, options: &Options) -> Outcome {
-    let mut parents: HashMap<M::State, Option<(M::State, String)>> = HashMap::new();
-    let starts = model.starts();
-    for start in &starts {
-        parents.insert(start.clone(), None);
-    }
-    // One virtual root leads to all starts, so that one search covers them.
-    let root: Option<M::State> = None;
     let mut visited = 0;
-    let reach = bfs_reach(root, |state| match state {
-        None => starts.iter().cloned().map(Some).collect::<Vec<_>>(),
-        Some(state) => successors(model, state, &mut parents),
-    });
-    for state in reach.flatten() {
+    for state in bfs_reach(None, |state| successors(model, state)).flatten() {
         visited += 1;
         if let Err(property) = model.check(&state) {
-            return Outcome::Broken { property, trace: trace(&parents, state) };
+            return Outcome::Broken { property, trace: trace(model) };
         }
         if visited > options.max_states {
             return Outcome::TooLarge { states: visited };
@@ -103,26 +92,25 @@
     Outcome::Holds { states: visited }
 }
 
-fn successors<M: Model>(
-    model: &M,
-    state: &M::State,
-    parents: &mut HashMap<M::State, Option<(M::State, String)>>,
-) -> Vec<Option<M::State>> {
-    let mut states = Vec::new();
-    for (action, next) in model.next(state) {
-        parents.entry(next.clone()).or_insert_with(|| Some((state.clone(), action.to_string())));
-        states.push(Some(next));
+/// The states after `state`; `None` is a virtual root that leads to all starts.
+fn successors<M: Model>(model: &M, state: &Option<M::State>) -> Vec<Option<M::State>> {
+    match state {
+        None => model.starts().into_iter().map(Some).collect(),
+        Some(state) => model.next(state).into_iter().map(|(_, next)| Some(next)).collect(),
     }
-    states
 }
 
-fn trace<S: Clone + Eq + Hash>(parents: &HashMap<S, Option<(S, String)>>, end: S) -> Vec<String> {
-    let mut actions = Vec::new();
-    let mut state = end;
-    while let Some(Some((parent, action))) = parents.get(&state) {
-        actions.push(action.clone());
-        state = parent.clone();
-    }
-    actions.reverse();
-    actions
+/// The shortest sequence of actions, in words, to a state that breaks a property.
+fn trace<M: Model>(model: &M) -> Vec<String> {
+    let broken =
+        |state: &Option<M::State>| state.as_ref().is_some_and(|state| model.check(state).is_err());
+    let path = bfs(&None, |state| successors(model, state), broken).unwrap_or_default();
+    let states: Vec<M::State> = path.into_iter().flatten().collect();
+    states.windows(2).filter_map(|pair| action(model, &pair[0], &pair[1])).collect()
+}
+
+/// An action that leads from `state` to `next`, in words.
+fn action<M: Model>(model: &M, state: &M::State, next: &M::State) -> Option<String> {
+    let found = model.next(state).into_iter().find(|(_, after)| after == next);
+    found.map(|(action, _)| action.to_string())
 }
