feat(node): find, fetch, apply and accept configurations

The apply machine, the floor and acceptance existed as decisions only; a node had no configuration.

The node polls the head row at its share of the fleet's 20 reads a second, hears heads that spread as facts, fetches from peers and from the object store with four workers, serves objects to peers, and publishes each whole configuration. A head found in the row is fetched from the store first, since no peer has it yet; a starting node asks peers first, since many may start at once. With the platform out, a fresh node asks serving peers of the data centres asked least until five in two data centres have told their head. config-apply stores one object and settles a compare-and-set on the head row; the loser of a race is told who won, and a repeated operation gets its first answer.

--- a/crates/sycamore-bench/src/fleet/mod.rs
+++ b/crates/sycamore-bench/src/fleet/mod.rs
@@ -21,7 +21,7 @@
 pub use net::{Addrs, Net};
 pub use options::{Options, Upstreams};
 pub use process::{Process, Program};
-pub use query::Metrics;
+pub use query::{operator, Metrics};
 pub use start::Fleet;
 pub use usage::{descriptors, Usage};
 pub use watch::ConfigWatch;
--- /dev/null
+++ b/crates/sycamore-bench/src/measure/converge/bytes.rs
@@ -0,0 +1,33 @@
+//! Control bytes and platform requests of a fleet, from the nodes' metrics.
+
+use crate::fleet::Fleet;
+use futures::future::join_all;
+
+/// Control bytes of all nodes since their start.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(super) struct Bytes {
+    /// Sent to peers.
+    pub(super) peers: f64,
+    /// Sent to and received from the platform.
+    pub(super) platform: f64,
+}
+
+impl Bytes {
+    /// What all running nodes of `fleet` have counted. A node that doesn't answer counts as zero.
+    pub(super) async fn of(fleet: &Fleet) -> Self {
+        let names = fleet.running();
+        let pages = join_all(names.iter().map(|name| fleet.metrics(name))).await;
+        let mut bytes = Self::default();
+        for page in pages.into_iter().flatten() {
+            let out = page.0.get("sycamore_peer_bytes_total{direction=\"out\"}");
+            bytes.peers += out.copied().unwrap_or_default();
+            bytes.platform += page.sum("sycamore_platform_bytes_total");
+        }
+        bytes
+    }
+
+    /// All of them.
+    pub(super) fn total(self) -> f64 {
+        self.peers + self.platform
+    }
+}
--- /dev/null
+++ b/crates/sycamore-bench/src/measure/converge/run.rs
@@ -0,0 +1,316 @@
+//! Runs the changes against real nodes.
+
+use super::bytes::Bytes;
+use super::report::Report;
+use super::{change, observe, Fault, Options};
+use crate::fleet::{ConfigWatch, Deployment, Fleet, Options as FleetOptions, Upstreams, Usage};
+use crate::measure::Violations;
+use crate::stand_in::platform::{Control, Stats};
+use crate::Result;
+use futures::future::{join, select, Either};
+use nix::sys::signal::Signal;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use serde_json::json;
+use std::pin::pin;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Time for membership to settle before anything is measured.
+const SETTLE: Duration = Duration::from_secs(5);
+/// Time between a change and the next one.
+const BETWEEN: Duration = Duration::from_millis(500);
+/// Time that killed nodes stay dead.
+const DEAD: Duration = Duration::from_secs(1);
+/// Time that the platform stays out after a change.
+const OUTAGE: Duration = Duration::from_secs(5);
+/// Longest wait for the fleet to be ready.
+const READY_LIMIT: Duration = Duration::from_secs(90);
+/// One of so many nodes is killed in a herd: 30 of 100.
+const HERD_PERCENT: usize = 30;
+
+/// Runs the measurement with a fleet of its own.
+pub(super) async fn run(options: &Options) -> Result<Report> {
+    let deployment = Deployment::scaled(options.nodes);
+    let fleet = Fleet::start(FleetOptions {
+        deployment,
+        seed: options.seed,
+        upstreams: Upstreams::Announced,
+        ready_limit: READY_LIMIT,
+        ..FleetOptions::default()
+    })
+    .await?;
+    let report = match select(pin!(measure(options, &fleet)), pin!(fleet.tend())).await {
+        Either::Left((report, _)) => report?,
+        Either::Right(_) => Report::new(options, Vec::new()),
+    };
+    fleet.stop().await;
+    Ok(report)
+}
+
+/// What a stretch of the run has used.
+struct Mark {
+    at: Instant,
+    bytes: Bytes,
+    stats: Stats,
+    usages: Vec<(String, i32, Usage)>,
+}
+
+impl Mark {
+    async fn set(fleet: &Fleet) -> Result<Self> {
+        let usage = |name: String| {
+            let pid = fleet.node_pid(&name).ok()?;
+            Some((name.clone(), pid, fleet.node_usage(&name).ok()?))
+        };
+        Ok(Self {
+            at: Instant::now(),
+            bytes: Bytes::of(fleet).await,
+            stats: fleet.platform_stats().await?,
+            usages: fleet.running().into_iter().filter_map(usage).collect(),
+        })
+    }
+}
+
+/// The changes under way, and what they have shown.
+struct Run<'a> {
+    options: &'a Options,
+    fleet: &'a Fleet,
+    rng: SmallRng,
+    times: Vec<f64>,
+    restarts: Vec<f64>,
+    race_lost: usize,
+    race_broken: usize,
+}
+
+async fn measure(options: &Options, fleet: &Fleet) -> Result<Report> {
+    let deployment = &fleet.options().deployment;
+    fleet.apply_resources("bench", change::resources(deployment, 0)).await?;
+    monoio::time::sleep(SETTLE).await;
+    let idle = Mark::set(fleet).await?;
+    monoio::time::sleep(Duration::from_secs(options.idle)).await;
+    let start = Mark::set(fleet).await?;
+    let mut run = Run {
+        options,
+        fleet,
+        rng: SmallRng::seed_from_u64(options.seed),
+        times: Vec::new(),
+        restarts: Vec::new(),
+        race_lost: 0,
+        race_broken: 0,
+    };
+    let watch = ConfigWatch::default();
+    for number in 1..=options.changes {
+        run.change(number).await?;
+    }
+    let end = Mark::set(fleet).await?;
+    watch.look(fleet).await;
+    let mut violations = watch.violations();
+    violations += observe::steps_back(fleet).await;
+    Ok(run.report(&idle, &start, &end, violations))
+}
+
+impl Run<'_> {
+    fn has(&self, fault: Fault) -> bool {
+        self.options.faults.contains(&fault)
+    }
+
+    /// One change under the faults, until it is in force or given up.
+    async fn change(&mut self, number: usize) -> Result<()> {
+        let names = self.fleet.running();
+        let herd = self.draw_herd(&names);
+        let rest: Vec<String> = names.into_iter().filter(|name| !herd.contains(name)).collect();
+        let Some(at) = rest.choose(&mut self.rng).cloned() else { return Ok(()) };
+        let frozen = self.draw_frozen(&rest, &at);
+        if self.has(Fault::LostAnswer) {
+            // The object's put is settled by putting it again, the acceptance by reading back.
+            self.control(Control { lost_answers: Some(2), ..Control::default() }).await?;
+        }
+        if let Some(name) = &frozen {
+            self.fleet.signal_node(name, Signal::SIGSTOP)?;
+        }
+        for name in &herd {
+            self.fleet.kill_node(name)?;
+        }
+        let sent = wall_ms();
+        let version = self.apply(&at, number).await?;
+        if self.has(Fault::PlatformOut) {
+            let outage_ms = Some(u64::try_from(OUTAGE.as_millis()).unwrap_or(u64::MAX));
+            self.control(Control { outage_ms, ..Control::default() }).await?;
+        }
+        let thawed: Vec<String> =
+            rest.iter().filter(|n| Some(*n) != frozen.as_ref()).cloned().collect();
+        let (in_force, restarts) =
+            join(observe::wait(self.fleet, &thawed, version), restart(self.fleet, &herd, version))
+                .await;
+        self.note(sent, &thawed, &in_force);
+        self.restarts.extend(restarts?);
+        if let Some(name) = frozen {
+            let thaw = wall_ms();
+            self.fleet.signal_node(&name, Signal::SIGCONT)?;
+            let in_force = observe::wait(self.fleet, std::slice::from_ref(&name), version).await;
+            self.note(thaw, &[name], &in_force);
+        }
+        if self.has(Fault::PlatformOut) {
+            self.control(Control { outage_ms: Some(0), ..Control::default() }).await?;
+        }
+        let pause = BETWEEN.mul_f64(self.rng.random_range(0.5..1.5));
+        monoio::time::sleep(pause).await;
+        Ok(())
+    }
+
+    fn draw_herd(&mut self, names: &[String]) -> Vec<String> {
+        let count = match self.has(Fault::Herd) {
+            true => names.len() * HERD_PERCENT / 100,
+            false => 0,
+        };
+        names.choose_multiple(&mut self.rng, count).cloned().collect()
+    }
+
+    fn draw_frozen(&mut self, names: &[String], not: &str) -> Option<String> {
+        if !self.has(Fault::Freeze) {
+            return None;
+        }
+        let others: Vec<&String> = names.iter().filter(|name| *name != not).collect();
+        others.choose(&mut self.rng).map(|name| (*name).clone())
+    }
+
+    /// Applies change `number` at the node `at`; gives the version that was accepted.
+    async fn apply(&mut self, at: &str, number: usize) -> Result<u64> {
+        let resources = change::resources(&self.fleet.options().deployment, number);
+        let command = |operator: &str, op: u128| {
+            json!({
+                "operator": operator, "op": format!("{op:032x}"), "expect": null,
+                "resources": resources,
+            })
+        };
+        let first = command("ana", self.rng.random());
+        if !self.has(Fault::Race) {
+            let answer = self.fleet.command(at, "config-apply", &first).await?;
+            return Ok(answer["version"].as_u64().unwrap_or_default());
+        }
+        let second = command("rahim", self.rng.random());
+        let other = self.fleet.running().choose(&mut self.rng).cloned().unwrap_or_default();
+        let (one, two) = join(
+            self.fleet.command(at, "config-apply", &first),
+            self.fleet.command(&other, "config-apply", &second),
+        )
+        .await;
+        Ok(self.judge_race([one, two]))
+    }
+
+    /// The version accepted in a race. Both may be, one after the other, with versions of their own.
+    fn judge_race(&mut self, answers: [Result<serde_json::Value>; 2]) -> u64 {
+        let mut versions = Vec::new();
+        for answer in answers {
+            match answer {
+                Ok(answer) => versions.push(answer["version"].as_u64().unwrap_or_default()),
+                Err(report) if format!("{report:?}").contains("winner") => self.race_lost += 1,
+                Err(_) => self.race_broken += 1,
+            }
+        }
+        let same = versions.len() == 2 && versions[0] == versions[1];
+        if versions.is_empty() || same {
+            self.race_broken += 1;
+        }
+        versions.into_iter().max().unwrap_or_default()
+    }
+
+    fn note(&mut self, since: u64, nodes: &[String], in_force: &observe::InForce) {
+        let time = |node: &String| match in_force.get(node) {
+            Some(at) => at.saturating_sub(since) as f64,
+            None => f64::INFINITY,
+        };
+        self.times.extend(nodes.iter().map(time));
+    }
+
+    async fn control(&self, control: Control) -> Result<()> {
+        self.fleet.control_platform(&control).await.map(|_| ())
+    }
+
+    fn report(self, idle: &Mark, start: &Mark, end: &Mark, violations: Violations) -> Report {
+        let nodes = self.options.nodes as f64;
+        let (quiet, busy) = (seconds(idle, start), seconds(start, end));
+        let idle_bytes = start.bytes.total() - idle.bytes.total();
+        let idle_peers = start.bytes.peers - idle.bytes.peers;
+        let busy_bytes = end.bytes.total() - start.bytes.total();
+        let extra = busy_bytes - idle_bytes / quiet * busy;
+        let (reads, writes) =
+            (end.stats.reads - idle.stats.reads, end.stats.writes - idle.stats.writes);
+        let usage = UsageShares::between(idle, end);
+        let mut report = Report::new(self.options, self.times).with_restarts(self.restarts);
+        report.seconds = quiet + busy;
+        report.idle_bytes_per_node_s = idle_bytes / quiet / nodes;
+        report.idle_peer_bytes_per_node_s = idle_peers / quiet / nodes;
+        report.bytes_per_change_per_node = extra / (self.options.changes.max(1) as f64 * nodes);
+        report.platform_reads_per_s = reads as f64 / (quiet + busy);
+        report.platform_writes_per_s = writes as f64 / (quiet + busy);
+        report.platform_refused = end.stats.refused - idle.stats.refused;
+        report.cpu_core_share_mean = Some(usage.cpu_mean);
+        report.cpu_core_share_max = Some(usage.cpu_max);
+        report.rss_mb_mean = Some(usage.rss_mean);
+        report.rss_mb_max = Some(usage.rss_max);
+        report.race_lost = self.race_lost;
+        report.race_broken = self.race_broken;
+        report.violations = violations;
+        report
+    }
+}
+
+/// Starts killed nodes again; gives the times, in milliseconds, until `version` is in force there.
+async fn restart(fleet: &Fleet, herd: &[String], version: u64) -> Result<Vec<f64>> {
+    if herd.is_empty() {
+        return Ok(Vec::new());
+    }
+    monoio::time::sleep(DEAD).await;
+    let started = wall_ms();
+    for name in herd {
+        fleet.start_node(name)?;
+    }
+    let in_force = observe::wait(fleet, herd, version).await;
+    let time = |name: &String| match in_force.get(name) {
+        Some(at) => at.saturating_sub(started) as f64,
+        None => f64::INFINITY,
+    };
+    Ok(herd.iter().map(time).collect())
+}
+
+/// Processor and memory of the nodes that ran from one mark to another.
+struct UsageShares {
+    cpu_mean: f64,
+    cpu_max: f64,
+    rss_mean: f64,
+    rss_max: f64,
+}
+
+impl UsageShares {
+    fn between(from: &Mark, to: &Mark) -> Self {
+        let time = seconds(from, to);
+        let mut cpu = Vec::new();
+        for (name, pid, before) in &from.usages {
+            let same = |(other, of, _): &&(String, i32, Usage)| other == name && of == pid;
+            if let Some((_, _, after)) = to.usages.iter().find(same) {
+                cpu.push(after.cpu.saturating_sub(before.cpu).as_secs_f64() / time);
+            }
+        }
+        let rss: Vec<f64> =
+            to.usages.iter().map(|(_, _, usage)| usage.rss as f64 / f64::from(1 << 20)).collect();
+        Self { cpu_mean: mean(&cpu), cpu_max: max(&cpu), rss_mean: mean(&rss), rss_max: max(&rss) }
+    }
+}
+
+fn mean(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / values.len() as f64
+}
+
+fn max(values: &[f64]) -> f64 {
+    values.iter().copied().fold(0.0, f64::max)
+}
+
+fn seconds(from: &Mark, to: &Mark) -> f64 {
+    to.at.duration_since(from.at).as_secs_f64()
+}
+
+fn wall_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/sycamore-bench/src/measure/mod.rs
+++ b/crates/sycamore-bench/src/measure/mod.rs
@@ -1,6 +1,7 @@
 //! Measurements: each a command that prints a summary on standard error and one JSON object as the
 //! last line of standard output.
 
+mod converge;
 mod moves;
 mod path;
 mod violations;
@@ -19,6 +20,8 @@
 /// A measurement with its options.
 #[derive(Debug, Clone)]
 pub enum Command {
+    /// Convergence of configurations.
+    Converge(converge::Options),
     /// Mixed calls along the whole path.
     Path(path::Options),
     /// Release moves.
@@ -37,7 +40,12 @@
         .descr("Release moves: good ones done, bad ones taken back.")
         .command("moves")
         .map(Command::Moves);
-    construct!([path, moves])
+    let converge = converge::parser()
+        .to_options()
+        .descr("From an operator's command to in force on every node.")
+        .command("converge")
+        .map(Command::Converge);
+    construct!([converge, path, moves])
 }
 
 /// Runs the measurement `command`.
@@ -47,6 +55,7 @@
 pub async fn run(command: Command) -> Result<()> {
     let _limit = crate::fleet::guard::limit_run(LIMIT);
     match command {
+        Command::Converge(options) => converge::run(options).await,
         Command::Path(options) => path::run(options).await,
         Command::Moves(options) => moves::run(options).await,
     }
--- a/crates/sycamore-config/src/apply/candidate.rs
+++ b/crates/sycamore-config/src/apply/candidate.rs
@@ -26,14 +26,24 @@
 }
 
 impl Candidate {
-    pub(super) fn new(head: ConfigHead, now: Time) -> Self {
+    /// A head whose first fetch goes to `first`.
+    pub(super) fn new(
+        head: ConfigHead,
+        first: Source,
+        settings: &ApplySettings,
+        now: Time,
+    ) -> Self {
+        let failures = match first {
+            Source::Peer => 0,
+            Source::Store => settings.peer_attempts,
+        };
         Self {
             head,
             manifest: None,
             objects: ObjectMap::new(),
             fetching: false,
             due: now,
-            failures: 0,
+            failures,
             absent: 0,
         }
     }
--- a/crates/sycamore-config/src/apply/machine.rs
+++ b/crates/sycamore-config/src/apply/machine.rs
@@ -1,7 +1,7 @@
 //! The apply machine.
 
 use super::candidate::{Candidate, ObjectMap, Whole};
-use super::{Action, ApplySettings, FetchAnswer, Input, RejectReason};
+use super::{Action, ApplySettings, FetchAnswer, Input, RejectReason, Source};
 use crate::manifest::unpack;
 use bytes::Bytes;
 use std::collections::VecDeque;
@@ -62,14 +62,15 @@
 
     /// When the machine next wants a [`Input::Tick`]; `None` while nothing is delayed.
     pub fn next_tick(&self) -> Option<Time> {
-        self.candidates.iter().filter(|c| !c.fetching).map(|c| c.due).min()
+        let waiting = |c: &&Candidate| !c.fetching && !c.missing(&self.objects).is_empty();
+        self.candidates.iter().filter(waiting).map(|c| c.due).min()
     }
 
     /// Takes one input and decides what follows from it.
     pub fn step(&mut self, now: Time, input: Input) -> Vec<Action> {
         let mut actions = Vec::new();
         match input {
-            Input::Heard(head) => self.hear(now, head, &mut actions),
+            Input::Heard { head, from } => self.hear(now, head, from, &mut actions),
             Input::Floor(version) => self.learn_floor(version, &mut actions),
             Input::Fetched { head, answer } => self.fetched(now, head, answer, &mut actions),
             Input::Tick => {}
@@ -79,7 +80,7 @@
         actions
     }
 
-    fn hear(&mut self, now: Time, head: ConfigHead, actions: &mut Vec<Action>) {
+    fn hear(&mut self, now: Time, head: ConfigHead, from: Source, actions: &mut Vec<Action>) {
         if self.rejected.contains(&head) || self.candidates.iter().any(|c| c.head == head) {
             return;
         }
@@ -91,7 +92,9 @@
             return;
         }
         let at = self.candidates.partition_point(|candidate| candidate.head > head);
-        self.candidates.insert(at, Candidate::new(head, now));
+        // A starting node asks peers first all the same: many may start at once.
+        let first = if self.in_force.is_none() { Source::Peer } else { from };
+        self.candidates.insert(at, Candidate::new(head, first, &self.settings, now));
         self.candidates.truncate(self.settings.candidates);
     }
 
--- a/crates/sycamore-config/src/apply/mod.rs
+++ b/crates/sycamore-config/src/apply/mod.rs
@@ -36,13 +36,13 @@
     fn default() -> Self {
         Self {
             candidates: 4,
-            peer_attempts: 3,
-            max_failures: 16,
+            peer_attempts: 8,
+            max_failures: 27,
             max_absent: 3,
-            fetch_resources: 256,
+            fetch_resources: 64,
             max_bytes: crate::manifest::MAX_PACK_BYTES,
             backoff: BackoffSettings {
-                base: std::time::Duration::from_millis(50),
+                base: std::time::Duration::from_millis(40),
                 cap: std::time::Duration::from_secs(2),
             },
             seed: 0,
@@ -75,8 +75,13 @@
 /// What the machine is told.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Input {
-    /// A head was heard of, from the head row, a peer or an operator's command.
-    Heard(ConfigHead),
+    /// A head was heard of.
+    Heard {
+        /// The head.
+        head: ConfigHead,
+        /// Who told: a peer, or the platform's head row, in which case few peers have it yet.
+        from: Source,
+    },
     /// The version floor is known.
     Floor(ConfigVersion),
     /// The answer to the one fetch under way for `head`.
--- a/crates/sycamore-config/src/floor/mod.rs
+++ b/crates/sycamore-config/src/floor/mod.rs
@@ -1,8 +1,8 @@
 //! The version floor of a fresh node: the lowest configuration that it may serve.
 //!
 //! A restarted instance keeps nothing, so its node can't know which version it served before. The
-//! head row tells; with the platform out, the highest head in force at several peers in different
-//! data centres does. Without either the node does not serve.
+//! head row tells; with the platform out, the highest head of several peers in different data
+//! centres does. Without either the node does not serve.
 
 use std::collections::{BTreeMap, BTreeSet};
 use sycamore_types::prelude::*;
@@ -25,15 +25,15 @@
     }
 }
 
-/// The head in force at a peer that has a floor itself.
+/// The highest head that a serving peer, which has a floor itself, has seen.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PeerHead<'a> {
     /// The peer.
     pub instance: &'a InstanceId,
     /// Its data centre.
     pub data_centre: &'a DataCentre,
-    /// Its head in force; `None` for the empty configuration of a new deployment.
-    pub head: Option<ConfigHead>,
+    /// The highest head that it has seen.
+    pub head: ConfigHead,
 }
 
 /// Finds the floor of a fresh node.
@@ -57,15 +57,15 @@
 
     /// The head row was read; `None` where there is none.
     pub fn read(&mut self, head: Option<ConfigHead>) -> Option<ConfigVersion> {
-        self.settle(version(head))
+        self.settle(head.map_or(ConfigVersion::default(), |head| head.version))
     }
 
-    /// A peer told the head in force there.
+    /// A peer told the highest head that it has seen.
     pub fn told(&mut self, peer: PeerHead<'_>) -> Option<ConfigVersion> {
         if self.known.is_some() || self.told.len() >= MAX_TOLD {
             return self.known;
         }
-        let told = (peer.data_centre.clone(), version(peer.head));
+        let told = (peer.data_centre.clone(), peer.head.version);
         self.told.insert(peer.instance.clone(), told);
         let data_centres: BTreeSet<&DataCentre> = self.told.values().map(|(dc, _)| dc).collect();
         let enough = self.told.len() >= self.settings.peers
@@ -83,7 +83,3 @@
         self.known
     }
 }
-
-fn version(head: Option<ConfigHead>) -> ConfigVersion {
-    head.map_or(ConfigVersion::default(), |head| head.version)
-}
--- a/crates/sycamore-config/tests/apply_model.rs
+++ b/crates/sycamore-config/tests/apply_model.rs
@@ -111,7 +111,7 @@
 impl Spread {
     fn step(&self, state: &mut State, input: Input) {
         let heard = match &input {
-            Input::Heard(head) => Some(*head),
+            Input::Heard { head, .. } => Some(*head),
             _ => None,
         };
         let node = &mut state.node;
@@ -215,7 +215,7 @@
         // Whatever was ever sent may arrive now: loss, duplicates and reordering at once.
         for (encoded, _) in &self.configs[..state.accepted] {
             let mut next = state.clone();
-            self.step(&mut next, Input::Heard(encoded.head));
+            self.step(&mut next, Input::Heard { head: encoded.head, from: Source::Peer });
             moves.push((format!("the node hears of version {}", encoded.head.version), next));
         }
     }
@@ -230,8 +230,8 @@
             self.learn(&mut next, floor);
         }
         moves.push(("the node reads the head row".to_owned(), next));
-        for version in 0..=state.accepted {
-            let head = version.checked_sub(1).map(|at| self.configs[at].0.head);
+        for (encoded, _) in &self.configs[..state.accepted] {
+            let head = encoded.head;
             let mut next = state.clone();
             let (instance, data_centre) = (instance(), data_centre());
             let peer_head = PeerHead { instance: &instance, data_centre: &data_centre, head };
@@ -241,7 +241,7 @@
                 next.node.served = 0;
                 self.learn(&mut next, floor);
             }
-            moves.push((format!("a peer tells version {version} as its head"), next));
+            moves.push((format!("a peer tells version {} as its head", head.version), next));
         }
     }
 
--- a/crates/sycamore-config/tests/floor.rs
+++ b/crates/sycamore-config/tests/floor.rs
@@ -9,7 +9,7 @@
     floor.told(PeerHead {
         instance: &InstanceId::new(instance).expect("constant identifier"),
         data_centre: &DataCentre::new(dc).expect("constant identifier"),
-        head: Some(head),
+        head,
     })
 }
 
--- a/crates/sycamore-config/tests/scenarios.rs
+++ b/crates/sycamore-config/tests/scenarios.rs
@@ -19,7 +19,8 @@
 
 impl Story {
     fn new() -> Self {
-        let settings = ApplySettings { peer_attempts: 1, ..ApplySettings::default() };
+        let settings =
+            ApplySettings { peer_attempts: 1, max_failures: 15, ..ApplySettings::default() };
         Self { node: Apply::new(settings), configs: BTreeMap::new(), now: Time::default() }
     }
 
@@ -33,7 +34,11 @@
             "floor" => self.step(Input::Floor(ConfigVersion(number(case, "version")))),
             "hear" => {
                 let head = self.named(case).head;
-                self.step(Input::Heard(head))
+                let from = match values(case, "from").next() {
+                    Some("row") => Source::Store,
+                    _ => Source::Peer,
+                };
+                self.step(Input::Heard { head, from })
             }
             "answer" => self.answer(case),
             "wait" => {
--- /dev/null
+++ b/crates/sycamore-node/src/config/find.rs
@@ -0,0 +1,76 @@
+//! Finds new heads: polls the head row within the fleet's budget, and hears what peers spread.
+
+use super::driver::Driver;
+use crate::tasks::TaskGroup;
+use rand::Rng;
+use std::rc::Rc;
+use std::time::Duration;
+use sycamore_config::head::HEAD_KEY;
+use sycamore_config::{HeadRow, Input, PollSettings, Source};
+use sycamore_platform::{Result, Row, Table};
+use sycamore_types::prelude::*;
+
+/// Longest random delay before the first read, so that a herd doesn't arrive at once.
+const START_JITTER: Duration = Duration::from_millis(200);
+/// Nodes assumed until this one has compared its table with another's.
+const NODES_BEFORE_SYNC: usize = 100;
+/// How much more a node without a floor may read than others.
+const START_FACTOR: f64 = 10.0;
+
+/// Starts the tasks.
+pub(super) fn start(driver: &Rc<Driver>, tasks: &TaskGroup) {
+    tasks.spawn_until_stop(poll(driver.clone()));
+    tasks.spawn_until_stop(follow_facts(driver.clone()));
+}
+
+async fn poll(driver: Rc<Driver>) {
+    monoio::time::sleep(START_JITTER.mul_f64(rand::rng().random::<f64>())).await;
+    let mut failures = 0;
+    loop {
+        match read_head(&driver).await {
+            Ok(head) => {
+                failures = 0;
+                driver.read_head(head);
+            }
+            Err(_) => failures += 1,
+        }
+        driver.metrics.platform(driver.platform.http().traffic());
+        monoio::time::sleep(delay(&driver, failures)).await;
+    }
+}
+
+async fn read_head(driver: &Driver) -> Result<Option<ConfigHead>> {
+    let row = driver.platform.http().get(HEAD_KEY).await?;
+    row.map(|row| head_in(&row)).transpose()
+}
+
+fn head_in(row: &Row) -> Result<ConfigHead> {
+    let read = HeadRow::read(&row.value).map(|row| row.body.head);
+    read.ok_or_else(|| {
+        let why = "the head row can't be read".to_owned();
+        error_stack::Report::new(sycamore_platform::Error::Malformed(why))
+    })
+}
+
+fn delay(driver: &Driver, failures: u32) -> Duration {
+    let fleet_reads_per_s = f64::from(driver.hub.settings.platform.fleet_reads_per_s);
+    let factor = if driver.floor().is_none() { START_FACTOR } else { 1.0 };
+    let settings =
+        PollSettings { fleet_reads_per_s: fleet_reads_per_s * factor, ..PollSettings::default() };
+    let known = driver.hub.members.borrow().members.len();
+    let nodes = if driver.peers.is_synced() { known } else { known.max(NODES_BEFORE_SYNC) };
+    settings.delay(nodes, failures, rand::random())
+}
+
+async fn follow_facts(driver: Rc<Driver>) {
+    let mut facts = driver.hub.facts.subscribe();
+    loop {
+        let known = facts.borrow_and_update().clone();
+        if let Some(Fact::Head(head)) = known.get(&FactKey::Head) {
+            driver.input(Input::Heard { head: *head, from: Source::Peer });
+        }
+        if facts.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/sycamore-node/src/config/mod.rs
+++ b/crates/sycamore-node/src/config/mod.rs
@@ -1,27 +1,59 @@
 //! Finding and applying configurations.
 
+mod accept;
+mod driver;
+mod fetch;
+mod find;
+mod floor;
+mod metrics;
+mod query;
+mod serve;
+
 use crate::hub::Hub;
 use crate::operator::OperatorError;
 use crate::peers::Peers;
 use crate::platform::Platform;
 use crate::tasks::TaskGroup;
-use error_stack::Report;
+use driver::Driver;
+use error_stack::{Report, ResultExt};
+use metrics::Metrics;
+use std::fmt;
 use std::rc::Rc;
 
+/// The metrics of configurations can't be registered.
+#[derive(Debug)]
+pub struct ConfigError;
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the metrics of configurations can't be registered")
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
 /// Finding and applying configurations.
-pub struct Config;
+pub struct Config {
+    driver: Rc<Driver>,
+}
 
 /// Starts the slice's tasks.
 ///
 /// # Errors
-/// None so far.
+/// [`ConfigError`] where a metric can't be registered.
 pub async fn start(
-    _hub: &Rc<Hub>,
-    _tasks: &TaskGroup,
-    _platform: &Rc<Platform>,
-    _peers: &Rc<Peers>,
-) -> Result<Rc<Config>, Report<std::io::Error>> {
-    Ok(Rc::new(Config))
+    hub: &Rc<Hub>,
+    tasks: &TaskGroup,
+    platform: &Rc<Platform>,
+    peers: &Rc<Peers>,
+) -> Result<Rc<Config>, Report<ConfigError>> {
+    let metrics = Metrics::register(&hub.registry).change_context(ConfigError)?;
+    let (driver, fetches) = Driver::new(hub, platform, peers, metrics);
+    fetch::start(&driver, tasks, fetches);
+    find::start(&driver, tasks);
+    floor::start(&driver, tasks);
+    serve::start(&driver, tasks);
+    Ok(Rc::new(Config { driver }))
 }
 
 impl Config {
@@ -29,8 +61,8 @@
     ///
     /// # Errors
     /// [`OperatorError`] where the bundle is faulty, somebody else won or the platform is out.
-    pub async fn apply(&self, _body: &[u8]) -> Result<serde_json::Value, OperatorError> {
-        Err(OperatorError::Unavailable("not built yet".to_owned()))
+    pub async fn apply(&self, body: &[u8]) -> Result<serde_json::Value, OperatorError> {
+        accept::accept(&self.driver, body).await
     }
 
     /// The configuration in force on this node.
@@ -38,6 +70,6 @@
     /// # Errors
     /// [`OperatorError::NotFound`] where there is none yet.
     pub async fn query(&self) -> Result<serde_json::Value, OperatorError> {
-        Err(OperatorError::NotFound("a configuration".to_owned()))
+        query::config(&self.driver)
     }
 }
--- /dev/null
+++ b/crates/sycamore-node/src/config/query.rs
@@ -0,0 +1,58 @@
+//! What operators are told of the configuration in force.
+
+use super::driver::{Driver, Rejected};
+use crate::operator::OperatorError;
+use serde::Serialize;
+use serde_json::Value;
+use sycamore_types::prelude::*;
+
+/// The answer to the query `config`.
+#[derive(Serialize)]
+struct Answer {
+    version: ConfigVersion,
+    manifest: Option<ContentHash>,
+    floor: Option<ConfigVersion>,
+    resources: Vec<Resource>,
+    rejected: Vec<RejectedAnswer>,
+}
+
+#[derive(Serialize)]
+struct RejectedAnswer {
+    version: ConfigVersion,
+    manifest: ContentHash,
+    reason: String,
+}
+
+impl From<&Rejected> for RejectedAnswer {
+    fn from(rejected: &Rejected) -> Self {
+        Self {
+            version: rejected.head.version,
+            manifest: rejected.head.manifest,
+            reason: rejected.reason.clone(),
+        }
+    }
+}
+
+/// The configuration in force, and the heads rejected last.
+///
+/// # Errors
+/// [`OperatorError::NotFound`] where there is none yet.
+pub(super) fn config(driver: &Driver) -> Result<Value, OperatorError> {
+    if driver.read(|apply| apply.in_force()).is_none() {
+        return Err(OperatorError::NotFound("a configuration".to_owned()));
+    }
+    let snapshot = driver.hub.snapshot.borrow().clone();
+    let answer = Answer {
+        version: snapshot.version,
+        manifest: driver.read(|apply| apply.head()).map(|head| head.manifest),
+        floor: driver.floor(),
+        resources: resources(&snapshot),
+        rejected: driver.rejected.borrow().iter().map(RejectedAnswer::from).collect(),
+    };
+    Ok(serde_json::to_value(answer).unwrap_or_default())
+}
+
+fn resources(snapshot: &Snapshot) -> Vec<Resource> {
+    let services = snapshot.services.values().cloned().map(Resource::Service);
+    services.chain(snapshot.routes.iter().cloned().map(Resource::Route)).collect()
+}
