feat(bench): measure members, the membership of a fleet of real nodes

Cause: traffic at rest and time to notice faults need real sockets and processes. Ruled out: a cut between nodes, which loopback can't have without a packet filter; the scenarios of sycamore-member cover cuts with faked time.

--- a/crates/sycamore-bench/src/measure/mod.rs
+++ b/crates/sycamore-bench/src/measure/mod.rs
@@ -2,6 +2,7 @@
 //! last line of standard output.
 
 mod converge;
+mod members;
 mod moves;
 mod path;
 mod violations;
@@ -22,6 +23,8 @@
 pub enum Command {
     /// Convergence of configurations.
     Converge(converge::Options),
+    /// Membership of a fleet.
+    Members(members::Options),
     /// Mixed calls along the whole path.
     Path(path::Options),
     /// Release moves.
@@ -45,7 +48,12 @@
         .descr("From an operator's command to in force on every node.")
         .command("converge")
         .map(Command::Converge);
-    construct!([converge, path, moves])
+        let members = members::parser()
+        .to_options()
+        .descr("Membership of a fleet: time to meet, traffic at rest, time to notice faults.")
+        .command("members")
+        .map(Command::Members);
+    construct!([converge, members, path, moves])
 }
 
 /// Runs the measurement `command`.
@@ -56,6 +64,7 @@
     let _limit = crate::fleet::guard::limit_run(LIMIT);
     match command {
         Command::Converge(options) => converge::run(options).await,
+        Command::Members(options) => members::run(options).await,
         Command::Path(options) => path::run(options).await,
         Command::Moves(options) => moves::run(options).await,
     }
