--- a/crates/sycamore-bench/src/measure/mod.rs
+++ b/crates/sycamore-bench/src/measure/mod.rs
@@ -48,7 +48,7 @@
         .descr("From an operator's command to in force on every node.")
         .command("converge")
         .map(Command::Converge);
-        let members = members::parser()
+    let members = members::parser()
         .to_options()
         .descr("Membership of a fleet: time to meet, traffic at rest, time to notice faults.")
         .command("members")
