--- a/crates/sycamore-bench/src/demo/print.rs
+++ b/crates/sycamore-bench/src/demo/print.rs
@@ -47,24 +47,26 @@
 
 /// The report, with the witness' counts beside it.
 pub fn moves(morning: &Morning, ledger: &Ledger) {
-    println!(
-        "\n{:<10} {:<9} {:<11} {:>7} {:>17}  reason",
-        "move", "service", "ended", "time", "calls on new"
-    );
+    println!();
+    line("move", "service", "ended", "after", "in time", "calls on new", "reason");
     for mv in [&morning.good, &morning.bad] {
         let (all, new) = Morning::runs(mv, ledger);
-        println!(
-            "{:<10} {:<9} {:<11} {:>7} {:>17}  {}",
+        line(
             mv.name,
             mv.service,
-            mv.ending.to_string(),
-            decided(mv),
-            format!("{new} of {all}"),
-            mv.report["reason"].as_str().unwrap_or("-")
+            &mv.ending.to_string(),
+            &decided(mv),
+            if mv.in_time() { "yes" } else { "no" },
+            &format!("{new} of {all}"),
+            mv.report["reason"].as_str().unwrap_or("-"),
         );
     }
 }
 
+fn line(mv: &str, service: &str, ended: &str, after: &str, time: &str, calls: &str, reason: &str) {
+    println!("{mv:<10} {service:<8} {ended:<13} {after:>7} {time:>8} {calls:>14}  {reason}");
+}
+
 fn decided(mv: &Move) -> String {
     match (mv.report["start"].as_u64(), mv.report["decided"].as_u64()) {
         (Some(start), Some(decided)) => {
--- a/crates/sycamore-bench/src/fleet/mod.rs
+++ b/crates/sycamore-bench/src/fleet/mod.rs
@@ -26,5 +26,11 @@
 pub use usage::{descriptors, Usage};
 pub use watch::ConfigWatch;
 
+use std::time::Duration;
+
+/// Time for which a fleet's nodes remember idempotency keys. For as long after the start of a whole
+/// service, its nodes can't know of earlier runs and answer keyed calls as perhaps run.
+pub const KEY_MEMORY: Duration = Duration::from_secs(3);
+
 /// The operators' token of every node.
 pub const TOKEN: &str = "bench-operator-token";
--- a/crates/sycamore-bench/src/fleet/settings.rs
+++ b/crates/sycamore-bench/src/fleet/settings.rs
@@ -1,6 +1,6 @@
 //! Settings files of nodes.
 
-use super::{Addrs, InstanceSpec, TOKEN};
+use super::{Addrs, InstanceSpec, KEY_MEMORY, TOKEN};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -29,6 +29,7 @@
     set("platform", "table", platform.to_string());
     set("platform", "objects", platform.to_string());
     set("operator", "token", TOKEN.to_owned());
+    set("calls", "key_memory", format!("{}ms", KEY_MEMORY.as_millis()));
     // One load generator stands for many callers.
     set("calls", "connections_per_address", "4096".to_owned());
     for (section, key, value) in extra {
--- a/crates/sycamore-bench/src/fleet/start.rs
+++ b/crates/sycamore-bench/src/fleet/start.rs
@@ -8,6 +8,7 @@
 use crate::witness::Witness;
 use crate::{BenchError, Result};
 use error_stack::{Report, ResultExt};
+use futures::future::{select, Either};
 use http::Method;
 use nix::sys::signal::Signal;
 use serde_json::json;
@@ -15,6 +16,7 @@
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::path::{Path, PathBuf};
+use std::pin::pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
@@ -44,7 +46,7 @@
 
 impl Fleet {
     /// Starts platform, nodes and upstreams, and applies a configuration with one route for each
-    /// service; ends when every node is ready.
+    /// service; ends when every node is ready and knows every other as serving.
     ///
     /// # Errors
     /// Where a process can't be started or the fleet is not ready in time.
@@ -55,7 +57,14 @@
             fleet.add(spec)?;
         }
         fleet.apply_resources("bench", fleet.options.deployment.resources()).await?;
-        fleet.wait_ready().await?;
+        let complete = async {
+            fleet.wait_ready().await?;
+            fleet.wait_members().await
+        };
+        match select(pin!(complete), pin!(fleet.tend())).await {
+            Either::Left((complete, _)) => complete?,
+            Either::Right(_) => {}
+        }
         Ok(fleet)
     }
 
@@ -225,6 +234,20 @@
         Ok(())
     }
 
+    /// Waits until every running node knows every other as serving.
+    ///
+    /// # Errors
+    /// [`BenchError::NotReady`] where one does not in time.
+    pub async fn wait_members(&self) -> Result<()> {
+        let names = self.running();
+        let complete = || async {
+            let queries = names.iter().map(|name| self.query(name, "nodes"));
+            let answers = futures::future::join_all(queries).await;
+            answers.iter().all(|answer| answer.as_ref().is_ok_and(|n| serving(n) >= names.len()))
+        };
+        self.wait_for("every node knows every other as serving", complete).await
+    }
+
     /// Waits, as long as a fleet may take to get ready, until `condition` holds.
     ///
     /// # Errors
@@ -443,6 +466,11 @@
     }
 }
 
+fn serving(nodes: &serde_json::Value) -> usize {
+    let members = nodes["members"].as_array();
+    members.map_or(0, |members| members.iter().filter(|m| m["state"] == "serving").count())
+}
+
 fn process(process: &Option<Process>) -> Result<&Process> {
     process.as_ref().ok_or_else(|| Report::new(BenchError::Option("process not started".into())))
 }
--- a/crates/sycamore-bench/src/load/answer.rs
+++ b/crates/sycamore-bench/src/load/answer.rs
@@ -56,6 +56,8 @@
     pub instance: Option<String>,
     /// The version that ran it.
     pub version: Option<String>,
+    /// The start of the body of an answer that is no success.
+    pub detail: String,
     /// Times it was sent by the caller.
     pub attempts: u32,
 }
--- a/crates/sycamore-bench/src/load/call.rs
+++ b/crates/sycamore-bench/src/load/call.rs
@@ -12,6 +12,9 @@
 use std::time::{Duration, Instant};
 use sycamore_types::headers as shift;
 
+/// Bytes of an answer's body that are kept of a failure.
+const DETAIL_BYTES: usize = 160;
+
 /// Sends calls and judges their answers.
 #[derive(Default)]
 pub struct Caller {
@@ -132,6 +135,13 @@
         retry_after: header("retry-after").and_then(|seconds| seconds.parse().ok()),
         instance: header(headers::INSTANCE),
         version: header(headers::VERSION),
+        detail: detail(ended, exchange.as_ref()),
         attempts,
     }
 }
+
+fn detail(ended: Ended, exchange: Option<&Exchange>) -> String {
+    let body = exchange.filter(|_| ended != Ended::Ok).map(|exchange| &exchange.body);
+    let start = body.map(|body| &body[..body.len().min(DETAIL_BYTES)]).unwrap_or_default();
+    String::from_utf8_lossy(start).trim().to_owned()
+}
--- a/crates/sycamore-bench/src/measure/path.rs
+++ b/crates/sycamore-bench/src/measure/path.rs
@@ -1,7 +1,7 @@
 //! Mixed calls along the whole path: the shortest example of a measurement.
 
 use super::{print, Violations};
-use crate::fleet::{Deployment, Fleet, Options as FleetOptions};
+use crate::fleet::{Deployment, Fleet, Options as FleetOptions, KEY_MEMORY};
 use crate::load::{self, CallKind, Ended, Target};
 use crate::Result;
 use bpaf::{construct, long, Parser};
@@ -51,6 +51,7 @@
     let kinds = kinds(&deployment);
     let fleet =
         Fleet::start(FleetOptions { deployment, seed: options.seed, ..Default::default() }).await?;
+    monoio::time::sleep(KEY_MEMORY).await;
     let load = load::Options {
         seed: options.seed,
         rate: options.rate,
@@ -64,6 +65,9 @@
         Either::Right(_) => load::Tally::default(),
     };
     eprintln!("{tally}; generator late by {:?} at most", tally.lag());
+    for (failure, count) in tally.failures().iter().take(10) {
+        eprintln!("{count:>6} x {failure}");
+    }
     let violations = tally.violations(&fleet.witness().ledger().await);
     let ok = tally.latencies(Ended::Ok);
     let usages = fleet.names().into_iter().map(|name| fleet.node_usage(&name));
--- a/crates/sycamore-bench/tests/load.rs
+++ b/crates/sycamore-bench/tests/load.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 use sycamore_bench::http;
-use sycamore_bench::load::{self, CallKind, Ended, Target};
+use sycamore_bench::load::{self, CallKind, Ended, Latencies, Target};
 
 /// Loads an address where nobody listens.
 fn load_nobody(seed: u64) -> Vec<(String, usize)> {
@@ -32,3 +32,14 @@
     assert_eq!(first, load_nobody(7));
     assert_ne!(first, load_nobody(8));
 }
+
+#[test]
+fn latencies_of_any_size_are_kept() {
+    let mut latencies = Latencies::default();
+    for ms in 1..=100 {
+        latencies.add(Duration::from_millis(ms));
+    }
+    assert_eq!(latencies.count(), 100);
+    assert!((latencies.quantile_ms(0.5) - 50.0).abs() < 0.1);
+    assert!((latencies.max_ms() - 100.0).abs() < 0.1);
+}
--- a/crates/sycamore-bench/tests/process/support.rs
+++ b/crates/sycamore-bench/tests/process/support.rs
@@ -4,7 +4,7 @@
 use std::pin::pin;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use sycamore_bench::fleet::{ConfigWatch, Deployment, Fleet, Options, ServiceSpec};
+use sycamore_bench::fleet::{ConfigWatch, Deployment, Fleet, Options, ServiceSpec, KEY_MEMORY};
 use sycamore_bench::load::{self, CallKind, Tally, Target};
 use sycamore_bench::measure::{kinds, Violations};
 use sycamore_bench::witness::Ledger;
@@ -51,6 +51,7 @@
     let _limit = sycamore_bench::fleet::guard::limit_run(LIMIT);
     http::run(async {
         let fleet = Fleet::start(Options { seed, ..small() }).await.expect("the fleet starts");
+        pass(KEY_MEMORY).await;
         load_beside(&fleet, seed, callers_at, story).await
     })
 }
