perf(node): a change runs down the tree of peers that told of it

News of a head reaches all nodes within tens of milliseconds, but each node then asked random peers, which mostly did not have it either, and backed off.

Faster retries alone were ruled out: they multiply misses. After a miss random peers and the store follow as before.

--- a/crates/sycamore-bench/tests/process/main.rs
+++ b/crates/sycamore-bench/tests/process/main.rs
@@ -1,6 +1,7 @@
 //! Tests over real processes. They need the workspace's programs, as `scripts/test` builds them.
 //! Each waits for conditions with generous limits; they run one at a time.
 
+mod accept;
 mod change;
 mod drain;
 mod faults;
--- a/crates/sycamore-config/src/apply/machine.rs
+++ b/crates/sycamore-config/src/apply/machine.rs
@@ -60,6 +60,11 @@
         self.objects.get(hash).or_else(fetched)
     }
 
+    /// Whether the object is part of a configuration on its way that this node does not hold yet.
+    pub fn is_wanted(&self, hash: &ContentHash) -> bool {
+        self.candidates.iter().any(|candidate| candidate.missing(&self.objects).contains(hash))
+    }
+
     /// When the machine next wants a [`Input::Tick`]; `None` while nothing is delayed.
     pub fn next_tick(&self) -> Option<Time> {
         let waiting = |c: &&Candidate| !c.fetching && !c.missing(&self.objects).is_empty();
--- a/crates/sycamore-node/src/config/driver.rs
+++ b/crates/sycamore-node/src/config/driver.rs
@@ -6,7 +6,7 @@
 use crate::platform::Platform;
 use bytes::Bytes;
 use slog::warn;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
 use sycamore_config::{
@@ -45,6 +45,10 @@
     pub(super) rejected: RefCell<VecDeque<Rejected>>,
     /// Wakes the task that ticks the machine.
     pub(super) changed: Notify,
+    /// Wakes the task that serves objects, which may have come.
+    pub(super) gained: Notify,
+    /// The last head that a peer did not have.
+    missed: Cell<Option<ConfigHead>>,
     apply: RefCell<Apply>,
     floor: RefCell<Floor>,
     fetches: mpsc::Sender<Fetch>,
@@ -69,6 +73,8 @@
             metrics,
             rejected: RefCell::default(),
             changed: Notify::new(),
+            gained: Notify::new(),
+            missed: Cell::new(None),
             apply: RefCell::new(Apply::new(settings)),
             floor: RefCell::new(Floor::new(FloorSettings::default())),
             fetches,
@@ -83,6 +89,7 @@
             self.act(action);
         }
         self.changed.notify_one();
+        self.gained.notify_one();
     }
 
     /// Takes a configuration that was accepted through this node and need not be fetched.
@@ -124,6 +131,16 @@
         }
     }
 
+    /// Notes that a peer did not have objects of `head`.
+    pub(super) fn note_miss(&self, head: ConfigHead) {
+        self.missed.set(Some(head));
+    }
+
+    /// Whether a peer did not have objects of `head`.
+    pub(super) fn missed(&self, head: ConfigHead) -> bool {
+        self.missed.get() == Some(head)
+    }
+
     /// The version floor; `None` while the node may not serve.
     pub(super) fn floor(&self) -> Option<ConfigVersion> {
         self.floor.borrow().known()
--- a/crates/sycamore-node/src/config/fetch.rs
+++ b/crates/sycamore-node/src/config/fetch.rs
@@ -39,14 +39,19 @@
 }
 
 async fn run(driver: &Driver, fetch: Fetch) -> FetchAnswer {
-    match (fetch.source, choose_peer(driver)) {
-        (Source::Peer, Some(to)) => from_peer(driver, to, &fetch.hashes).await,
+    match (fetch.source, choose_peer(driver, fetch.head)) {
+        (Source::Peer, Some(to)) => from_peer(driver, fetch.head, to, &fetch.hashes).await,
         // A node that knows no peer has nobody else to ask.
         (Source::Peer, None) | (Source::Store, _) => from_store(driver, fetch.head).await,
     }
 }
 
-async fn from_peer(driver: &Driver, to: SocketAddr, hashes: &[ContentHash]) -> FetchAnswer {
+async fn from_peer(
+    driver: &Driver,
+    head: ConfigHead,
+    to: SocketAddr,
+    hashes: &[ContentHash],
+) -> FetchAnswer {
     let limit: Duration = driver.hub.settings.config.fetch_timeout;
     let fetched = monoio::time::timeout(limit, driver.peers.calls().fetch(to, hashes)).await;
     match fetched {
@@ -55,6 +60,7 @@
             FetchAnswer::Objects(objects.into_iter().map(|(_, body)| body).collect())
         }
         _ => {
+            driver.note_miss(head);
             driver.metrics.missed_at_peer();
             FetchAnswer::Failed
         }
@@ -72,8 +78,14 @@
     }
 }
 
-/// A random peer, half of the time one in the own data centre.
-fn choose_peer(driver: &Driver) -> Option<SocketAddr> {
+/// The peer that told of the head, which holds a fetch until it has the objects itself; after a
+/// miss there, a random peer, half of the time one in the own data centre.
+fn choose_peer(driver: &Driver, head: ConfigHead) -> Option<SocketAddr> {
+    let teller = driver.hub.facts.head_teller(&head);
+    teller.filter(|_| !driver.missed(head)).or_else(|| random_peer(driver))
+}
+
+fn random_peer(driver: &Driver) -> Option<SocketAddr> {
     let view = driver.hub.members.borrow().clone();
     let own = &driver.hub.settings.node;
     let others: Vec<&Member> =
--- a/crates/sycamore-node/src/hub/facts.rs
+++ b/crates/sycamore-node/src/hub/facts.rs
@@ -1,7 +1,8 @@
 //! The facts that a node knows, and the queue of those to spread.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use sycamore_types::prelude::*;
 use tokio::sync::watch;
@@ -14,6 +15,7 @@
     known: watch::Sender<Arc<BTreeMap<FactKey, Fact>>>,
     fresh: RefCell<Vec<Fact>>,
     raised: watch::Sender<u64>,
+    head_teller: Cell<Option<(ConfigHead, SocketAddr)>>,
 }
 
 impl Default for Facts {
@@ -22,6 +24,7 @@
             known: watch::Sender::new(Arc::default()),
             fresh: RefCell::default(),
             raised: watch::Sender::new(0),
+            head_teller: Cell::new(None),
         }
     }
 }
@@ -47,6 +50,24 @@
         new
     }
 
+    /// Keeps a fact that the peer at `teller` told, as [`Facts::learn`] does.
+    pub fn learn_from(&self, fact: Fact, teller: SocketAddr) -> bool {
+        let head = match &fact {
+            Fact::Head(head) => Some(*head),
+            _ => None,
+        };
+        let new = self.learn(fact);
+        if let (true, Some(head)) = (new, head) {
+            self.head_teller.set(Some((head, teller)));
+        }
+        new
+    }
+
+    /// The peer that told of `head` first; it was nearer to where the head was accepted.
+    pub fn head_teller(&self, head: &ConfigHead) -> Option<SocketAddr> {
+        self.head_teller.get().filter(|(told, _)| told == head).map(|(_, teller)| teller)
+    }
+
     /// Keeps a fact that a peer told. Gives whether it told something new.
     pub fn learn(&self, fact: Fact) -> bool {
         self.known.send_if_modified(|known| {
--- a/crates/sycamore-node/src/peers/driver.rs
+++ b/crates/sycamore-node/src/peers/driver.rs
@@ -67,14 +67,18 @@
 
     /// Gives the machine one input and carries out what it asks for.
     pub(super) fn input(&self, input: Input) {
+        let teller = match &input {
+            Input::Packet { from, .. } => Some(*from),
+            _ => None,
+        };
         let actions = self.machine.borrow_mut().step(self.now(), input);
-        self.act(actions);
+        self.act(actions, teller);
     }
 
     /// Answers another node's exchange.
     pub(super) fn answer(&self, request: &ExchangeRequest) -> ExchangeReply {
         let (reply, actions) = self.machine.borrow_mut().answer(self.now(), request);
-        self.act(actions);
+        self.act(actions, None);
         reply
     }
 
@@ -127,7 +131,8 @@
         self.hub.members.send_replace(Arc::new(view));
     }
 
-    fn act(&self, actions: Vec<Action>) {
+    /// Carries out what followed from a message of the peer at `teller`.
+    fn act(&self, actions: Vec<Action>, teller: Option<SocketAddr>) {
         for action in actions {
             match action {
                 Action::Send { to, packet } => {
@@ -138,14 +143,19 @@
                 Action::Exchange { peer, to, request } => self.exchange(peer, to, request),
                 Action::MemberChanged(member) => self.member_changed(&member),
                 Action::Judged(member) => self.record(&member),
-                Action::FactLearnt(fact) => {
-                    self.hub.facts.learn(fact);
-                }
+                Action::FactLearnt(fact) => self.learn(fact, teller),
                 Action::ViewChanged => self.changed.set(true),
             }
         }
     }
 
+    fn learn(&self, fact: Fact, teller: Option<SocketAddr>) {
+        match teller {
+            Some(teller) => self.hub.facts.learn_from(fact, teller),
+            None => self.hub.facts.learn(fact),
+        };
+    }
+
     fn exchange(&self, peer: InstanceId, to: SocketAddr, request: ExchangeRequest) {
         if self.exchanges.try_send((peer, to, request)).is_err() {
             self.metrics.dropped();
