fix(call): views that differ, restarts and refusals after a lost attempt

Cause, found by the new models over the real machines: - an idempotent call that was lost once and then refused was answered "not run", though the lost attempt may have run; - a new owner of an idempotency key counted its doubt from its own change of view, while the earlier owner, not yet told, still ran the key: a second run; - a restarted owner asked its successor, which did not tell the incarnations apart: a second run. Found by tests: a cold instance got no call at all until it was warm, and every node that condemned a request gave its quarantine another end.

Change: what may have run outweighs later refusals; doubt lasts for memory plus the lag between views (setting view_lag); members are incarnations; slow start draws by weight and compares by load; a quarantine ends with its last crash's record, the same at every node.

--- a/crates/sycamore-call/src/key/mod.rs
+++ b/crates/sycamore-call/src/key/mod.rs
@@ -7,7 +7,7 @@
 mod owner;
 mod table;
 
-pub use owner::{owner_of, Ownership, OwnershipConfig, Standing};
+pub use owner::{owner_of, Members, Ownership, OwnershipConfig, Standing};
 pub use table::{KeyDecision, KeyEnd, KeyTable, KeyTableConfig, Released};
 
 use sycamore_types::prelude::*;
--- a/crates/sycamore-call/src/key/owner.rs
+++ b/crates/sycamore-call/src/key/owner.rs
@@ -4,25 +4,33 @@
 //! members. Views of members may differ, and owners die, move and freeze. So the owner by its own
 //! view runs a keyed call only where all of this holds:
 //!
-//! - it has owned the key in every view of the last [`OwnershipConfig::memory`], or those who did
-//!   are there to be asked;
+//! - it has owned the key in every view of the last [`OwnershipConfig::memory`] and
+//!   [`OwnershipConfig::lag`] together, or those who did are there to be asked;
 //! - it sees more than half of the members that it knows of, so that of two sides of a cut at most
 //!   one goes on;
 //! - it was not paused: a gap in its own ticks counts as a restart.
+//!
+//! A member is one incarnation of an instance: what an earlier one ran is not known to the next.
 
 use super::{first_bytes, KeyHash};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 use sycamore_types::prelude::*;
 
 /// Views remembered at most; more changes than that within the memory put every key in doubt.
 const MAX_VIEWS: usize = 64;
 
+/// Members of a service, each with its incarnation.
+pub type Members = BTreeMap<InstanceId, Incarnation>;
+
 /// Settings of an [`Ownership`].
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct OwnershipConfig {
     /// Time for which a key is remembered after its answer.
     pub memory: Duration,
+    /// Longest time for which views of two nodes may differ, a pause that goes unnoticed included:
+    /// an earlier owner may have run calls for as long after this node took it for gone.
+    pub lag: Duration,
     /// Longest time between two ticks of a node that was not paused.
     pub pause: Duration,
     /// Time for which a member that vanished without leaving still counts as a member.
@@ -32,7 +40,8 @@
 impl Default for OwnershipConfig {
     fn default() -> Self {
         Self {
-            memory: Duration::from_secs(120),
+            memory: Duration::from_secs(60),
+            lag: Duration::from_secs(10),
             pause: Duration::from_secs(2),
             lost: Duration::from_secs(24 * 3600),
         }
@@ -62,16 +71,21 @@
     started: Time,
     ticked: Time,
     /// Sets of members with the time since which each is known, oldest first.
-    views: VecDeque<(Time, BTreeSet<InstanceId>)>,
+    views: VecDeque<(Time, Members)>,
     /// Members in view that are leaving.
-    leaving: BTreeSet<InstanceId>,
+    leaving: Members,
     /// Members that vanished without leaving, with the time.
     lost: BTreeMap<InstanceId, Time>,
 }
 
 /// The member that owns `key`: the one with the highest hash of both.
-pub fn owner_of(members: &BTreeSet<InstanceId>, key: KeyHash) -> Option<&InstanceId> {
-    members.iter().max_by_key(|member| weight(member, key))
+pub fn owner_of(members: &Members, key: KeyHash) -> Option<&InstanceId> {
+    members.keys().max_by_key(|member| weight(member, key))
+}
+
+fn owner_in(members: &Members, key: KeyHash) -> Option<(InstanceId, Incarnation)> {
+    let owner = owner_of(members, key)?;
+    Some((owner.clone(), *members.get(owner)?))
 }
 
 fn weight(member: &InstanceId, key: KeyHash) -> u128 {
@@ -90,16 +104,11 @@
             started: now,
             ticked: now,
             views: VecDeque::new(),
-            leaving: BTreeSet::new(),
+            leaving: Members::new(),
             lost: BTreeMap::new(),
         }
     }
 
-    /// Time for which a key is remembered.
-    pub fn memory(&self) -> Duration {
-        self.config.memory
-    }
-
     /// Must be called more often than [`OwnershipConfig::pause`]: a gap is taken for a pause, after
     /// which nothing from before is trusted.
     pub fn tick(&mut self, now: Time) {
@@ -114,18 +123,14 @@
     }
 
     /// Takes a new view of the service's members: those that serve, and those that are leaving.
-    pub fn update(
-        &mut self,
-        now: Time,
-        serving: BTreeSet<InstanceId>,
-        leaving: BTreeSet<InstanceId>,
-    ) {
+    pub fn update(&mut self, now: Time, serving: Members, leaving: Members) {
         self.tick(now);
         let before = self.views.back().map(|(_, members)| members.clone()).unwrap_or_default();
-        let vanished =
-            before.iter().filter(|member| !serving.contains(*member) && !leaving.contains(*member));
+        let is_seen =
+            |member: &InstanceId| serving.contains_key(member) || leaving.contains_key(member);
+        let vanished = before.keys().filter(|member| !is_seen(member));
         self.lost.extend(vanished.map(|member| (member.clone(), now)));
-        self.lost.retain(|member, _| !serving.contains(member) && !leaving.contains(member));
+        self.lost.retain(|member, _| !is_seen(member));
         self.leaving = leaving;
         if before != serving || self.views.is_empty() {
             self.views.push_back((now, serving));
@@ -143,14 +148,23 @@
             None => Standing::Nobody,
             Some(owner) if *owner != self.me => Standing::Other(owner.clone()),
             Some(_) if !self.is_trusted(now) => Standing::InDoubt,
-            Some(_) => self.after_earlier_owners(now, key, None),
+            Some(_) => self.after_earlier_owners(now, key),
         }
     }
 
-    /// Whether this node's records are all there is to know about `key`, but for what `asker` did,
-    /// who takes the key over.
-    pub fn knows_all(&self, now: Time, key: KeyHash, asker: &InstanceId) -> bool {
-        self.is_trusted(now) && self.after_earlier_owners(now, key, Some(asker)) == Standing::Owner
+    /// Whether this node's records are all there is to know about `key`, but for what `asker` in
+    /// this incarnation knows, who takes the key over.
+    pub fn knows_all(&self, now: Time, key: KeyHash, asker: (&InstanceId, Incarnation)) -> bool {
+        let owned = |members: &Members| {
+            let mut members = members.clone();
+            if members.get(asker.0) == Some(&asker.1) {
+                members.remove(asker.0);
+            }
+            owner_of(&members, key) == Some(&self.me)
+        };
+        self.is_trusted(now)
+            && self.remembers_long_enough(now)
+            && self.views_that_matter(now).all(owned)
     }
 
     fn is_trusted(&self, now: Time) -> bool {
@@ -162,25 +176,17 @@
         seen * 2 > seen + self.lost.len()
     }
 
-    fn after_earlier_owners(
-        &self,
-        now: Time,
-        key: KeyHash,
-        besides: Option<&InstanceId>,
-    ) -> Standing {
-        let mut earlier = BTreeSet::new();
-        for members in self.views_within_memory(now) {
-            let mut members = members.clone();
-            besides.map(|asker| members.remove(asker));
-            earlier.extend(owner_of(&members, key).cloned());
+    fn after_earlier_owners(&self, now: Time, key: KeyHash) -> Standing {
+        let mut earlier = Members::new();
+        for members in self.views_that_matter(now) {
+            earlier.extend(owner_in(members, key));
         }
         if !self.remembers_long_enough(now) {
             // Before this process started, the owner was whoever owns the key without it.
             let mut others = self.views.front().map(|(_, first)| first.clone()).unwrap_or_default();
             others.remove(&self.me);
-            besides.map(|asker| others.remove(asker));
-            match owner_of(&others, key) {
-                Some(owner) => earlier.insert(owner.clone()),
+            match owner_in(&others, key) {
+                Some((owner, incarnation)) => earlier.insert(owner, incarnation),
                 None => return Standing::InDoubt,
             };
         }
@@ -188,34 +194,40 @@
         if earlier.is_empty() {
             return Standing::Owner;
         }
-        if earlier.iter().all(|owner| self.can_be_asked(owner)) {
-            return Standing::OwnerAfter(earlier.into_iter().collect());
+        if earlier.iter().all(|(owner, incarnation)| self.can_be_asked(owner, *incarnation)) {
+            return Standing::OwnerAfter(earlier.into_keys().collect());
         }
         Standing::InDoubt
     }
 
-    fn can_be_asked(&self, member: &InstanceId) -> bool {
-        self.leaving.contains(member)
-            || self.views.back().is_some_and(|(_, members)| members.contains(member))
+    /// Whether the process that owned a key is still there.
+    fn can_be_asked(&self, member: &InstanceId, incarnation: Incarnation) -> bool {
+        let serving = self.views.back().and_then(|(_, members)| members.get(member));
+        serving.or_else(|| self.leaving.get(member)) == Some(&incarnation)
+    }
+
+    /// Time for which what an earlier owner did may matter.
+    fn doubt(&self) -> Duration {
+        self.config.memory + self.config.lag
     }
 
     fn remembers_long_enough(&self, now: Time) -> bool {
-        now.since(self.started) >= self.config.memory
+        now.since(self.started) >= self.doubt()
     }
 
-    /// Views in force at some time within the memory.
-    fn views_within_memory(&self, now: Time) -> impl Iterator<Item = &BTreeSet<InstanceId>> {
-        let memory = self.config.memory;
+    /// Views in force at some time that may matter.
+    fn views_that_matter(&self, now: Time) -> impl Iterator<Item = &Members> {
+        let doubt = self.doubt();
         let ends = self.views.iter().skip(1).map(|(since, _)| Some(*since)).chain([None]);
         self.views
             .iter()
             .zip(ends)
-            .filter(move |(_, end)| end.is_none_or(|end| now.since(end) < memory))
+            .filter(move |(_, end)| end.is_none_or(|end| now.since(end) < doubt))
             .map(|((_, members), _)| members)
     }
 
     fn forget(&mut self, now: Time) {
-        let kept = self.views_within_memory(now).count();
+        let kept = self.views_that_matter(now).count();
         self.views.drain(..self.views.len() - kept);
         let lost = self.config.lost;
         self.lost.retain(|_, since| now.since(*since) < lost);
--- a/crates/sycamore-call/src/key/table.rs
+++ b/crates/sycamore-call/src/key/table.rs
@@ -24,7 +24,7 @@
             entries: 8_192,
             bytes: 4 << 20,
             answer_bytes: 64 << 10,
-            memory: Duration::from_secs(120),
+            memory: Duration::from_secs(60),
         }
     }
 }
--- a/crates/sycamore-call/src/quarantine/mod.rs
+++ b/crates/sycamore-call/src/quarantine/mod.rs
@@ -12,10 +12,9 @@
 /// Settings of a [`CrashLog`].
 #[derive(Debug, Clone)]
 pub struct CrashLogConfig {
-    /// Time for which a quarantined request is refused.
+    /// Time for which a crash is remembered against the requests that it took along, and so for
+    /// which a quarantined request is refused after its last crash.
     pub quarantine: Duration,
-    /// Time for which a crash is remembered against the requests it took along.
-    pub memory: Duration,
     /// Crashes after which a request is quarantined.
     pub crashes: usize,
     /// Fingerprints remembered at most, of each kind.
@@ -24,12 +23,7 @@
 
 impl Default for CrashLogConfig {
     fn default() -> Self {
-        Self {
-            quarantine: Duration::from_secs(600),
-            memory: Duration::from_secs(600),
-            crashes: 2,
-            entries: 4_096,
-        }
+        Self { quarantine: Duration::from_secs(600), crashes: 2, entries: 4_096 }
     }
 }
 
@@ -94,7 +88,7 @@
     /// Records that the upstream beside this node crashed while `in_flight` ran there; `crash`
     /// tells crashes apart. Returns the facts to spread.
     pub fn crashed(&mut self, now: WallTime, crash: u64, in_flight: &[Fingerprint]) -> Vec<Fact> {
-        let until = now + self.config.memory;
+        let until = now + self.config.quarantine;
         let facts: Vec<Fact> = self
             .named_by_crash(now, in_flight)
             .into_iter()
@@ -155,7 +149,8 @@
         if crashes.len() < self.config.crashes || self.quarantined.contains_key(&fingerprint) {
             return None;
         }
-        let until = now + self.config.quarantine;
+        // Every node that knows these crashes arrives at the same end.
+        let until = crashes.values().copied().max().unwrap_or(until);
         self.quarantine(fingerprint, until);
         Some(Fact::Quarantined { fingerprint, until })
     }
--- a/crates/sycamore-call/src/retry/mod.rs
+++ b/crates/sycamore-call/src/retry/mod.rs
@@ -55,6 +55,18 @@
     },
 }
 
+impl AttemptFailure {
+    /// What a call that is given up after this failure is answered with, given the failure of an
+    /// `earlier` attempt: what may have run outweighs every later refusal.
+    #[must_use]
+    pub fn after(self, earlier: Option<AttemptFailure>) -> AttemptFailure {
+        match earlier {
+            Some(unknown @ AttemptFailure::Unknown { .. }) => unknown,
+            Some(AttemptFailure::NotRun(_)) | None => self,
+        }
+    }
+}
+
 /// The call whose attempt failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct CallState {
--- a/crates/sycamore-call/src/route/mod.rs
+++ b/crates/sycamore-call/src/route/mod.rs
@@ -116,10 +116,10 @@
         for member in view.members.values() {
             let peer = self.peers.entry(member.instance.clone()).or_insert_with(|| {
                 // A router that knows nobody must not treat the whole fleet as cold.
-                Peer::new(member.incarnation, if cold_start { None } else { Some(now) })
+                Peer::new(member, if cold_start { None } else { Some(now) })
             });
             if peer.incarnation != member.incarnation {
-                *peer = Peer::new(member.incarnation, Some(now));
+                *peer = Peer::new(member, Some(now));
             }
         }
     }
@@ -139,14 +139,16 @@
             relay: chosen.endpoints.relay,
             share,
         };
-        self.peer(&choice.instance).under_way += 1;
+        let peer = self.peers.entry(choice.instance.clone());
+        peer.or_insert_with(|| Peer::new(chosen, None)).under_way += 1;
         Some(choice)
     }
 
     /// Records how an attempt at `instance` ended.
     pub fn ended(&mut self, now: Time, instance: &InstanceId, end: AttemptEnd) {
-        let config = self.config.clone();
-        self.peer(instance).ended(now, end, &config);
+        if let Some(peer) = self.peers.get_mut(instance) {
+            peer.ended(now, end, &self.config);
+        }
     }
 
     /// Whether some instance of `service` other than those `tried` is not known to be full, leaving
@@ -167,12 +169,6 @@
         })
     }
 
-    fn peer(&mut self, instance: &InstanceId) -> &mut Peer {
-        self.peers
-            .entry(instance.clone())
-            .or_insert_with(|| Peer::new(Incarnation::default(), None))
-    }
-
     /// Members that may take the call, without ejected ones unless too many are ejected.
     fn candidates<'a>(&self, now: Time, pick: &Pick<'a>) -> Vec<&'a Member> {
         let serving: Vec<&'a Member> = pick
@@ -247,21 +243,43 @@
         sum / members.len() as f64
     }
 
+    /// The less loaded of two members, drawn by weight.
     fn less_loaded<'a>(&mut self, now: Time, members: &[&'a Member]) -> Option<&'a Member> {
-        match members {
-            [] => None,
-            [only] => Some(only),
-            _ => {
-                let first = self.rng.random_range(0..members.len());
-                let step = self.rng.random_range(1..members.len());
-                let (a, b) = (members[first], members[(first + step) % members.len()]);
-                let nearer = self.score(now, &a.instance) <= self.score(now, &b.instance);
-                Some(if nearer { a } else { b })
-            }
+        let first = self.draw(now, members, None)?;
+        let Some(second) = self.draw(now, members, Some(first)) else {
+            return Some(members[first]);
+        };
+        let (a, b) = (members[first], members[second]);
+        let nearer = self.score(now, &a.instance) <= self.score(now, &b.instance);
+        Some(if nearer { a } else { b })
+    }
+
+    /// Draws a member other than `besides`; a cold one is drawn less often.
+    fn draw(&mut self, now: Time, members: &[&Member], besides: Option<usize>) -> Option<usize> {
+        let weights: Vec<f64> = (0..members.len())
+            .map(|i| match besides {
+                Some(drawn) if drawn == i => 0.0,
+                _ => self.weight(now, &members[i].instance),
+            })
+            .collect();
+        let sum: f64 = weights.iter().sum();
+        if sum <= 0.0 {
+            return None;
         }
+        let mut at = self.rng.random_range(0.0..sum);
+        let drawn = weights.iter().position(|weight| {
+            at -= weight;
+            at < 0.0
+        });
+        // Rounding may leave a rest after the last.
+        drawn.or_else(|| weights.iter().rposition(|weight| *weight > 0.0))
+    }
+
+    fn weight(&self, now: Time, instance: &InstanceId) -> f64 {
+        self.peers.get(instance).map_or(1.0, |peer| peer.weight(now, &self.config))
     }
 
     fn score(&self, now: Time, instance: &InstanceId) -> f64 {
-        self.peers.get(instance).map_or(0.0, |peer| peer.score(now, &self.config))
+        self.peers.get(instance).map_or(0.0, |peer| peer.utilisation(now, &self.config))
     }
 }
--- a/crates/sycamore-call/src/route/peer.rs
+++ b/crates/sycamore-call/src/route/peer.rs
@@ -29,12 +29,12 @@
 }
 
 impl Peer {
-    pub(super) fn new(incarnation: Incarnation, new_since: Option<Time>) -> Self {
+    pub(super) fn new(member: &Member, new_since: Option<Time>) -> Self {
         Self {
-            incarnation,
+            incarnation: member.incarnation,
             under_way: 0,
             new_since,
-            load: Load::default(),
+            load: Load { limit: member.slots, ..Load::default() },
             load_at: None,
             under_way_then: 0,
             failures: 0,
@@ -48,7 +48,9 @@
         self.under_way = self.under_way.saturating_sub(1);
         match end {
             AttemptEnd::Answered(load) => {
-                self.load = load;
+                if load.limit > 0 {
+                    self.load = load;
+                }
                 self.load_at = Some(now);
                 self.under_way_then = self.under_way;
                 self.failures = 0;
@@ -98,14 +100,8 @@
         (self.load.utilisation() + since / limit).max(f64::from(self.under_way) / limit)
     }
 
-    /// Utilisation over weight: a cold instance looks more loaded than it is.
-    pub(super) fn score(&self, now: Time, config: &RouterConfig) -> f64 {
-        // An empty cold instance must not win every comparison with an empty warm one.
-        let floor = 1.0 / f64::from(self.load.limit.max(8));
-        (self.utilisation(now, config) + floor) / self.weight(now, config)
-    }
-
-    fn weight(&self, now: Time, config: &RouterConfig) -> f64 {
+    /// How often it is drawn, 1.0 for a warm instance.
+    pub(super) fn weight(&self, now: Time, config: &RouterConfig) -> f64 {
         let Some(since) = self.new_since else { return 1.0 };
         let warm = now.since(since).as_secs_f64() / config.slow_start.as_secs_f64().max(1e-9);
         warm.clamp(COLD_WEIGHT, 1.0)
--- /dev/null
+++ b/crates/sycamore-call/tests/decisions/false_rate.rs
@@ -0,0 +1,158 @@
+//! How often a request that did nothing is quarantined, because it was in flight at two crashes.
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use sycamore_call::quarantine::Verdict;
+use sycamore_call::{CrashLog, CrashLogConfig};
+use sycamore_types::prelude::*;
+
+const NODES: usize = 5;
+const SLOTS: usize = 12;
+const STEPS: u64 = 60_000;
+/// Steps from one request that crashes upstreams to the next.
+const POISON_EVERY: u64 = 300;
+/// Times that its caller sends it.
+const POISON_REPEATS: usize = 6;
+/// Requests that many callers send alike.
+const POPULAR: u64 = 40;
+const POISON_BASE: u64 = 1 << 40;
+
+#[derive(Default)]
+struct Count {
+    crashes: usize,
+    poisons: usize,
+    poisons_caught: usize,
+    in_flight_at_crash: usize,
+    innocents_condemned: usize,
+}
+
+struct Fleet {
+    logs: Vec<CrashLog>,
+    running: Vec<Vec<Fingerprint>>,
+    /// Requests that wait to be sent, repeats included.
+    waiting: Vec<Fingerprint>,
+    rng: SmallRng,
+    next: u64,
+    count: Count,
+}
+
+fn is_poison(request: Fingerprint) -> bool {
+    request.0 >= POISON_BASE
+}
+
+impl Fleet {
+    fn new(seed: u64) -> Self {
+        Self {
+            logs: (0..NODES).map(|_| CrashLog::new(CrashLogConfig::default())).collect(),
+            running: vec![Vec::new(); NODES],
+            waiting: Vec::new(),
+            rng: SmallRng::seed_from_u64(seed),
+            next: POPULAR,
+            count: Count::default(),
+        }
+    }
+
+    fn innocent(&mut self) -> Fingerprint {
+        if self.rng.random_bool(0.3) {
+            return Fingerprint(self.rng.random_range(0..POPULAR));
+        }
+        self.next += 1;
+        Fingerprint(self.next)
+    }
+
+    fn step(&mut self, step: u64) {
+        let now = WallTime(step * 10);
+        if step.is_multiple_of(POISON_EVERY) {
+            self.count.poisons += 1;
+            let poison = Fingerprint(POISON_BASE + step);
+            self.waiting.extend([poison; POISON_REPEATS]);
+        }
+        for node in 0..NODES {
+            if let Some(at) = self.running[node].iter().position(|r| is_poison(*r)) {
+                self.crash(node, at, now);
+            }
+            self.complete_some(node);
+            while self.running[node].len() < SLOTS {
+                let at = self.waiting.iter().position(|r| self.may_run(node, *r, now));
+                let request = match at {
+                    Some(at) => self.waiting.swap_remove(at),
+                    None => self.innocent(),
+                };
+                if !self.may_run(node, request, now) {
+                    break;
+                }
+                self.running[node].push(request);
+            }
+        }
+        let logs = &self.logs;
+        self.waiting
+            .retain(|request| !matches!(logs[0].verdict(now, *request), Verdict::Quarantined(_)));
+    }
+
+    fn complete_some(&mut self, node: usize) {
+        let done: Vec<bool> =
+            self.running[node].iter().map(|_| self.rng.random_bool(0.3)).collect();
+        let mut done = done.into_iter();
+        let log = &mut self.logs[node];
+        self.running[node].retain(|request| {
+            let ends = done.next().unwrap_or(false) && !is_poison(*request);
+            if ends {
+                log.completed(*request);
+            }
+            !ends
+        });
+    }
+
+    /// The daemon's rule: no quarantined request, and one suspect at a time.
+    fn may_run(&self, node: usize, request: Fingerprint, now: WallTime) -> bool {
+        let log = &self.logs[node];
+        match log.verdict(now, request) {
+            Verdict::Clear => true,
+            Verdict::Quarantined(_) => false,
+            Verdict::Suspect => !self.running[node]
+                .iter()
+                .any(|running| log.verdict(now, *running) == Verdict::Suspect),
+        }
+    }
+
+    fn crash(&mut self, node: usize, at: usize, now: WallTime) {
+        self.count.crashes += 1;
+        let poison = self.running[node][at];
+        let in_flight = std::mem::take(&mut self.running[node]);
+        self.count.in_flight_at_crash += in_flight.len() - 1;
+        let crash = self.count.crashes as u64;
+        let facts = self.logs[node].crashed(now, crash, &in_flight);
+        for fact in &facts {
+            if let Fact::Quarantined { fingerprint, .. } = fact {
+                match is_poison(*fingerprint) {
+                    true => self.count.poisons_caught += 1,
+                    false => self.count.innocents_condemned += 1,
+                }
+            }
+            (0..NODES).filter(|other| *other != node).for_each(|other| {
+                self.logs[other].learn(now, fact);
+            });
+        }
+        // Every caller whose call broke sends it again, all at once.
+        self.waiting.extend(in_flight.into_iter().filter(|request| *request != poison));
+    }
+}
+
+#[test]
+fn innocents_are_rarely_condemned_and_each_poison_crashes_two_upstreams() {
+    let mut fleet = Fleet::new(11);
+    (0..STEPS).for_each(|step| fleet.step(step));
+    let count = &fleet.count;
+    let rate = count.innocents_condemned as f64 / count.in_flight_at_crash as f64;
+    println!(
+        "{} poisons, {} crashes, {} caught; {} innocents in flight at crashes, {} condemned: {rate:.5}",
+        count.poisons,
+        count.crashes,
+        count.poisons_caught,
+        count.in_flight_at_crash,
+        count.innocents_condemned,
+    );
+    assert!(count.poisons >= 200);
+    assert!(count.crashes <= count.poisons * 5 / 2, "{} crashes", count.crashes);
+    assert!(rate <= 0.01, "{rate}");
+}
--- /dev/null
+++ b/crates/sycamore-call/tests/decisions/main.rs
@@ -0,0 +1,13 @@
+//! Tests of the decisions on calls.
+#![allow(clippy::unwrap_used)]
+
+mod admit;
+mod common;
+mod false_rate;
+mod gate;
+mod key;
+mod model;
+mod quarantine;
+mod retry;
+mod route;
+mod scenario;
--- a/crates/sycamore-node/src/calls/forward.rs
+++ b/crates/sycamore-node/src/calls/forward.rs
@@ -65,6 +65,18 @@
     answer: Answer,
 }
 
+impl Failed {
+    /// What the call is answered with, given the failure of an earlier attempt.
+    fn after(self, earlier: Option<Failed>) -> Failed {
+        match earlier {
+            Some(earlier) if self.failure.after(Some(earlier.failure)) == earlier.failure => {
+                earlier
+            }
+            _ => self,
+        }
+    }
+}
+
 enum Attempt {
     Answered(Box<Reply>),
     Failed(Failed),
@@ -96,6 +108,7 @@
     state.budget(&service, &out.retry, |budget| budget.first_attempt());
     let mut tried = Vec::new();
     let mut bans = state.bans.borrow().clone();
+    let mut may_have_run: Option<Failed> = None;
     for attempt in 1..=u8::MAX {
         let failed = match choose(state, out, &tried, &bans) {
             None => no_upstream(),
@@ -116,12 +129,13 @@
         let decision =
             state.budget(&service, &out.retry, |budget| budget.decide(&call, failed.failure));
         match decision {
-            RetryDecision::GiveUp => return Forwarded::Own(failed.answer),
+            RetryDecision::GiveUp => return Forwarded::Own(failed.after(may_have_run).answer),
             RetryDecision::Retry(backoff) => {
                 if !backoff.is_zero() {
                     monoio::time::sleep(backoff).await;
                 }
                 out.meta.depth.is_retry |= !is_reroute(failed.failure);
+                may_have_run = Some(failed.after(may_have_run));
             }
         }
     }
--- a/crates/sycamore-node/src/calls/keyed.rs
+++ b/crates/sycamore-node/src/calls/keyed.rs
@@ -254,7 +254,9 @@
     let relay = state.hub.members.borrow().members.get(owner).map(|m| m.endpoints.relay);
     let Some(relay) = relay else { return Released::Unknown };
     let node = &state.hub.settings.node;
-    let target = format!("{RELEASE}?key={:032x}&asker={}", key.0, node.instance);
+    let me = state.hub.members.borrow().members.get(&node.instance).map(|m| m.incarnation);
+    let Some(Incarnation(me)) = me else { return Released::Unknown };
+    let target = format!("{RELEASE}?key={:032x}&asker={}&incarnation={me}", key.0, node.instance);
     let req = Request::get(target)
         .header(headers::DEPLOYMENT, node.deployment.as_str())
         .body(Bytes::new());
@@ -286,9 +288,10 @@
     let mut resp = Response::new(Bytes::new());
     let released = match asked(head) {
         None => Released::Unknown,
-        Some((key, asker)) => {
+        Some((key, asker, incarnation)) => {
             let now = state.now();
-            let certain = state.ownership.borrow().knows_all(now, key, &asker);
+            let asker = (&asker, incarnation);
+            let certain = state.ownership.borrow().knows_all(now, key, asker);
             match state.keys.borrow_mut().release(now, key) {
                 Released::NotRun if !certain => Released::Unknown,
                 released => released,
@@ -308,8 +311,9 @@
     resp
 }
 
-fn asked(head: &RequestHead) -> Option<(KeyHash, InstanceId)> {
-    let (key, asker) = head.uri.query()?.strip_prefix("key=")?.split_once("&asker=")?;
+fn asked(head: &RequestHead) -> Option<(KeyHash, InstanceId, Incarnation)> {
+    let (key, rest) = head.uri.query()?.strip_prefix("key=")?.split_once("&asker=")?;
+    let (asker, incarnation) = rest.split_once("&incarnation=")?;
     let key = u128::from_str_radix(key, 16).ok()?;
-    Some((KeyHash(key), InstanceId::new(asker).ok()?))
+    Some((KeyHash(key), InstanceId::new(asker).ok()?, Incarnation(incarnation.parse().ok()?)))
 }
--- a/crates/sycamore-node/src/calls/state.rs
+++ b/crates/sycamore-node/src/calls/state.rs
@@ -76,7 +76,7 @@
         let now = hub.clock.now();
         let memory = settings.key_memory;
         let crashes = CrashLogConfig { quarantine: settings.quarantine, ..Default::default() };
-        let ownership = OwnershipConfig { memory, ..Default::default() };
+        let ownership = OwnershipConfig { memory, lag: settings.view_lag, ..Default::default() };
         let me = hub.settings.node.instance.clone();
         Ok(Rc::new(Self {
             hub: hub.clone(),
--- a/crates/sycamore-node/src/calls/watch.rs
+++ b/crates/sycamore-node/src/calls/watch.rs
@@ -4,10 +4,10 @@
 use super::slot;
 use super::state::State;
 use crate::tasks::TaskGroup;
-use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 use sycamore_call::admit::Input;
+use sycamore_call::key::Members;
 use sycamore_call::Gate;
 use sycamore_types::prelude::*;
 use tokio::sync::watch::Receiver;
@@ -70,11 +70,11 @@
     view: &MemberView,
     service: &ServiceName,
     keep: impl Fn(MemberState) -> bool,
-) -> BTreeSet<InstanceId> {
+) -> Members {
     view.members
         .values()
         .filter(|member| member.service == *service && keep(member.state))
-        .map(|member| member.instance.clone())
+        .map(|member| (member.instance.clone(), member.incarnation))
         .collect()
 }
 
--- a/crates/sycamore-node/tests/calls/key.rs
+++ b/crates/sycamore-node/tests/calls/key.rs
@@ -12,12 +12,16 @@
 
 /// Options by which nodes come out of doubt soon after their start.
 fn options() -> Options {
-    let calls = CallSettings { key_memory: Duration::from_millis(300), ..CallSettings::default() };
+    let calls = CallSettings {
+        key_memory: Duration::from_millis(300),
+        view_lag: Duration::from_millis(50),
+        ..CallSettings::default()
+    };
     Options { nodes: 3, calls, ..Options::default() }
 }
 
 async fn past_doubt() {
-    monoio::time::sleep(Duration::from_millis(350)).await;
+    monoio::time::sleep(Duration::from_millis(400)).await;
 }
 
 #[test]
--- a/crates/sycamore-settings/src/calls.rs
+++ b/crates/sycamore-settings/src/calls.rs
@@ -29,9 +29,12 @@
     #[serde_as(as = "Span")]
     pub quarantine: Duration,
     /// Time that an idempotency key is remembered after its call; a new owner of a key answers
-    /// "unknown" for as long where the old one can't be asked.
+    /// "unknown" for as long and [`Calls::view_lag`] where the old one can't be asked.
     #[serde_as(as = "Span")]
     pub key_memory: Duration,
+    /// Longest time for which nodes may differ about who is a member.
+    #[serde_as(as = "Span")]
+    pub view_lag: Duration,
 }
 
 impl Default for Calls {
@@ -44,6 +47,7 @@
             drain_timeout: Duration::from_secs(60),
             quarantine: Duration::from_secs(600),
             key_memory: Duration::from_secs(60),
+            view_lag: Duration::from_secs(10),
         }
     }
 }
