--- a/crates/sycamore-bench/src/measure/converge/run.rs
+++ b/crates/sycamore-bench/src/measure/converge/run.rs
@@ -237,11 +237,16 @@
         let (reads, writes) =
             (end.stats.reads - idle.stats.reads, end.stats.writes - idle.stats.writes);
         let usage = UsageShares::between(idle, end);
-        let mut report = Report::new(self.options, self.times).with_restarts(self.restarts);
+        let mut report =
+            Report::new(self.options, self.times.clone()).with_restarts(self.restarts.clone());
         report.seconds = quiet + busy;
         report.idle_bytes_per_node_s = idle_bytes / quiet / nodes;
         report.idle_peer_bytes_per_node_s = idle_peers / quiet / nodes;
-        report.bytes_per_change_per_node = extra / (self.options.changes.max(1) as f64 * nodes);
+        // The counts of killed nodes are gone, so that a herd leaves no figure.
+        report.bytes_per_change_per_node = match self.has(Fault::Herd) {
+            true => f64::NAN,
+            false => extra / (self.options.changes.max(1) as f64 * nodes),
+        };
         report.platform_reads_per_s = reads as f64 / (quiet + busy);
         report.platform_writes_per_s = writes as f64 / (quiet + busy);
         report.platform_refused = end.stats.refused - idle.stats.refused;
