--- a/crates/sycamore-bench/src/measure/mod.rs
+++ b/crates/sycamore-bench/src/measure/mod.rs
@@ -1,9 +1,11 @@
 //! Measurements: each a command that prints a summary on standard error and one JSON object as the
 //! last line of standard output.
 
+mod calls;
 mod converge;
 mod members;
 mod moves;
+mod overload;
 mod path;
 mod violations;
 
@@ -21,6 +23,10 @@
 /// A measurement with its options.
 #[derive(Debug, Clone)]
 pub enum Command {
+    /// Time added to calls, and the promises under faults.
+    Calls(calls::Options),
+    /// Load above capacity.
+    Overload(overload::Options),
     /// Convergence of configurations.
     Converge(converge::Options),
     /// Membership of a fleet.
@@ -53,7 +59,17 @@
         .descr("Membership of a fleet: time to meet, traffic at rest, time to notice faults.")
         .command("members")
         .map(Command::Members);
-    construct!([converge, members, path, moves])
+    let calls = calls::parser()
+        .to_options()
+        .descr("Time that nodes add to calls, and the promises to callers, with faults.")
+        .command("calls")
+        .map(Command::Calls);
+    let overload = overload::parser()
+        .to_options()
+        .descr("Goodput and attempts above capacity, beside blind retries.")
+        .command("overload")
+        .map(Command::Overload);
+    construct!([calls, overload, converge, members, path, moves])
 }
 
 /// Runs the measurement `command`.
@@ -63,6 +79,8 @@
 pub async fn run(command: Command) -> Result<()> {
     let _limit = crate::fleet::guard::limit_run(LIMIT);
     match command {
+        Command::Calls(options) => calls::run(options).await,
+        Command::Overload(options) => overload::run(options).await,
         Command::Converge(options) => converge::run(options).await,
         Command::Members(options) => members::run(options).await,
         Command::Path(options) => path::run(options).await,
--- a/crates/sycamore-call/src/admit/mod.rs
+++ b/crates/sycamore-call/src/admit/mod.rs
@@ -15,6 +15,9 @@
 
 /// Weight of a new sample in the mean service time.
 const SERVICE_WEIGHT: f64 = 0.05;
+/// Factor of the expected wait that must fit into the longest: an estimate that is a little short
+/// would let a call wait in vain.
+const WAIT_MARGIN: f64 = 1.25;
 /// Shortest time after which a refused caller is asked to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Longest such time.
@@ -257,7 +260,8 @@
     fn finishes_in_time(&self, now: Time, arrival: &Arrival, ahead: usize) -> bool {
         let Some(service) = self.service else { return true };
         let wait = self.expected_wait(service, ahead);
-        wait <= self.config.queue_time && now + wait + service <= arrival.deadline
+        wait.mul_f64(WAIT_MARGIN) <= self.config.queue_time
+            && now + wait + service <= arrival.deadline
     }
 
     /// Slots come free at the rate of `limit` calls per service time.
