test(call): limit policies against each other on faked time

Cause: the design asked for two limit policies weighed by measurement; AIMD was in force without one.

Ruled out: the gradient, which takes lasting slowness for normal and does not react to refusals.

Change: a test that drives Admission at twice the capacity of three upstreams.

No policy helps an upstream that slows itself without refusing or timing out: open.

--- a/crates/sycamore-call/tests/decisions/main.rs
+++ b/crates/sycamore-call/tests/decisions/main.rs
@@ -6,6 +6,7 @@
 mod false_rate;
 mod gate;
 mod key;
+mod limit;
 mod model;
 mod quarantine;
 mod retry;
