test(node): the first teller of a head is remembered

Fetches go to the peer that told of a head first; nothing tested that a later or older teller does not take its place.

--- a/crates/sycamore-node/tests/hub.rs
+++ b/crates/sycamore-node/tests/hub.rs
@@ -43,6 +43,20 @@
     assert_eq!(hub.facts.known()[&FactKey::Head], head(2));
 }
 
+#[test]
+fn the_first_peer_to_tell_of_a_head_is_remembered() {
+    let hub = Hub::new(Settings::default());
+    let [first, second] = [7403, 7404].map(|port| ([127, 0, 0, 1], port).into());
+    let (Fact::Head(old), Fact::Head(new)) = (head(1), head(2)) else { unreachable!() };
+    assert!(hub.facts.learn_from(head(2), first));
+    assert!(!hub.facts.learn_from(head(2), second));
+    assert!(!hub.facts.learn_from(head(1), second));
+    assert_eq!(hub.facts.head_teller(&new), Some(first));
+    assert_eq!(hub.facts.head_teller(&old), None);
+    hub.raise(head(3));
+    assert_eq!(hub.facts.head_teller(&new), Some(first));
+}
+
 #[test]
 fn only_facts_raised_here_wait_to_be_spread() {
     let hub = Hub::new(Settings::default());
