test(node): a drain takes nothing new and cuts nothing

Cause: the drain of a node with a call in flight had no test.

Ruled out: counting calls in flight (a call counts on the caller's and on the upstream's side of one node, and a closing connection counts too): the test asks whether the drain still waits.

Change: a path test that drains the node while a call runs.

Conclusion: holds on one loop; SIGTERM under load is not run.

--- a/crates/sycamore-node/tests/calls/cancel.rs
+++ b/crates/sycamore-node/tests/calls/cancel.rs
@@ -1,6 +1,7 @@
 //! Callers that leave and deadlines that pass reach the upstream.
 
 use super::world::{field, get, post, run, until, Options, World};
+use futures::FutureExt;
 use http::StatusCode;
 use monoio::io::AsyncWriteRentExt;
 use monoio::net::TcpStream;
@@ -73,3 +74,25 @@
         world.stop().await;
     });
 }
+
+#[test]
+fn a_drain_of_the_node_takes_nothing_new_and_cuts_nothing() {
+    run(async {
+        let world = World::start(&Options { nodes: 1, ..Options::default() }).await;
+        let hub = world.nodes[0].hub.clone();
+        let first = world.call(post("/counter/wait"), "whole");
+        let drain = async {
+            until(|| world.runs("wait") == 1).await;
+            hub.set_phase(sycamore_node::hub::Phase::Draining);
+            let resp = world.try_call(0, post("/counter/echo"), "x").await.unwrap();
+            assert_eq!(field(&resp, headers::OUTCOME), "not-run");
+            assert!(hub.idle().now_or_never().is_none(), "the drain waits for it");
+            world.nodes[0].upstream.release();
+            hub.idle().await;
+        };
+        let (resp, ()) = futures::join!(first, drain);
+        assert_eq!(&resp.body()[..], b"whole");
+        assert_eq!(world.runs("echo"), 0);
+        world.stop().await;
+    });
+}
