test(bench): bookings take long, so that faults meet some in flight

Cause: a booking of 10 ms was hardly ever in flight when a process was killed or told to stop, so the process tests could pass without the mechanism they are for. Change: bookings ask for 800 ms of work in the process tests.

--- a/crates/sycamore-bench/tests/process/support.rs
+++ b/crates/sycamore-bench/tests/process/support.rs
@@ -22,6 +22,9 @@
 /// Time for which views of two nodes may differ, as nodes assume by default.
 const VIEW_LAG: Duration = Duration::from_secs(10);
 
+/// Mean work of a booking, in microseconds.
+const BOOKING_US: u64 = 800_000;
+
 /// Leave to run a fleet, given back when dropped.
 pub struct Turn;
 
@@ -91,7 +94,7 @@
         rate: 60.0,
         time: Duration::from_secs(120),
         targets: targets(fleet, callers_at),
-        kinds: without_chains(kinds(&fleet.options().deployment)),
+        kinds: slow_bookings(without_chains(kinds(&fleet.options().deployment))),
         ..load::Options::default()
     };
     let story = async {
@@ -127,6 +130,15 @@
     kinds.into_iter().filter(|kind| kind.onward.is_empty()).collect()
 }
 
+/// Bookings take long, so that some are in flight whenever a process is disturbed.
+fn slow_bookings(kinds: Vec<CallKind>) -> Vec<CallKind> {
+    let slow = |kind: CallKind| match kind.is_idempotent() {
+        true => kind,
+        false => CallKind { work_us: Some(BOOKING_US), ..kind },
+    };
+    kinds.into_iter().map(slow).collect()
+}
+
 /// Lets load pass for a while.
 pub async fn pass(time: Duration) {
     monoio::time::sleep(time).await;
