refactor(node): what a failed attempt says has a module of its own

Ruled out: nothing; code moved only, and an unused dependency dropped.

Change: failed.rs holds what a failure means, forward.rs what is done about it.

Conclusion: no change of behaviour.

--- a/crates/sycamore-node/src/calls/forward.rs
+++ b/crates/sycamore-node/src/calls/forward.rs
@@ -2,11 +2,12 @@
 
 use super::answer::{respond, Answer, RETRY_AFTER};
 use super::exchange::{is_idempotent, relay_answer, send, Answered, Failure, Relayed};
+use super::failed::{broken, end_of, failure_in, is_reroute, no_upstream, Failed};
 use super::message::{strip_internal, Inbound, Message};
 use super::meta::{text, CallMeta, Target};
 use super::pool::Stream;
 use super::state::State;
-use http::{header, HeaderMap, StatusCode};
+use http::HeaderMap;
 use std::rc::Rc;
 use std::str::FromStr;
 use std::time::Duration;
@@ -59,24 +60,6 @@
     }
 }
 
-/// Why one attempt failed.
-struct Failed {
-    failure: AttemptFailure,
-    answer: Answer,
-}
-
-impl Failed {
-    /// What the call is answered with, given the failure of an earlier attempt.
-    fn after(self, earlier: Option<Failed>) -> Failed {
-        match earlier {
-            Some(earlier) if self.failure.after(Some(earlier.failure)) == earlier.failure => {
-                earlier
-            }
-            _ => self,
-        }
-    }
-}
-
 enum Attempt {
     Answered(Box<Reply>),
     Failed(Failed),
@@ -142,20 +125,6 @@
     Forwarded::Own(no_upstream().answer)
 }
 
-/// Going elsewhere after such a refusal is not a retry to the levels below.
-fn is_reroute(failure: AttemptFailure) -> bool {
-    matches!(
-        failure,
-        AttemptFailure::NotRun(
-            RefusalReason::BadVersion
-                | RefusalReason::ShareSpent
-                | RefusalReason::Draining
-                | RefusalReason::NoUpstream
-                | RefusalReason::NotReady
-        )
-    )
-}
-
 fn call_state(state: &State, out: &Outgoing<'_>, attempts: u8, tried: &[InstanceId]) -> CallState {
     let now = state.now();
     let view = state.hub.members.borrow().clone();
@@ -209,13 +178,6 @@
     }
 }
 
-fn no_upstream() -> Failed {
-    Failed {
-        failure: AttemptFailure::NotRun(RefusalReason::NoUpstream),
-        answer: Answer::refused(RefusalReason::NoUpstream, RETRY_AFTER),
-    }
-}
-
 async fn try_once(
     state: &Rc<State>,
     out: &mut Outgoing<'_>,
@@ -308,84 +270,6 @@
     }
 }
 
-fn end_of(failure: AttemptFailure, load: Load) -> AttemptEnd {
-    match failure {
-        AttemptFailure::NotRun(RefusalReason::Draining) => AttemptEnd::Draining,
-        AttemptFailure::NotRun(RefusalReason::NoUpstream) => AttemptEnd::NoUpstream,
-        AttemptFailure::NotRun(_) => AttemptEnd::Answered(load),
-        AttemptFailure::Unknown { .. } => AttemptEnd::Failed,
-    }
-}
-
-fn broken(failure: Failure) -> Failed {
-    let answer = match failure {
-        Failure::Deadline => Answer::unknown(
-            StatusCode::GATEWAY_TIMEOUT,
-            "deadline",
-            "no answer came before the deadline",
-        ),
-        Failure::Broken | Failure::CallerGone => {
-            Answer::unknown(StatusCode::BAD_GATEWAY, "broken", "no whole answer came")
-        }
-    };
-    Failed { failure: AttemptFailure::Unknown { crashed: false }, answer }
-}
-
-/// What an answer of another node says about the attempt, where it is not the upstream's answer.
-fn failure_in(answered: &Answered) -> Option<Failed> {
-    let fields = &answered.head.headers;
-    let outcome = text(fields, headers::OUTCOME)?;
-    let reason = text(fields, headers::REASON).unwrap_or_default();
-    let retry_after = retry_after(fields);
-    match outcome {
-        "not-run" => {
-            // An upstream that sheds may leave the reason out.
-            let reason = if reason.is_empty() { "overloaded" } else { reason };
-            let known = refusal_reason(reason);
-            let failure = AttemptFailure::NotRun(known);
-            let answer = match known.as_str() == reason {
-                true => Answer::refused(known, retry_after.unwrap_or(RETRY_AFTER)),
-                false => {
-                    Answer::rejected(answered.head.status, reason, "refused by the upstream's node")
-                }
-            };
-            Some(Failed { failure, answer })
-        }
-        // An answer with a time to come back was given up below and is final.
-        _ if retry_after.is_some() => None,
-        _ => {
-            let failure = AttemptFailure::Unknown { crashed: reason == super::crash::REASON };
-            let answer =
-                Answer::unknown(answered.head.status, reason, "the upstream gave no whole answer");
-            Some(Failed { failure, answer })
-        }
-    }
-}
-
-/// An unknown reason is not retried.
-fn refusal_reason(text: &str) -> RefusalReason {
-    [
-        RefusalReason::Overloaded,
-        RefusalReason::Deadline,
-        RefusalReason::Draining,
-        RefusalReason::BadVersion,
-        RefusalReason::ShareSpent,
-        RefusalReason::Quarantined,
-        RefusalReason::NoUpstream,
-        RefusalReason::NotReady,
-        RefusalReason::HopLimit,
-        RefusalReason::InProgress,
-    ]
-    .into_iter()
-    .find(|reason| reason.as_str() == text)
-    .unwrap_or(RefusalReason::Deadline)
-}
-
-fn retry_after(fields: &HeaderMap) -> Option<Duration> {
-    let secs = fields.get(header::RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
-    Some(Duration::from_secs(secs))
-}
-
 fn load_of(fields: &HeaderMap) -> Load {
     text(fields, headers::LOAD).and_then(|text| Load::from_str(text).ok()).unwrap_or_default()
 }
--- a/crates/sycamore-node/src/calls/mod.rs
+++ b/crates/sycamore-node/src/calls/mod.rs
@@ -9,6 +9,7 @@
 mod beside;
 mod crash;
 mod exchange;
+mod failed;
 mod forward;
 mod keyed;
 mod listen;
