fix(member): keep a herd's deaths and returns within the byte budget

Cause: with 30% of 930 nodes dead at once, whole records and whole buckets cost 6,998 B/s a node over the first minute, and the return 8,489 B/s with one node not known to one other after it (full_size, trial): over the bound of 3 KB/s. Ruled out: fewer copies of each piece of news alone (the death of a single node would be slower); larger budgets; comparisons of 12 KiB (3,115 B/s). Change: datagrams carry only the state of suspect and dead members (Brief); news about members, riding or pushed, has one byte budget, facts and drains stay outside it; a comparison of tables takes 8 KiB from a random bucket on, every 10 to 20 s; a suspicion rides half as often.

--- a/crates/sycamore-member/src/machine/exchange.rs
+++ b/crates/sycamore-member/src/machine/exchange.rs
@@ -29,7 +29,8 @@
             return reply;
         }
         let mut left = self.options.exchange_bytes;
-        for bucket in (request.first as usize).min(BUCKETS)..BUCKETS {
+        let first_bucket = request.first as usize % BUCKETS;
+        for bucket in (0..BUCKETS).map(|step| (first_bucket + step) % BUCKETS) {
             if request.buckets.get(bucket) == self.table.buckets().get(bucket) {
                 continue;
             }
@@ -99,7 +100,9 @@
         let known = peer.and_then(|peer| self.table.member(&peer).cloned());
         if let Some(member) = known {
             self.mismatch = None;
-            self.exchange(now, member.instance, member.endpoints.peer, 0, actions);
+            // A part of what differs at a time, so that a herd costs no burst of bytes.
+            let first = u32::try_from(self.random.index(BUCKETS)).unwrap_or(0);
+            self.exchange(now, member.instance, member.endpoints.peer, first, actions);
         }
     }
 
@@ -153,7 +156,8 @@
             actions.push(Action::Exchange { peer: peer.clone(), to, request });
         }
         match reply.next {
-            Some(first) => self.exchange(now, peer.clone(), to, first, actions),
+            Some(first) if !self.synced => self.exchange(now, peer.clone(), to, first, actions),
+            Some(_) => {}
             None => self.synced = true,
         }
     }
--- a/crates/sycamore-member/src/machine/local.rs
+++ b/crates/sycamore-member/src/machine/local.rs
@@ -1,7 +1,7 @@
 //! This node's own member and facts.
 
 use super::{Action, LocalState, Membership, Now};
-use crate::message::Item;
+use crate::message::{Brief, Item, ItemKey};
 use crate::table::Joined;
 use sycamore_types::prelude::*;
 
@@ -39,15 +39,21 @@
 
     /// Whether `item` is a record of this node's own member.
     pub(super) fn is_me(&self, item: &Item) -> bool {
-        matches!(item, Item::Member(record) if record.instance == self.me.instance)
+        item.key() == ItemKey::Member(self.me.instance.clone())
     }
 
     /// Where `item`, a record of this node's own member, says worse than this node does, takes a
     /// higher incarnation and announces that.
     pub(super) fn refute(&mut self, now: Now, item: &Item, actions: &mut Vec<Action>) {
-        let Item::Member(record) = item else { return };
+        let record = match item {
+            Item::Member(record) => record.clone(),
+            Item::Brief(Brief { incarnation, state, .. }) => {
+                Member { incarnation: *incarnation, state: *state, ..self.me.clone() }
+            }
+            Item::Fact(_) => return,
+        };
         let left = self.me.state == MemberState::Dead;
-        if !left && crate::table::supersedes(record, &self.me) && self.is_credible(record, now) {
+        if !left && crate::table::supersedes(&record, &self.me) && self.is_credible(&record, now) {
             let me = Member { incarnation: next(record.incarnation), ..self.me.clone() };
             self.announce(now, me, actions);
         }
--- a/crates/sycamore-member/src/machine/mod.rs
+++ b/crates/sycamore-member/src/machine/mod.rs
@@ -216,8 +216,9 @@
             if self.is_me(&item) {
                 self.refute(now, &item, actions);
             } else if self.table.join(&item, now.mono, now.wall) == Joined::New {
-                self.changed(now, &item, actions);
-                fresh.push(item);
+                let whole = self.table.item(&item.key()).unwrap_or(item);
+                self.changed(now, &whole, actions);
+                fresh.push(whole);
             }
         }
         fresh
@@ -232,6 +233,8 @@
                 actions.push(Action::MemberChanged(member.clone()));
             }
             Item::Fact(fact) => actions.push(Action::FactLearnt(fact.clone())),
+            // The table gives whole records only.
+            Item::Brief(_) => {}
         }
     }
 }
--- a/crates/sycamore-member/src/machine/packet.rs
+++ b/crates/sycamore-member/src/machine/packet.rs
@@ -6,6 +6,9 @@
 use std::net::SocketAddr;
 use sycamore_types::prelude::*;
 
+/// Bytes of news that ride on a datagram even where the budget is spent.
+const RIDE_BYTES: usize = 150;
+
 impl Membership {
     pub(super) fn packet(
         &mut self,
@@ -53,7 +56,7 @@
         seq: u32,
         actions: &mut Vec<Action>,
     ) {
-        let mut items = self.ride_along();
+        let mut items = self.ride_along(now);
         items.extend(self.doubt_about(sender));
         let digest = self.table.digest();
         self.send(to, Body::Ack { seq, digest }, items, actions);
@@ -120,12 +123,15 @@
     pub(super) fn doubt_about(&self, instance: &InstanceId) -> Option<Item> {
         let doubted = |state| matches!(state, MemberState::Suspect | MemberState::Dead);
         let member = self.table.member(instance).filter(|member| doubted(member.state));
-        member.cloned().map(Item::Member)
+        member.cloned().map(Item::Member).map(Item::into_brief)
     }
 
     /// News to ride on a datagram of the failure detector.
-    pub(super) fn ride_along(&mut self) -> Vec<Item> {
-        let Self { news, table, options, .. } = self;
-        news.take(table, options.piggyback_bytes, options.retransmits)
+    pub(super) fn ride_along(&mut self, now: Now) -> Vec<Item> {
+        let Self { news, table, options, budget, .. } = self;
+        let bytes = options.piggyback_bytes.min(budget.left(now.mono).max(RIDE_BYTES));
+        let items = news.take(table, bytes, options.retransmits);
+        budget.spend(items.iter().map(Item::size).sum());
+        items
     }
 }
--- a/crates/sycamore-member/src/machine/probe.rs
+++ b/crates/sycamore-member/src/machine/probe.rs
@@ -47,7 +47,7 @@
             return;
         };
         let seq = self.detector.seq();
-        let mut items = self.ride_along();
+        let mut items = self.ride_along(now);
         items.extend(self.doubt_about(&target));
         let probe = Probe { target, sent: now.mono, indirect: false, nacks: 0, failed: false };
         self.detector.probes.insert(seq, probe);
--- a/crates/sycamore-member/src/machine/push.rs
+++ b/crates/sycamore-member/src/machine/push.rs
@@ -19,10 +19,13 @@
         actions: &mut Vec<Action>,
     ) {
         for item in &items {
-            self.news.add(item.key(), 0);
+            self.news.add(item.key(), self.times_sent(item));
         }
-        let pushed: Vec<Item> =
-            items.into_iter().filter(|item| self.is_pushed(now, item)).collect();
+        let pushed: Vec<Item> = items
+            .into_iter()
+            .map(Item::into_brief)
+            .filter(|item| self.is_pushed(now, item))
+            .collect();
         if pushed.is_empty() {
             return;
         }
@@ -34,6 +37,16 @@
         }
     }
 
+    /// How often `item` counts as sent from the start: a suspicion matters to few.
+    fn times_sent(&self, item: &Item) -> u8 {
+        match item {
+            Item::Member(member) if member.state == MemberState::Suspect => {
+                self.options.retransmits / 2
+            }
+            _ => 0,
+        }
+    }
+
     /// Lets items that a comparison of tables brought ride along once: most others have them.
     pub(super) fn mention(&mut self, items: &[Item]) {
         for item in items {
@@ -44,9 +57,12 @@
     fn is_pushed(&mut self, now: Now, item: &Item) -> bool {
         match item {
             Item::Fact(_) => true,
+            Item::Member(member) if member.state == MemberState::Draining => true,
             // A suspicion may yet be refuted.
-            Item::Member(member) if member.state == MemberState::Suspect => false,
-            Item::Member(_) => self.budget.take(item.size() * self.options.fanout, now.mono),
+            Item::Brief(brief) if brief.state == MemberState::Suspect => false,
+            Item::Member(_) | Item::Brief(_) => {
+                self.budget.take(item.size() * self.options.fanout, now.mono)
+            }
         }
     }
 
--- a/crates/sycamore-member/src/message.rs
+++ b/crates/sycamore-member/src/message.rs
@@ -10,6 +10,20 @@
     Member(Member),
     /// A spread fact.
     Fact(Fact),
+    /// A member's state alone. A node that knows the member fills in the rest; others ignore it,
+    /// and learn the whole record when they compare tables.
+    Brief(Brief),
+}
+
+/// The state of a member, without what it is.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Brief {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Its generation.
+    pub incarnation: Incarnation,
+    /// What it is doing.
+    pub state: MemberState,
 }
 
 /// What an item is about.
@@ -27,6 +41,21 @@
         match self {
             Item::Member(member) => ItemKey::Member(member.instance.clone()),
             Item::Fact(fact) => ItemKey::Fact(fact.key()),
+            Item::Brief(brief) => ItemKey::Member(brief.instance.clone()),
+        }
+    }
+
+    /// The item as datagrams carry it: only the state of a member that is suspect or dead, since
+    /// many may be at once.
+    #[must_use]
+    pub fn into_brief(self) -> Self {
+        match self {
+            Item::Member(Member { instance, incarnation, state, .. })
+                if matches!(state, MemberState::Suspect | MemberState::Dead) =>
+            {
+                Item::Brief(Brief { instance, incarnation, state })
+            }
+            other => other,
         }
     }
 
@@ -34,11 +63,13 @@
     pub fn size(&self) -> usize {
         /// Tags, lengths and numbers of one item.
         const FRAME_BYTES: usize = 56;
-        FRAME_BYTES
-            + match self {
-                Item::Member(member) => member_bytes(member),
-                Item::Fact(fact) => fact_text_bytes(fact),
-            }
+        /// The same of a brief one.
+        const BRIEF_FRAME_BYTES: usize = 20;
+        match self {
+            Item::Member(member) => FRAME_BYTES + member_bytes(member),
+            Item::Fact(fact) => FRAME_BYTES + fact_text_bytes(fact),
+            Item::Brief(brief) => BRIEF_FRAME_BYTES + brief.instance.as_str().len(),
+        }
     }
 }
 
--- a/crates/sycamore-member/src/options.rs
+++ b/crates/sycamore-member/src/options.rs
@@ -21,9 +21,9 @@
     pub retransmits: u8,
     /// Bytes of news on one datagram of the failure detector.
     pub piggyback_bytes: usize,
-    /// Bytes of pushed news about members per second; facts are not held back.
+    /// Bytes of news about members per second; facts and drains are not held back.
     pub push_bytes_per_s: usize,
-    /// Bytes of news about members that may be pushed at once.
+    /// Bytes of news about members that may be sent at once.
     pub push_burst_bytes: usize,
     /// Least time between two comparisons of tables that this node starts; as much again is added
     /// at random.
@@ -54,12 +54,12 @@
             remote_fanout: 1,
             retransmits: 4,
             piggyback_bytes: 512,
-            push_bytes_per_s: 512,
+            push_bytes_per_s: 256,
             push_burst_bytes: 8 << 10,
-            exchange_interval: Duration::from_secs(5),
+            exchange_interval: Duration::from_secs(10),
             quiet: Duration::from_secs(2),
             patience: Duration::from_secs(10),
-            exchange_bytes: 48 << 10,
+            exchange_bytes: 8 << 10,
             dead_retention: Duration::from_secs(24 * 3_600),
             max_members: 4_096,
             max_facts: 4_096,
--- a/crates/sycamore-member/src/spread/mod.rs
+++ b/crates/sycamore-member/src/spread/mod.rs
@@ -38,7 +38,7 @@
         let mut left = bytes;
         let mut items = Vec::new();
         for (sent, key) in order {
-            let Some(item) = table.item(&key) else {
+            let Some(item) = table.item(&key).map(Item::into_brief) else {
                 self.sent.remove(&key);
                 continue;
             };
@@ -85,6 +85,17 @@
         }
     }
 
+    /// What is there.
+    pub(crate) fn left(&mut self, now: Time) -> usize {
+        self.fill(now);
+        self.left
+    }
+
+    /// Takes `bytes`, or all where there are fewer.
+    pub(crate) fn spend(&mut self, bytes: usize) {
+        self.left = self.left.saturating_sub(bytes);
+    }
+
     fn fill(&mut self, now: Time) {
         let gained = now.since(self.filled).as_millis() as usize * self.per_s / 1_000;
         if gained > 0 {
--- a/crates/sycamore-member/src/table/mod.rs
+++ b/crates/sycamore-member/src/table/mod.rs
@@ -5,7 +5,7 @@
 
 pub use order::supersedes;
 
-use crate::message::{Item, ItemKey};
+use crate::message::{Brief, Item, ItemKey};
 use digest::item_digest;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -65,6 +65,7 @@
         let joined = match item {
             Item::Member(member) => self.join_member(member, now, wall),
             Item::Fact(fact) => self.join_fact(fact, wall),
+            Item::Brief(brief) => self.join_brief(brief, now, wall),
         };
         if joined == Joined::Refused {
             self.refused += 1;
@@ -156,6 +157,18 @@
         Joined::New
     }
 
+    /// Joins the state of a member that the table has. A death holds for earlier incarnations as
+    /// well; any other state says nothing of an incarnation whose record is missing.
+    fn join_brief(&mut self, brief: &Brief, now: Time, wall: WallTime) -> Joined {
+        let Some(known) = self.member(&brief.instance) else { return Joined::Known };
+        if known.incarnation < brief.incarnation && brief.state != MemberState::Dead {
+            return Joined::Known;
+        }
+        let Brief { incarnation, state, .. } = *brief;
+        let member = Member { incarnation, state, ..known.clone() };
+        self.join_member(&member, now, wall)
+    }
+
     fn join_fact(&mut self, fact: &Fact, wall: WallTime) -> Joined {
         let lives = |at: WallTime| at > wall && at.since(wall) <= MAX_FACT_LIFE;
         if !fact.expires().is_none_or(lives) {
--- a/crates/sycamore-member/tests/model.rs
+++ b/crates/sycamore-member/tests/model.rs
@@ -6,7 +6,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
-use sycamore_member::message::{Body, ExchangeRequest, Item, Packet};
+use sycamore_member::message::{Body, ExchangeRequest, Item, ItemKey, Packet};
 use sycamore_member::{Action, Input, LocalState, Membership, Now, Options};
 use sycamore_model::{explore, Model, Options as Limits, Outcome};
 use sycamore_types::prelude::*;
@@ -280,7 +280,7 @@
 }
 
 fn is_about_subject(item: &Item) -> bool {
-    matches!(item, Item::Member(member) if member.instance.as_str() == "n2")
+    item.key() == ItemKey::Member("n2".parse().unwrap())
 }
 
 fn record(state: &State, observer: usize) -> Option<Member> {
--- a/crates/sycamore-member/tests/table.rs
+++ b/crates/sycamore-member/tests/table.rs
@@ -129,7 +129,7 @@
         items.iter().all(|AnyItem(item)| {
             let before = match item {
                 Item::Member(m) => table.member(&m.instance).map(|m| (m.incarnation, m.state)),
-                Item::Fact(_) => None,
+                Item::Fact(_) | Item::Brief(_) => None,
             };
             table.join(item, Time::default(), WALL);
             match item {
@@ -137,7 +137,7 @@
                     let after = table.member(&m.instance).map(|m| (m.incarnation, m.state));
                     after >= before
                 }
-                Item::Fact(_) => true,
+                Item::Fact(_) | Item::Brief(_) => true,
             }
         })
     }
--- a/crates/sycamore-peer/src/codec/fact.rs
+++ b/crates/sycamore-peer/src/codec/fact.rs
@@ -53,7 +53,7 @@
 /// The fact in `wire`.
 pub(super) fn fact_from_wire(wire: Wire) -> Result<Fact> {
     match wire {
-        Wire::Member(_) => Err(malformed("a member where a fact was due")),
+        Wire::Member(_) | Wire::Brief(_) => Err(malformed("a member where a fact was due")),
         Wire::BadVersion(bad) => {
             check_text(&bad.reason, MAX_REASON_BYTES)?;
             Ok(Fact::BadVersion {
--- a/crates/sycamore-peer/src/codec/item.rs
+++ b/crates/sycamore-peer/src/codec/item.rs
@@ -7,7 +7,7 @@
 use crate::Result;
 use bytes::Bytes;
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
-use sycamore_member::message::Item;
+use sycamore_member::message::{Brief, Item};
 use sycamore_types::prelude::*;
 
 /// An item as it goes on the wire.
@@ -15,6 +15,7 @@
     let item = match item {
         Item::Member(member) => Wire::Member(member_to_wire(member)),
         Item::Fact(fact) => fact_to_wire(fact),
+        Item::Brief(brief) => Wire::Brief(brief_to_wire(brief)),
     };
     proto::Item { item: Some(item) }
 }
@@ -26,6 +27,7 @@
 pub fn item_from_wire(wire: proto::Item) -> Result<Item> {
     match wire.item.ok_or_else(|| malformed("empty item"))? {
         Wire::Member(member) => member_from_wire(&member).map(Item::Member),
+        Wire::Brief(brief) => brief_from_wire(&brief).map(Item::Brief),
         fact => fact_from_wire(fact).map(Item::Fact),
     }
 }
@@ -70,6 +72,22 @@
     })
 }
 
+fn brief_to_wire(brief: &Brief) -> proto::Brief {
+    proto::Brief {
+        instance: brief.instance.to_string(),
+        incarnation: brief.incarnation.0,
+        state: state_to_wire(brief.state).into(),
+    }
+}
+
+fn brief_from_wire(wire: &proto::Brief) -> Result<Brief> {
+    Ok(Brief {
+        instance: id(&wire.instance, "instance")?,
+        incarnation: Incarnation(wire.incarnation),
+        state: state_from_wire(wire.state())?,
+    })
+}
+
 fn state_to_wire(state: MemberState) -> proto::MemberState {
     match state {
         MemberState::Joining => proto::MemberState::Joining,
--- a/crates/sycamore-peer/src/proto/sycamore.peer.v1.rs
+++ b/crates/sycamore-peer/src/proto/sycamore.peer.v1.rs
@@ -61,7 +61,7 @@
 /// A member or a fact.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Item {
-    #[prost(oneof = "item::Item", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "item::Item", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
     pub item: ::core::option::Option<item::Item>,
 }
 /// Nested message and enum types in `Item`.
@@ -84,8 +84,20 @@
         MoveRow(super::MoveRow),
         #[prost(message, tag = "8")]
         Cleared(super::Cleared),
+        #[prost(message, tag = "9")]
+        Brief(super::Brief),
     }
 }
+/// A member's state alone.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Brief {
+    #[prost(string, tag = "1")]
+    pub instance: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    #[prost(enumeration = "MemberState", tag = "3")]
+    pub state: i32,
+}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Member {
     #[prost(string, tag = "1")]
--- a/crates/sycamore-peer/tests/codec.rs
+++ b/crates/sycamore-peer/tests/codec.rs
@@ -3,7 +3,7 @@
 
 use quickcheck::{quickcheck, Arbitrary, Gen};
 use std::net::SocketAddr;
-use sycamore_member::message::{Body, ExchangeReply, ExchangeRequest, Item, Packet};
+use sycamore_member::message::{Body, Brief, ExchangeReply, ExchangeRequest, Item, Packet};
 use sycamore_peer::codec::{
     decode_packet, deployment_tag, encode_packet, item_from_wire, item_to_wire, reply_from_wire,
     reply_to_wire, request_from_wire, request_to_wire,
@@ -89,7 +89,14 @@
 
 impl Arbitrary for AnyItem {
     fn arbitrary(g: &mut Gen) -> Self {
-        AnyItem(if bool::arbitrary(g) { Item::Member(member(g)) } else { Item::Fact(fact(g)) })
+        AnyItem(match u8::arbitrary(g) % 3 {
+            0 => Item::Member(member(g)),
+            1 => Item::Fact(fact(g)),
+            _ => {
+                let Member { instance, incarnation, state, .. } = member(g);
+                Item::Brief(Brief { instance, incarnation, state })
+            }
+        })
     }
 }
 
