feat(moves): prove a step stratum by stratum

Cause: trials of good moves under a long overload of the whole service timed out, as failures of the overload stayed in the proof of the step. Ruled out: a proof over the latest calls only (its error rate would grow with each restart). Change: the proof keeps strata; one whose old version fails unusually often is compared with its own rate.

--- a/crates/sycamore-moves/src/verdict/mod.rs
+++ b/crates/sycamore-moves/src/verdict/mod.rs
@@ -11,10 +11,12 @@
 
 mod finding;
 mod judge;
+mod proof;
 mod sample;
 mod sequential;
 
 pub use finding::{Finding, Scope, Signal};
 pub use judge::{Judge, JudgeOptions};
+pub use proof::Proof;
 pub use sample::{Pair, Sample};
-pub use sequential::{rules_out, PairTest, ReferenceTest};
+pub use sequential::{PairTest, ReferenceTest};
--- a/crates/sycamore-moves/src/verdict/sample.rs
+++ b/crates/sycamore-moves/src/verdict/sample.rs
@@ -23,6 +23,12 @@
     pub old: Sample,
 }
 
+impl Pair {
+    pub(super) fn plus(self, other: Pair) -> Pair {
+        Pair { new: self.new.plus(other.new), old: self.old.plus(other.old) }
+    }
+}
+
 impl Sample {
     pub(super) fn minus(self, earlier: Sample) -> Sample {
         Sample {
--- a/crates/sycamore-moves/src/verdict/sequential.rs
+++ b/crates/sycamore-moves/src/verdict/sequential.rs
@@ -95,12 +95,10 @@
     tellable.map(|(sample, allowed)| ratio(sample, rate, *allowed)).sum()
 }
 
-/// Whether `new` rules out, at error rate `beta`, that its rate of hits lies `margin` above `base`,
-/// against the hypothesis that it lies at `base` plus a fiftieth of the margin.
-pub fn rules_out(new: &Sample, base: f64, margin: f64, beta: f64) -> bool {
-    let good = (base + margin / 50.0).clamp(MIN_RATE, MAX_RATE);
-    let bad = (base + margin).clamp(MIN_RATE, MAX_RATE);
-    new.calls > 0 && ratio(new, bad, good) <= beta.ln()
+/// Logarithm of the likelihood ratio of "a rate `margin` above `base`" to "`base` plus a fiftieth of
+/// the margin".
+pub(super) fn proof_ratio(new: &Sample, base: f64, margin: f64) -> f64 {
+    ratio(new, base + margin, base + margin / 50.0)
 }
 
 const MIN_RATE: f64 = 1e-6;
