--- a/crates/sycamore-moves/src/verdict/judge.rs
+++ b/crates/sycamore-moves/src/verdict/judge.rs
@@ -160,8 +160,9 @@
     pub fn clears(&self, margin: Share) -> bool {
         let ratio = self.options.ratio_tolerance - 1.0;
         let open = self.open_failures();
+        let old = failures(&self.latest.old);
         let margin = margin.as_fraction();
-        !self.suspicion && self.proof.rules_out(open, margin, ratio, self.options.beta)
+        !self.suspicion && self.proof.rules_out(open, &old, margin, ratio, self.options.beta)
     }
 
     fn open_failures(&self) -> Pair {
--- a/crates/sycamore-moves/src/verdict/proof.rs
+++ b/crates/sycamore-moves/src/verdict/proof.rs
@@ -30,11 +30,14 @@
 
     /// Whether the strata, with the `open` one, rule out at error rate `beta` that the new version
     /// fails `margin` more often than the old one at the same time. Where the old version fails
-    /// often itself, the margin is at least `ratio` times its rate.
-    pub fn rules_out(&self, open: Pair, margin: f64, ratio: f64, beta: f64) -> bool {
+    /// often itself, the margin is at least `ratio` times its rate. `old` holds the old version's
+    /// failures over the whole move: they tell its rate more exactly than a step in which it has
+    /// little traffic, unless something has changed since.
+    pub fn rules_out(&self, open: Pair, old: &Sample, margin: f64, ratio: f64, beta: f64) -> bool {
         let strata = || self.strata.iter().copied().chain([open]);
         let all = strata().fold(Pair::default(), Pair::plus);
-        let usual = rate(&all.old);
+        let whole = rate(old);
+        let usual = if is_usual(&all.old, whole) { whole } else { rate(&all.old) };
         let evidence: f64 = strata()
             .map(|pair| {
                 let base = if is_usual(&pair.old, usual) { usual } else { rate(&pair.old) };
