--- a/crates/sycamore-moves/src/ramp/fit.rs
+++ b/crates/sycamore-moves/src/ramp/fit.rs
@@ -34,9 +34,9 @@
         Self {
             steps: vec![
                 (points(500), 0.3, points(1_000)),
-                (points(1_000), 0.2, points(500)),
-                (points(2_500), 0.2, points(300)),
-                (points(5_000), 0.3, points(200)),
+                (points(1_000), 0.2, points(700)),
+                (points(2_500), 0.2, points(500)),
+                (points(5_000), 0.3, points(300)),
             ],
             watch_share: points(9_500),
             watch_margin: points(100),
