fix(moves): a node that begins to merge counts from what it hears first

Ruled out: handing the judge's state over (a copy may be older than a verdict). Change: counters that a process had when it was first heard, and those of gaps over 10 s, are left out. Conclusion: better, not mended.

--- a/crates/sycamore-moves/src/control/merger.rs
+++ b/crates/sycamore-moves/src/control/merger.rs
@@ -1,6 +1,6 @@
 //! What a merging node holds: the merged evidence, the judge, and the holds of steps.
 
-use crate::evidence::{Ledger, Report, Source};
+use crate::evidence::{Bases, Ledger, Report, Source};
 use crate::plan::{MoveRow, Summary};
 use crate::verdict::{Finding, Judge, JudgeOptions};
 use std::collections::BTreeMap;
@@ -37,6 +37,12 @@
     }
 }
 
+/// Reports of a process that are heard from its begin, though some were lost.
+const EARLY_REPORTS: u64 = 8;
+
+/// Longest time between two reports of a process that counts as one stretch.
+const MAX_GAP: Duration = Duration::from_secs(10);
+
 /// Why a step is not cleared yet, for the report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Hold {
@@ -52,6 +58,9 @@
 #[derive(Debug, Clone)]
 pub struct Merger {
     ledger: Ledger,
+    /// A node that begins to merge in the middle of a move starts from the counters that it hears
+    /// first: what came before can no longer be told apart by time.
+    bases: Bases,
     heard: BTreeMap<InstanceId, (Time, UpstreamVersion)>,
     judge: Judge,
     step: Option<(usize, WallTime)>,
@@ -62,6 +71,7 @@
     pub fn new(options: &ControlOptions, now: Time) -> Self {
         Self {
             ledger: Ledger::default(),
+            bases: Bases::default(),
             heard: BTreeMap::new(),
             judge: Judge::new(options.judge.clone(), now),
             step: None,
@@ -70,16 +80,32 @@
 
     /// Takes in a report.
     pub fn take(&mut self, now: Time, report: Report) {
+        let source = Source { instance: report.instance.clone(), incarnation: report.incarnation };
+        self.skip_gap(now, source, &report);
         let heard = (report.instance.clone(), (now, report.version.clone()));
         if self.ledger.merge(report) {
             self.heard.extend([heard]);
         }
     }
 
+    /// Leaves out what a process counted while this node did not hear of it.
+    fn skip_gap(&mut self, now: Time, source: Source, report: &Report) {
+        match (self.heard.get(&source.instance), self.ledger.report(&source)) {
+            (None, _) if report.seq > EARLY_REPORTS => {
+                self.bases.insert(source, report.totals.clone());
+            }
+            (Some((at, _)), Some(last)) if now.since(*at) > MAX_GAP => {
+                let in_gap = report.totals.since(&last.totals);
+                self.bases.entry(source).or_default().add_all(&in_gap);
+            }
+            _ => {}
+        }
+    }
+
     /// Judges what has been merged.
     pub fn judge(&mut self, now: Time, row: &MoveRow) -> Option<Finding> {
-        let new = self.ledger.totals(&row.spec.to);
-        let old = self.ledger.totals(&row.spec.from);
+        let new = self.ledger.totals_since(&row.spec.to, &self.bases);
+        let old = self.ledger.totals_since(&row.spec.from, &self.bases);
         self.judge.step(now, new, old)
     }
 
--- a/crates/sycamore-moves/src/evidence/counts.rs
+++ b/crates/sycamore-moves/src/evidence/counts.rs
@@ -75,6 +75,17 @@
         self.ok + self.failed + self.rejected
     }
 
+    /// What was counted since `earlier`.
+    fn since(&self, earlier: &Counts) -> Counts {
+        Counts {
+            ok: self.ok.saturating_sub(earlier.ok),
+            failed: self.failed.saturating_sub(earlier.failed),
+            rejected: self.rejected.saturating_sub(earlier.rejected),
+            shed: self.shed.saturating_sub(earlier.shed),
+            latency: self.latency.since(&earlier.latency),
+        }
+    }
+
     /// Adds the counters of `other`.
     pub fn add_all(&mut self, other: &Counts) {
         self.ok = self.ok.saturating_add(other.ok);
@@ -103,6 +114,24 @@
 }
 
 impl Totals {
+    /// What was counted since `earlier`.
+    #[must_use]
+    pub fn since(&self, earlier: &Totals) -> Totals {
+        let mut since = self.clone();
+        for (cell, counts) in &mut since.cells {
+            if let Some(before) = earlier.cells.get(cell) {
+                *counts = counts.since(before);
+            }
+        }
+        for (now, before) in since.callers.iter_mut().zip(&earlier.callers) {
+            now.calls = now.calls.saturating_sub(before.calls);
+            now.bad = now.bad.saturating_sub(before.bad);
+        }
+        since.cold = since.cold.saturating_sub(earlier.cold);
+        since.crashes = since.crashes.saturating_sub(earlier.crashes);
+        since
+    }
+
     /// Adds the counters of `other`.
     pub fn add_all(&mut self, other: &Totals) {
         for (cell, counts) in &other.cells {
--- a/crates/sycamore-moves/src/evidence/histogram.rs
+++ b/crates/sycamore-moves/src/evidence/histogram.rs
@@ -49,6 +49,16 @@
         }
     }
 
+    /// What was counted since `earlier`.
+    #[must_use]
+    pub fn since(&self, earlier: &Histogram) -> Histogram {
+        let mut since = self.clone();
+        for (count, before) in since.counts.iter_mut().zip(&earlier.counts) {
+            *count = count.saturating_sub(*before);
+        }
+        since
+    }
+
     /// Buckets that hold calls.
     pub fn filled(&self) -> impl Iterator<Item = (usize, u32)> + '_ {
         self.counts.iter().copied().enumerate().filter(|(_, count)| *count > 0)
--- a/crates/sycamore-moves/src/evidence/ledger.rs
+++ b/crates/sycamore-moves/src/evidence/ledger.rs
@@ -19,6 +19,9 @@
     reports: BTreeMap<Source, Report>,
 }
 
+/// Counters that each process had when it was first heard of.
+pub type Bases = BTreeMap<Source, Totals>;
+
 /// Most processes whose reports are kept.
 const MAX_SOURCES: usize = 256;
 
@@ -44,6 +47,19 @@
         }
     }
 
+    /// The sum of what the processes of `version` counted since `bases`.
+    pub fn totals_since(&self, version: &UpstreamVersion, bases: &Bases) -> Totals {
+        let mut totals = Totals::default();
+        for (source, report) in &self.reports {
+            match bases.get(source) {
+                _ if report.version != *version => {}
+                None => totals.add_all(&report.totals),
+                Some(base) => totals.add_all(&report.totals.since(base)),
+            }
+        }
+        totals
+    }
+
     /// The sum of the counters of `version`.
     pub fn totals(&self, version: &UpstreamVersion) -> Totals {
         let mut totals = Totals::default();
@@ -53,6 +69,11 @@
         totals
     }
 
+    /// The newest report of the process `source`.
+    pub fn report(&self, source: &Source) -> Option<&Report> {
+        self.reports.get(source)
+    }
+
     /// The newest report of the process that membership knows as `member`, or by a later generation.
     pub fn report_of(&self, member: &Source) -> Option<&Report> {
         let of_member = self.reports.values().filter(|report| {
--- a/crates/sycamore-moves/tests/evidence.rs
+++ b/crates/sycamore-moves/tests/evidence.rs
@@ -150,3 +150,12 @@
     let again = collector.repeat();
     assert_eq!(again.seq, 3);
 }
+
+quickcheck! {
+    fn what_was_counted_since_adds_up(a: AnyReport, b: AnyReport) -> bool {
+        let mut sum = a.0.totals.clone();
+        sum.add_all(&b.0.totals);
+        sum.since(&a.0.totals).answered() == b.0.totals.answered()
+            && sum.since(&a.0.totals).crashes == b.0.totals.crashes
+    }
+}
