feat(cli): the time line shows archived events and restarted nodes

Cause: events of processes that are gone are in the object store, and following by number alone lost those of a restarted node. Conclusion: the command line's tests pass.

--- a/crates/sycamore-cli/src/args/mod.rs
+++ b/crates/sycamore-cli/src/args/mod.rs
@@ -188,6 +188,9 @@
     /// Only events that this instance recorded
     #[bpaf(long("instance"), argument("INSTANCE"), optional)]
     pub instance: Option<sycamore_types::id::InstanceId>,
+    /// Show what the object store holds too: events of processes that are gone
+    #[bpaf(long("archive"))]
+    pub archive: bool,
     /// Go on showing events as they happen
     #[bpaf(long("follow"))]
     pub follow: bool,
--- a/crates/sycamore-cli/src/output/mod.rs
+++ b/crates/sycamore-cli/src/output/mod.rs
@@ -36,11 +36,6 @@
         }
     }
 
-    /// Prints one row of a list that goes on.
-    pub fn line(&self, value: &Value, text: impl AsRef<str>) {
-        self.answer(value, text);
-    }
-
     /// Prints an error, to standard error.
     pub fn error(&self, error: &CliError) {
         match self.format {
--- a/crates/sycamore-cli/src/queries/timeline.rs
+++ b/crates/sycamore-cli/src/queries/timeline.rs
@@ -1,45 +1,39 @@
-//! `timeline`: the events of all nodes named, in one order.
+//! `timeline`: the events of all nodes named, and of those that are gone, in one order.
 
 use crate::args::Timeline;
 use crate::client::Client;
 use crate::error::CliError;
 use crate::output::Output;
-use error_stack::Report;
+use error_stack::{Report, ResultExt};
 use serde::Deserialize;
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Duration;
+use sycamore_timeline::merge::{Cursor, Filter};
 use sycamore_types::prelude::*;
 
 /// Time between two looks for new events.
-const FOLLOW_INTERVAL: Duration = Duration::from_millis(500);
+const FOLLOW_INTERVAL: Duration = Duration::from_secs(1);
 
 #[derive(Deserialize)]
 struct Page {
     events: Vec<Event>,
 }
 
-/// Shows events, and goes on where `args` say so.
+/// Shows events, and goes on where `args` say so. What a node has told before is known by its
+/// number and its process' generation, so that a restarted node's events are shown as well.
 ///
 /// # Errors
-/// [`CliError`] where a node named does not answer.
+/// [`CliError`] where a node named does not answer, or the object store where `args` ask for it.
 pub async fn run(
     client: &Client,
     args: &Timeline,
     output: &Output,
 ) -> Result<(), Report<CliError>> {
-    let mut seen: BTreeMap<SocketAddr, u64> = BTreeMap::new();
+    let filter =
+        Filter { mv: args.mv.clone(), instance: args.instance.clone(), kind: args.kind.clone() };
+    let mut cursor = Cursor::default();
     loop {
-        let mut events = Vec::new();
-        for node in client.nodes() {
-            let after = seen.entry(*node).or_default();
-            let page = fetch(client, *node, *after, args).await?;
-            *after = page.iter().map(|event| event.seq).fold(*after, u64::max);
-            events.extend(page);
-        }
-        events.retain(|event| args.instance.as_ref().is_none_or(|wanted| event.by == *wanted));
-        events.sort_by(|a, b| (a.at, &a.by, a.seq).cmp(&(b.at, &b.by, b.seq)));
-        events.iter().for_each(|event| show(event, output));
+        let fresh = cursor.advance(fetch(client, args).await?);
+        fresh.iter().filter(|event| filter.passes(event)).for_each(|event| show(event, output));
         if !args.follow {
             return Ok(());
         }
@@ -47,25 +41,20 @@
     }
 }
 
-async fn fetch(
-    client: &Client,
-    node: SocketAddr,
-    after: u64,
-    args: &Timeline,
-) -> Result<Vec<Event>, Report<CliError>> {
-    let mut query = format!("timeline?after={after}");
-    if let Some(kind) = &args.kind {
-        query.push_str(&format!("&kind={kind}"));
+async fn fetch(client: &Client, args: &Timeline) -> Result<Vec<Event>, Report<CliError>> {
+    let mut events = Vec::new();
+    if args.archive {
+        events.extend(page(client.query("timeline?archive=true").await?)?);
     }
-    if let Some(mv) = &args.mv {
-        query.push_str(&format!("&move={mv}"));
+    for node in client.nodes() {
+        events.extend(page(client.query_node(*node, "timeline").await?)?);
     }
-    let value = client.query_node(node, &query).await?;
-    let page: Page = serde_json::from_value(value).map_err(|error| {
-        Report::new(CliError::Failed(format!(
-            "node {node} sent events that can't be read: {error}"
-        )))
-    })?;
+    Ok(events)
+}
+
+fn page(value: serde_json::Value) -> Result<Vec<Event>, Report<CliError>> {
+    let unreadable = || CliError::Failed("a node sent events that can't be read".to_owned());
+    let page: Page = serde_json::from_value(value).change_context_lazy(unreadable)?;
     Ok(page.events)
 }
 
@@ -79,5 +68,5 @@
         event.by.as_str(),
         event.kind.name()
     );
-    output.line(&value, text);
+    output.answer(&value, text);
 }
