fix: events after a message are stamped after its sender's

Cause: nodes stamped events by their own clocks alone, since no message carried a stamp: with clocks that differ by seconds an effect could stand before its cause on the time line. Change: every datagram carries the sender's hybrid logical clock and the receiver takes note of it, unless it is over a minute ahead, so that a broken clock does not drag the others along. Ruled out: a stamp in the membership machine's packets, which would grow the models' states. Conclusion: the two new hub tests pass; neither compiled before, as the hub took no stamps.

--- a/crates/sycamore-node/src/hub/mod.rs
+++ b/crates/sycamore-node/src/hub/mod.rs
@@ -150,6 +150,16 @@
         self.timeline.borrow_mut().record(kind, self.clock.wall());
     }
 
+    /// The stamp that a message sent now carries.
+    pub fn stamp(&self) -> Stamp {
+        self.timeline.borrow_mut().stamp(self.clock.wall())
+    }
+
+    /// Takes note of a stamp that a message carried, so that what follows is ordered after it.
+    pub fn observe(&self, stamp: Stamp) {
+        self.timeline.borrow_mut().observe(stamp, self.clock.wall());
+    }
+
     /// The time line of this process.
     pub fn timeline(&self) -> &RefCell<Recorder> {
         &self.timeline
--- a/crates/sycamore-node/src/peers/driver.rs
+++ b/crates/sycamore-node/src/peers/driver.rs
@@ -59,7 +59,11 @@
             send,
             exchanges,
         });
-        tasks.spawn_until_stop(send_datagrams(driver.datagrams.clone(), send_rx));
+        tasks.spawn_until_stop(send_datagrams(
+            driver.hub.clone(),
+            driver.datagrams.clone(),
+            send_rx,
+        ));
         tasks.spawn_until_stop(driver.clone().run_exchanges(exchanges_rx, tasks.stop_signal()));
         driver.publish();
         driver
@@ -194,10 +198,14 @@
     }
 }
 
-async fn send_datagrams(datagrams: Rc<Datagrams>, mut queue: mpsc::Receiver<(SocketAddr, Packet)>) {
+async fn send_datagrams(
+    hub: Rc<Hub>,
+    datagrams: Rc<Datagrams>,
+    mut queue: mpsc::Receiver<(SocketAddr, Packet)>,
+) {
     while let Some((to, packet)) = queue.recv().await {
         // A datagram that can't be sent is as good as lost, which the machine expects.
-        let _ = datagrams.send(&packet, to).await;
+        let _ = datagrams.send(&packet, hub.stamp(), to).await;
     }
 }
 
--- a/crates/sycamore-node/src/peers/leave.rs
+++ b/crates/sycamore-node/src/peers/leave.rs
@@ -22,7 +22,7 @@
         // Where the group stops without the phase, the node leaves all the same.
         let _ = stop.or(stopped).await;
         for (to, packet) in driver.leave() {
-            let _ = driver.datagrams.send(&packet, to).await;
+            let _ = driver.datagrams.send(&packet, driver.hub.stamp(), to).await;
         }
         let _ = monoio::time::timeout(DELETE_LIMIT, delete_row(&driver, &platform)).await;
         let _ = monoio::time::timeout(DELETE_LIMIT, driver.calls.close()).await;
--- a/crates/sycamore-node/src/peers/tasks.rs
+++ b/crates/sycamore-node/src/peers/tasks.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use sycamore_member::message::{ExchangeReply, ExchangeRequest};
 use sycamore_member::Input;
-use sycamore_peer::Call;
+use sycamore_peer::{Call, Received};
 
 /// Time between two ticks of the machine.
 const TICK: Duration = Duration::from_millis(100);
@@ -44,7 +44,10 @@
 async fn receive(driver: Rc<Driver>) {
     loop {
         match driver.datagrams.recv().await {
-            Ok((packet, from)) => driver.input(Input::Packet { from, packet }),
+            Ok(Received { packet, at, from }) => {
+                driver.hub.observe(at);
+                driver.input(Input::Packet { from, packet });
+            }
             Err(report) => {
                 warn!(driver.hub.log, "datagram socket failed"; "error" => %report);
                 monoio::time::sleep(SOCKET_PAUSE).await;
--- a/crates/sycamore-node/src/timeline/recorder.rs
+++ b/crates/sycamore-node/src/timeline/recorder.rs
@@ -32,6 +32,11 @@
         self.batcher.push(event);
     }
 
+    /// The stamp that a message sent at civil time `now` carries.
+    pub fn stamp(&mut self, now: WallTime) -> Stamp {
+        self.ring.stamp(now)
+    }
+
     /// Takes note of a stamp that a message carried, so that what follows is ordered after it.
     pub fn observe(&mut self, stamp: Stamp, now: WallTime) {
         self.ring.observe(stamp, now);
--- a/crates/sycamore-node/tests/hub.rs
+++ b/crates/sycamore-node/tests/hub.rs
@@ -85,3 +85,23 @@
     hub.facts.expire(WallTime(100));
     assert_eq!(hub.facts.known().values().collect::<Vec<_>>(), [&verdict]);
 }
+
+#[test]
+fn an_event_after_a_message_is_stamped_after_its_sender() {
+    let hub = Hub::new(Settings::default());
+    // The sender's clock is five seconds ahead.
+    let sent = Stamp { wall: WallTime(hub.clock.wall().0 + 5_000), logical: 2 };
+    hub.observe(sent);
+    hub.record(EventKind::Draining);
+    let events = hub.timeline().borrow().after(0);
+    assert!(events.iter().all(|event| event.at > sent), "{events:?}");
+    assert!(hub.stamp() > events[0].at);
+}
+
+#[test]
+fn a_broken_clock_does_not_drag_others_along() {
+    let hub = Hub::new(Settings::default());
+    hub.observe(Stamp { wall: WallTime(u64::MAX), logical: u32::MAX });
+    let ahead = hub.stamp().wall.since(hub.clock.wall());
+    assert!(ahead < std::time::Duration::from_secs(60), "{ahead:?}");
+}
--- a/crates/sycamore-peer/src/codec/packet.rs
+++ b/crates/sycamore-peer/src/codec/packet.rs
@@ -17,16 +17,17 @@
     hash.0.iter().take(8).fold(0, |tag, byte| tag << 8 | u64::from(*byte))
 }
 
-/// Encodes `packet` for the deployment with `tag`.
+/// Encodes `packet`, sent at `at`, for the deployment with `tag`.
 ///
 /// # Errors
 /// [`Error::Malformed`] where it exceeds [`MAX_PACKET_BYTES`] or [`MAX_PACKET_ITEMS`].
-pub fn encode_packet(packet: &Packet, tag: u64) -> Result<Vec<u8>> {
+pub fn encode_packet(packet: &Packet, at: Stamp, tag: u64) -> Result<Vec<u8>> {
     let buf = proto::Packet {
         deployment: tag,
         from: packet.from.to_string(),
         body: Some(body_to_wire(&packet.body)),
         items: packet.items.iter().map(item_to_wire).collect(),
+        at: Some(proto::Stamp { wall_ms: at.wall.0, logical: at.logical }),
     }
     .encode_to_vec();
     if buf.len() > MAX_PACKET_BYTES || packet.items.len() > MAX_PACKET_ITEMS {
@@ -35,12 +36,12 @@
     Ok(buf)
 }
 
-/// Decodes a datagram of the deployment with `tag`.
+/// Decodes a datagram of the deployment with `tag`, with the time at which it was sent.
 ///
 /// # Errors
 /// [`Error::Deployment`] where it is another deployment's, [`Error::Malformed`] where it is not
 /// well formed or exceeds a bound.
-pub fn decode_packet(buf: &[u8], tag: u64) -> Result<Packet> {
+pub fn decode_packet(buf: &[u8], tag: u64) -> Result<(Packet, Stamp)> {
     if buf.len() > MAX_PACKET_BYTES {
         return Err(malformed("packet too large"));
     }
@@ -48,11 +49,14 @@
     if wire.deployment != tag {
         return Err(Report::new(Error::Deployment));
     }
-    Ok(Packet {
+    let at = wire.at.unwrap_or_default();
+    let at = Stamp { wall: WallTime(at.wall_ms), logical: at.logical };
+    let packet = Packet {
         from: id(&wire.from, "sender")?,
         body: body_from_wire(wire.body)?,
         items: items_from_wire(wire.items, MAX_PACKET_ITEMS)?,
-    })
+    };
+    Ok((packet, at))
 }
 
 fn body_to_wire(body: &Body) -> Wire {
--- a/crates/sycamore-peer/src/datagram.rs
+++ b/crates/sycamore-peer/src/datagram.rs
@@ -18,6 +18,17 @@
     counters: Arc<Counters>,
 }
 
+/// A packet that came in.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Received {
+    /// The packet.
+    pub packet: Packet,
+    /// The sender's clock when it sent it.
+    pub at: Stamp,
+    /// Where it came from.
+    pub from: SocketAddr,
+}
+
 impl Datagrams {
     /// Binds `address`.
     ///
@@ -40,13 +51,13 @@
         self.socket.local_addr().change_context(Error::Socket)
     }
 
-    /// Sends `packet` to `to`. A datagram that the system drops is not reported.
+    /// Sends `packet` at `at` to `to`. A datagram that the system drops is not reported.
     ///
     /// # Errors
     /// [`Error::Malformed`] where the packet exceeds its bounds, [`Error::Socket`] where the
     /// system refuses it.
-    pub async fn send(&self, packet: &Packet, to: SocketAddr) -> Result<()> {
-        let buf = encode_packet(packet, self.tag)?;
+    pub async fn send(&self, packet: &Packet, at: Stamp, to: SocketAddr) -> Result<()> {
+        let buf = encode_packet(packet, at, self.tag)?;
         let len = buf.len() as u64;
         let (sent, _) = self.socket.send_to(buf, to).await;
         sent.change_context(Error::Socket)?;
@@ -54,12 +65,12 @@
         Ok(())
     }
 
-    /// The next well-formed packet of this deployment, with its source. Others are counted as
+    /// The next well-formed packet of this deployment. Others are counted as
     /// refused and skipped.
     ///
     /// # Errors
     /// [`Error::Socket`] where the socket fails.
-    pub async fn recv(&self) -> Result<(Packet, SocketAddr)> {
+    pub async fn recv(&self) -> Result<Received> {
         // One byte more than allowed tells an oversized datagram from a full one.
         let mut buf = vec![0; MAX_PACKET_BYTES + 1];
         loop {
@@ -73,7 +84,7 @@
             };
             self.counters.add_bytes_in(len as u64 + DATAGRAM_HEADER_BYTES);
             match decode_packet(buf.get(..len).unwrap_or_default(), self.tag) {
-                Ok(packet) => return Ok((packet, from)),
+                Ok((packet, at)) => return Ok(Received { packet, at, from }),
                 Err(_) => self.counters.add_refused(1),
             }
         }
--- a/crates/sycamore-peer/src/lib.rs
+++ b/crates/sycamore-peer/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use client::{Peers, PeersOptions};
 pub use counters::Counters;
-pub use datagram::Datagrams;
+pub use datagram::{Datagrams, Received};
 pub use server::{serve, Call, Evidence, Inbox, Objects, Server, ServerOptions};
 
 /// Why a message was not sent, not answered or not accepted.
--- a/crates/sycamore-peer/src/proto/sycamore.peer.v1.rs
+++ b/crates/sycamore-peer/src/proto/sycamore.peer.v1.rs
@@ -11,6 +11,9 @@
     /// News: members and facts.
     #[prost(message, repeated, tag = "8")]
     pub items: ::prost::alloc::vec::Vec<Item>,
+    /// The sender's hybrid logical clock.
+    #[prost(message, optional, tag = "9")]
+    pub at: ::core::option::Option<Stamp>,
     #[prost(oneof = "packet::Body", tags = "3, 4, 5, 6, 7")]
     pub body: ::core::option::Option<packet::Body>,
 }
--- a/crates/sycamore-peer/tests/codec.rs
+++ b/crates/sycamore-peer/tests/codec.rs
@@ -115,14 +115,17 @@
     }
 }
 
+const AT: Stamp = Stamp { wall: WallTime(1_796_344_110_107), logical: 300 };
+
 fn tag() -> u64 {
     deployment_tag(&Deployment::new("klupa").unwrap())
 }
 
 quickcheck! {
-    fn packets_come_back_the_same(packet: AnyPacket) -> bool {
-        let buf = encode_packet(&packet.0, tag()).unwrap();
-        decode_packet(&buf, tag()).unwrap() == packet.0
+    fn packets_come_back_the_same(packet: AnyPacket, wall: u64, logical: u32) -> bool {
+        let at = Stamp { wall: WallTime(wall), logical };
+        let buf = encode_packet(&packet.0, at, tag()).unwrap();
+        decode_packet(&buf, tag()).unwrap() == (packet.0, at)
     }
 
     fn items_come_back_the_same(item: AnyItem) -> bool {
@@ -139,8 +142,8 @@
 
     fn size_bounds_the_encoding(item: AnyItem) -> bool {
         let packet = |items| Packet { from: "a".parse().unwrap(), body: Body::Push, items };
-        let with = encode_packet(&packet(vec![item.0.clone()]), tag()).unwrap().len();
-        let without = encode_packet(&packet(Vec::new()), tag()).unwrap().len();
+        let with = encode_packet(&packet(vec![item.0.clone()]), AT, tag()).unwrap().len();
+        let without = encode_packet(&packet(Vec::new()), AT, tag()).unwrap().len();
         with - without <= item.0.size()
     }
 
@@ -149,7 +152,7 @@
     }
 
     fn cut_packets_never_panic(packet: AnyPacket, cut: usize) -> bool {
-        let buf = encode_packet(&packet.0, tag()).unwrap();
+        let buf = encode_packet(&packet.0, AT, tag()).unwrap();
         let cut = cut % buf.len();
         decode_packet(&buf[..cut], tag()).is_err() || cut > 0
     }
@@ -159,7 +162,7 @@
 fn another_deployment_is_refused() {
     let packet = Packet { from: "a".parse().unwrap(), body: Body::Push, items: Vec::new() };
     let other = deployment_tag(&Deployment::new("sutokatha").unwrap());
-    let refused = decode_packet(&encode_packet(&packet, other).unwrap(), tag()).unwrap_err();
+    let refused = decode_packet(&encode_packet(&packet, AT, other).unwrap(), tag()).unwrap_err();
     assert_eq!(*refused.current_context(), Error::Deployment);
 }
 
--- a/crates/sycamore-peer/tests/transport.rs
+++ b/crates/sycamore-peer/tests/transport.rs
@@ -13,7 +13,8 @@
 use sycamore_member::message::{Body, ExchangeReply, ExchangeRequest, Packet};
 use sycamore_peer::limits::{MAX_FETCH_BYTES, MAX_FETCH_HASHES, MAX_PACKET_BYTES};
 use sycamore_peer::{
-    serve, Counters, Datagrams, Error, Evidence, Inbox, Peers, PeersOptions, Server, ServerOptions,
+    serve, Counters, Datagrams, Error, Evidence, Inbox, Peers, PeersOptions, Received, Server,
+    ServerOptions,
 };
 use sycamore_types::prelude::*;
 
@@ -197,10 +198,11 @@
         let garbage = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
         garbage.send_to(b"\xff\xff\xff", to).unwrap();
         garbage.send_to(&vec![0; MAX_PACKET_BYTES + 1], to).unwrap();
-        other.send(&packet, to).await.unwrap();
-        a.send(&packet, to).await.unwrap();
-        let (arrived, from) = b.recv().await.unwrap();
-        assert_eq!((arrived, from), (packet, a.local_addr().unwrap()));
+        other.send(&packet, Stamp::default(), to).await.unwrap();
+        let at = Stamp { wall: WallTime(7), logical: 3 };
+        a.send(&packet, at, to).await.unwrap();
+        let from = a.local_addr().unwrap();
+        assert_eq!(b.recv().await.unwrap(), Received { packet, at, from });
         assert_eq!(received.refused(), 3);
         assert!(sent.bytes_out() > 0);
     });
@@ -222,8 +224,9 @@
         peers.head(node.address).await.unwrap();
         println!("call on a new connection: {cold} B; on an open one: {} B", total() - before);
         let body = Body::Ping { seq: 70_000, digest: u64::MAX };
+        let at = Stamp { wall: WallTime(1_796_344_110_107), logical: 300 };
         let packet = Packet { from: "counter-0017".parse().unwrap(), body, items: Vec::new() };
-        let len = sycamore_peer::codec::encode_packet(&packet, 1).unwrap().len();
+        let len = sycamore_peer::codec::encode_packet(&packet, at, 1).unwrap().len();
         println!("ping and ack as datagrams: {} B", 2 * (len + 28));
         peers.close().await;
         node.end().await;
--- a/crates/sycamore-timeline/src/ring.rs
+++ b/crates/sycamore-timeline/src/ring.rs
@@ -1,8 +1,12 @@
 //! The latest events of one process.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 use sycamore_types::prelude::*;
 
+/// Furthest that a message's stamp may be ahead of the own clock.
+pub const MAX_LEAD: Duration = Duration::from_secs(60);
+
 /// The process that records events.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Source {
@@ -63,9 +67,18 @@
         &self.events[self.events.len() - 1]
     }
 
-    /// Takes note of a stamp that a message carried, so that what follows is ordered after it.
+    /// The stamp that a message sent at civil time `now` carries.
+    pub fn stamp(&mut self, now: WallTime) -> Stamp {
+        self.stamp = self.stamp.tick(now);
+        self.stamp
+    }
+
+    /// Takes note of a stamp that a message carried, so that what follows is ordered after it. One
+    /// further ahead than [`MAX_LEAD`] is left out: a broken clock must not drag the others along.
     pub fn observe(&mut self, stamp: Stamp, now: WallTime) {
-        self.stamp = self.stamp.merge(stamp, now);
+        if stamp.wall.since(now) <= MAX_LEAD {
+            self.stamp = self.stamp.merge(stamp, now);
+        }
     }
 
     /// Events with numbers above `after`.
