--- a/crates/sycamore-member/tests/common/mod.rs
+++ b/crates/sycamore-member/tests/common/mod.rs
@@ -375,7 +375,8 @@
 }
 
 pub fn datagram_bytes(packet: &Packet) -> u64 {
-    codec::encode_packet(packet, 1).unwrap().len() as u64 + DATAGRAM_HEADER_BYTES
+    let at = Stamp { wall: WallTime(1_796_344_110_107), logical: 300 };
+    codec::encode_packet(packet, at, 1).unwrap().len() as u64 + DATAGRAM_HEADER_BYTES
 }
 
 fn items_bytes(items: &[Item]) -> u64 {
