fix(calls): raise the facts of a crash in a joined task

Cause: the first call that recognised a crash spawned a task of its own on the loop, which no parent joined; a node that had stopped still raised facts up to 20 ms later.

Change: crash::follow, started in the slice's group, is woken by that call and raises the facts.

Before: crash::a_stopped_node_raises_nothing_more and tasks::only_groups_spawn fail. After: both pass.

Conclusion: the tests keep spawns inside groups.

--- a/crates/sycamore-node/src/calls/crash.rs
+++ b/crates/sycamore-node/src/calls/crash.rs
@@ -38,20 +38,24 @@
 }
 
 /// Finds out whether the upstream is gone, and gives that; the first call of a crash that asks
-/// raises the crash's facts.
+/// has [`follow`] raise the crash's facts.
 pub(super) async fn check(state: &Rc<State>, upstream: &AnnouncedUpstream) -> bool {
     let crashed = is_gone(upstream.address).await;
-    if !crashed || state.crash_check.replace(true) {
-        return crashed;
+    if crashed && !state.crash_check.replace(true) {
+        state.crashed.notify_one();
     }
-    let state = state.clone();
-    monoio::spawn(async move {
+    crashed
+}
+
+/// Raises the facts of each crash, for as long as the node runs.
+pub(super) async fn follow(state: Rc<State>) {
+    loop {
+        state.crashed.notified().await;
         monoio::time::sleep(SETTLE_TIME).await;
         raise(&state);
         monoio::time::sleep(CRASH_SPAN).await;
         state.crash_check.set(false);
-    });
-    crashed
+    }
 }
 
 /// A process that ends closes its sockets one after the other, so that one look may be too early.
--- a/crates/sycamore-node/src/calls/state.rs
+++ b/crates/sycamore-node/src/calls/state.rs
@@ -58,7 +58,10 @@
     /// When the upstream announced itself last.
     pub(super) heard: Cell<Time>,
     pub(super) crash_count: Cell<u64>,
+    /// A crash is being looked into.
     pub(super) crash_check: Cell<bool>,
+    /// Wakes the task that raises the facts of a crash.
+    pub(super) crashed: Notify,
     pub(super) keys: RefCell<KeyTable<Rc<StoredAnswer>>>,
     pub(super) ownership: RefCell<Ownership>,
     pub(super) upstreams: Pool,
@@ -78,6 +81,7 @@
         let crashes = CrashLogConfig { quarantine: settings.quarantine, ..Default::default() };
         let ownership = OwnershipConfig { memory, lag: settings.view_lag, ..Default::default() };
         let me = hub.settings.node.instance.clone();
+        let metrics = Metrics::new(&hub.registry)?;
         Ok(Rc::new(Self {
             hub: hub.clone(),
             router: RefCell::new(Router::new(RouterConfig::default(), rng.random())),
@@ -92,11 +96,12 @@
             heard: Cell::new(now),
             crash_count: Cell::new(0),
             crash_check: Cell::new(false),
+            crashed: Notify::new(),
             keys: RefCell::new(KeyTable::new(KeyTableConfig { memory, ..Default::default() })),
             ownership: RefCell::new(Ownership::new(me, ownership, now)),
             upstreams: Pool::new(UPSTREAM_IDLE, UPSTREAM_IDLE_TIME),
             relays: Pool::new(RELAY_IDLE, RELAY_IDLE_TIME),
-            metrics: Metrics::new(&hub.registry)?,
+            metrics,
             budgets: RefCell::default(),
             rng: RefCell::new(rng),
             next_id: Cell::new(0),
--- a/crates/sycamore-node/src/calls/watch.rs
+++ b/crates/sycamore-node/src/calls/watch.rs
@@ -1,6 +1,7 @@
 //! Following what the other slices find out.
 
 use super::announce;
+use super::crash;
 use super::slot;
 use super::state::State;
 use crate::tasks::TaskGroup;
@@ -24,6 +25,7 @@
     tasks.spawn_until_stop(follow(hub.upstream.subscribe(), state.clone(), upstream));
     tasks.spawn_until_stop(follow(hub.snapshot.subscribe(), state.clone(), limits));
     tasks.spawn_until_stop(slot::expire(state.clone()));
+    tasks.spawn_until_stop(crash::follow(state.clone()));
     tasks.spawn_until_stop(tick(state.clone()));
 }
 
--- a/crates/sycamore-node/tests/calls/crash.rs
+++ b/crates/sycamore-node/tests/calls/crash.rs
@@ -21,6 +21,21 @@
     }
 }
 
+#[test]
+fn a_stopped_node_raises_nothing_more() {
+    run(async {
+        let world = World::start(&Options { nodes: 1, ..Options::default() }).await;
+        let resp = world.call(post("/counter/crash"), "poison").await;
+        assert_eq!(field(&resp, headers::REASON), "crashed");
+        let hub = world.nodes[0].hub.clone();
+        world.stop().await;
+        let known = hub.facts.known().len();
+        // Longer than a crash is looked into.
+        monoio::time::sleep(std::time::Duration::from_millis(250)).await;
+        assert_eq!(hub.facts.known().len(), known);
+    });
+}
+
 #[test]
 fn a_request_is_quarantined_after_its_second_crash() {
     run(async {
--- a/crates/sycamore-node/tests/tasks.rs
+++ b/crates/sycamore-node/tests/tasks.rs
@@ -3,6 +3,7 @@
 use monoio::{LegacyDriver, RuntimeBuilder};
 use std::cell::Cell;
 use std::future::Future;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use sycamore_node::tasks::TaskGroup;
 
@@ -67,3 +68,27 @@
 fn joining_no_task_returns() {
     on_loop(async { TaskGroup::default().join().await });
 }
+
+/// The sources under `folder` that hold `text`.
+fn sources_with(folder: &Path, text: &str) -> Vec<PathBuf> {
+    let mut found = Vec::new();
+    for entry in std::fs::read_dir(folder).expect("a folder") {
+        let path = entry.expect("an entry").path();
+        if path.is_dir() {
+            found.extend(sources_with(&path, text));
+        } else if std::fs::read_to_string(&path).expect("a source").contains(text) {
+            found.push(path);
+        }
+    }
+    found
+}
+
+#[test]
+fn only_groups_spawn() {
+    let sources = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
+    for call in ["monoio::spawn", "thread::spawn", "tokio::spawn"] {
+        let found = sources_with(&sources, call);
+        let others: Vec<_> = found.iter().filter(|path| !path.ends_with("tasks/mod.rs")).collect();
+        assert!(others.is_empty(), "{call} in {others:?}");
+    }
+}
