fix(calls): bound the memory of request bodies under way

Cause: [calls] body_memory was read by nobody, so that slow uploads could take memory up to the bounds on connections.

Change: an exchange with a request body holds 128 KiB of it from before the body is read until it ends; where that is not there, the call is refused at once as overloaded, not run, with retry-after, at callers' and relay listeners alike. Relaying exchanges get half, so that they can't starve those that reach the upstream. Settings under two exchanges are refused; sycamoreshift_calls_body_bytes shows what is held.

Ruled out: following the buffers' true sizes (nothing would be known before the first byte).

--- a/crates/sycamore-node/src/calls/beside.rs
+++ b/crates/sycamore-node/src/calls/beside.rs
@@ -46,7 +46,7 @@
 }
 
 /// A refusal tells the load as well; a body that was not read makes the connection useless.
-async fn refuse(
+pub(super) async fn refuse(
     state: &State,
     inbound: &mut Inbound,
     msg: &Message,
--- a/crates/sycamore-node/src/calls/metrics.rs
+++ b/crates/sycamore-node/src/calls/metrics.rs
@@ -14,6 +14,7 @@
     limit: IntGauge,
     queued: IntGauge,
     connections: IntGauge,
+    body_bytes: IntGauge,
 }
 
 impl Metrics {
@@ -28,11 +29,18 @@
                 limit: gauge("limit", "Calls that may run on the upstream")?,
                 queued: gauge("queued", "Calls that wait for the upstream")?,
                 connections: gauge("connections", "Connections accepted and open")?,
+                body_bytes: gauge("body_bytes", "Memory that bodies under way hold, in bytes")?,
             };
             registry.register(Box::new(metrics.answers.clone()))?;
             registry.register(Box::new(metrics.first_attempts.clone()))?;
             registry.register(Box::new(metrics.retries.clone()))?;
-            for gauge in [&metrics.running, &metrics.limit, &metrics.queued, &metrics.connections] {
+            for gauge in [
+                &metrics.running,
+                &metrics.limit,
+                &metrics.queued,
+                &metrics.connections,
+                &metrics.body_bytes,
+            ] {
                 registry.register(Box::new(gauge.clone()))?;
             }
             Ok(metrics)
@@ -64,6 +72,11 @@
     pub(super) fn connections(&self) -> &IntGauge {
         &self.connections
     }
+
+    /// The memory that bodies under way hold.
+    pub(super) fn body_bytes(&self) -> &IntGauge {
+        &self.body_bytes
+    }
 }
 
 fn counter(name: &str, help: &str) -> prometheus::Result<IntCounter> {
--- a/crates/sycamore-node/src/calls/mod.rs
+++ b/crates/sycamore-node/src/calls/mod.rs
@@ -13,6 +13,7 @@
 mod forward;
 mod keyed;
 mod listen;
+mod memory;
 mod message;
 mod meta;
 mod metrics;
--- a/crates/sycamore-node/src/calls/serve.rs
+++ b/crates/sycamore-node/src/calls/serve.rs
@@ -6,6 +6,7 @@
 use super::forward::{self, own_answer, Outgoing};
 use super::keyed;
 use super::listen::Side;
+use super::memory::{Holding, Role};
 use super::message::{Inbound, Message};
 use super::meta::{self, CallMeta, Depth};
 use super::state::State;
@@ -123,6 +124,13 @@
             return own_answer(state, inbound, &answer).await;
         }
     };
+    let _holding = match hold(state, &msg, Role::Relays) {
+        Ok(holding) => holding,
+        Err(answer) => {
+            inbound.closes |= !msg.is_whole();
+            return own_answer(state, inbound, &answer).await;
+        }
+    };
     msg.proceed(inbound).await?;
     match timeout(PREFIX_TIME, msg.read_prefix(inbound)).await {
         Err(_) => return Err(std::io::ErrorKind::TimedOut.into()),
@@ -145,6 +153,15 @@
     served
 }
 
+/// Takes memory for the body of `msg`, before any of it is read; a call without one needs none.
+fn hold(state: &State, msg: &Message, role: Role) -> Result<Option<Holding>, Answer> {
+    if msg.body_len() == Some(0) {
+        return Ok(None);
+    }
+    let held = state.bodies.hold(role);
+    held.map(Some).ok_or_else(|| Answer::refused(RefusalReason::Overloaded, RETRY_AFTER))
+}
+
 /// Finds the route and what travels with the call.
 fn identify(
     state: &State,
@@ -239,6 +256,11 @@
         let answer = Answer::rejected(StatusCode::BAD_REQUEST, "malformed", "no call of a node");
         return own_answer(state, inbound, &answer).await;
     };
+    let role = if target.is_some() { Role::Runs } else { Role::Relays };
+    let _holding = match hold(state, msg, role) {
+        Ok(holding) => holding,
+        Err(answer) => return beside::refuse(state, inbound, msg, answer).await,
+    };
     if !msg.waits() {
         match timeout(PREFIX_TIME, msg.read_prefix(inbound)).await {
             Err(_) => return Err(std::io::ErrorKind::TimedOut.into()),
--- a/crates/sycamore-node/src/calls/state.rs
+++ b/crates/sycamore-node/src/calls/state.rs
@@ -1,5 +1,6 @@
 //! What the tasks of the slice share.
 
+use super::memory::BodyMemory;
 use super::metrics::Metrics;
 use super::pool::Pool;
 use super::slot::Waiters;
@@ -66,6 +67,7 @@
     pub(super) ownership: RefCell<Ownership>,
     pub(super) upstreams: Pool,
     pub(super) relays: Pool,
+    pub(super) bodies: BodyMemory,
     pub(super) metrics: Metrics,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     rng: RefCell<SmallRng>,
@@ -101,6 +103,7 @@
             ownership: RefCell::new(Ownership::new(me, ownership, now)),
             upstreams: Pool::new(UPSTREAM_IDLE, UPSTREAM_IDLE_TIME),
             relays: Pool::new(RELAY_IDLE, RELAY_IDLE_TIME),
+            bodies: BodyMemory::new(settings.body_memory, metrics.body_bytes().clone()),
             metrics,
             budgets: RefCell::default(),
             rng: RefCell::new(rng),
--- a/crates/sycamore-node/tests/calls/main.rs
+++ b/crates/sycamore-node/tests/calls/main.rs
@@ -1,6 +1,7 @@
 //! Calls along the whole path: callers, nodes and upstreams on one loop, over loopback.
 #![allow(clippy::unwrap_used)]
 
+mod body;
 mod cancel;
 mod crash;
 mod key;
--- a/crates/sycamore-settings/src/calls.rs
+++ b/crates/sycamore-settings/src/calls.rs
@@ -5,6 +5,10 @@
 use serde_with::{serde_as, DisplayFromStr};
 use std::time::Duration;
 
+/// Memory that the request body of one exchange counts for, in bytes: its first part, of up to
+/// 32 KiB and a piece, a copy of that on its way out, and the pieces of the relay.
+pub const EXCHANGE_BYTES: u64 = 128 << 10;
+
 /// Routing, admission and retries.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -19,7 +23,8 @@
     /// Time a caller has to send a request's head.
     #[serde_as(as = "Span")]
     pub head_timeout: Duration,
-    /// Memory that all bodies under way may take.
+    /// Memory that all request bodies under way may take, [`EXCHANGE_BYTES`] each; exchanges that
+    /// relay to another node may take half of it.
     #[serde_as(as = "Size")]
     pub body_memory: u64,
     /// Time that a drain waits for calls in flight before the node stops all the same.
--- a/crates/sycamore-settings/src/check.rs
+++ b/crates/sycamore-settings/src/check.rs
@@ -1,5 +1,6 @@
 //! Checks across keys and sections.
 
+use crate::calls::EXCHANGE_BYTES;
 use crate::operator::MIN_TOKEN_BYTES;
 use crate::Settings;
 use serde::Serialize;
@@ -23,6 +24,7 @@
     shared_addresses(settings, &mut found);
     operator_access(settings, &mut found);
     timing(settings, &mut found);
+    memory(settings, &mut found);
     found
 }
 
@@ -86,6 +88,15 @@
     }
 }
 
+/// A call whose both sides are one node has two exchanges there.
+fn memory(settings: &Settings, found: &mut Vec<Contradiction>) {
+    let least = 2 * EXCHANGE_BYTES;
+    if settings.calls.body_memory < least {
+        let problem = format!("must be at least {} KiB, for two exchanges", least >> 10);
+        add(found, "calls", "body_memory", problem);
+    }
+}
+
 /// The keys of the section that `section` holds.
 pub(crate) fn keys_of(section: &impl Serialize) -> Vec<String> {
     match ::config::Config::try_from(section).and_then(|source| source.try_deserialize()) {
--- a/crates/sycamore-settings/tests/load.rs
+++ b/crates/sycamore-settings/tests/load.rs
@@ -80,6 +80,15 @@
     );
 }
 
+#[test]
+fn the_memory_of_bodies_holds_two_exchanges_at_least() {
+    let text = |bytes: u64| format!("{NODE}[calls]\nbody_memory = {bytes}B\n");
+    let least = 2 * sycamore_settings::calls::EXCHANGE_BYTES;
+    assert_eq!(places(&text(least - 1)), ["calls.body_memory"]);
+    let settings = from_text("test.ini", &text(least)).expect("valid");
+    assert_eq!(settings.calls.body_memory, least);
+}
+
 #[test]
 fn a_token_is_never_printed() {
     let text = format!("{NODE}[operator]\ntoken = 0123456789abcdef\n");
