fix(calls): never send again a body that was passed on unkept

Cause: a body over 32 KiB counted as whole, and so as fit to be sent again, once all of it had been passed on, though only its first part was held. After a lost answer (idempotent methods) or a refusal by the upstream itself, the next attempt sent that part under the full length and hung until the deadline. The same test let a connection go back to its pool when an early answer came before the last piece was written.

Change: the first part is taken when a body is streamed; such a call makes no further attempt and is answered with what is known. A connection is reusable only where the body was written whole before the answer.

Not tested: the early answer before the last piece, which loopback buffers hide; it is closed by the code's form.

Conclusion: a long body runs at most one attempt past the point where it is asked for.

--- a/crates/sycamore-node/src/calls/beside.rs
+++ b/crates/sycamore-node/src/calls/beside.rs
@@ -52,7 +52,7 @@
     msg: &Message,
     answer: Answer,
 ) -> std::io::Result<()> {
-    inbound.closes |= !msg.is_whole() && !msg.waits();
+    inbound.closes |= !msg.is_read() && !msg.waits();
     state.metrics.answered(answer.outcome.as_str(), &answer.reason);
     let mut resp = answer.to_response();
     add_load(state, resp.headers_mut());
@@ -214,7 +214,7 @@
                 Answer::unknown(StatusCode::BAD_GATEWAY, "broken", "the upstream gave no answer")
             }
         };
-        inbound.closes |= !msg.is_whole();
+        inbound.closes |= !msg.is_read();
         own_answer(self.state, inbound, &answer).await
     }
 
--- a/crates/sycamore-node/src/calls/exchange.rs
+++ b/crates/sycamore-node/src/calls/exchange.rs
@@ -61,7 +61,7 @@
     let method = head.method.clone();
     let sent = async {
         if msg.is_whole() {
-            send_whole(inbound, msg, out, &head).await
+            send_whole(inbound, msg, out, &head).await.map(|head| (head, true))
         } else if wait {
             head.headers.insert(header::EXPECT, HeaderValue::from_static("100-continue"));
             send_after_continue(inbound, msg, out, &head).await
@@ -71,10 +71,10 @@
             send_streamed(inbound, msg, out, first).await
         }
     };
-    let head = timeout(left, sent).await.map_err(|_| Failure::Deadline)??;
+    let (head, is_sent) = timeout(left, sent).await.map_err(|_| Failure::Deadline)??;
     let framing = response_framing(&head, &method).map_err(|_| Failure::Broken)?;
     // The request must have gone out whole, or its rest would be taken for the next one.
-    let reusable = msg.is_whole() && !wants_close(&head.headers, head.version);
+    let reusable = is_sent && !wants_close(&head.headers, head.version);
     Ok(Answered { head, framing, reusable })
 }
 
@@ -96,41 +96,44 @@
     msg: &mut Message,
     out: &mut Stream,
     head: &RequestHead,
-) -> Result<ResponseHead, Failure> {
+) -> Result<(ResponseHead, bool), Failure> {
     let mut bytes = BytesMut::new();
     encode_request(head, msg.framing, &mut bytes);
     write_all(&mut out.writer, bytes.freeze()).await.map_err(|_| Failure::Broken)?;
     let first =
         out.reader.any_response_head(&HeadLimits::DEFAULT).await.map_err(|_| Failure::Broken)?;
     if first.status != StatusCode::CONTINUE {
-        return Ok(first);
+        return Ok((first, false));
     }
     send_streamed(inbound, msg, out, BytesMut::new()).await
 }
 
+/// Gives the answer's head, and whether the body went out whole before it came.
 async fn send_streamed(
     inbound: &mut Inbound,
     msg: &mut Message,
     out: &mut Stream,
     mut first: BytesMut,
-) -> Result<ResponseHead, Failure> {
+) -> Result<(ResponseHead, bool), Failure> {
     let mut encoder = BodyEncoder::new(msg.framing);
-    encoder.encode(msg.prefix(), &mut first).map_err(|_| Failure::CallerGone)?;
+    encoder.encode(&msg.take_prefix(), &mut first).map_err(|_| Failure::CallerGone)?;
     let uploaded = {
         let upload =
             relay_body(&mut inbound.reader, &mut msg.decoder, &mut out.writer, encoder, first);
         let answered = out.reader.response_head(&HeadLimits::DEFAULT);
         match select(pin!(upload), pin!(answered)).await {
             Either::Left((uploaded, _)) => uploaded,
-            Either::Right((head, _)) => return head.map_err(|_| Failure::Broken),
+            Either::Right((head, _)) => {
+                return head.map(|head| (head, false)).map_err(|_| Failure::Broken);
+            }
         }
     };
     match uploaded {
-        Ok(Ok(())) => answer_head(inbound, out).await,
+        Ok(Ok(())) => answer_head(inbound, out).await.map(|head| (head, true)),
         Ok(Err(_)) => Err(Failure::CallerGone),
         // The upstream may have answered before it stopped reading.
         Err(_) => match timeout(EARLY_ANSWER_TIME, answer_head(inbound, out)).await {
-            Ok(answered) => answered,
+            Ok(answered) => answered.map(|head| (head, false)),
             Err(_) => Err(Failure::Broken),
         },
     }
--- a/crates/sycamore-node/src/calls/forward.rs
+++ b/crates/sycamore-node/src/calls/forward.rs
@@ -108,6 +108,9 @@
                 }
             }
         };
+        if out.msg.is_spent() {
+            return Forwarded::Own(failed.after(may_have_run).answer);
+        }
         let call = call_state(state, out, attempt, &tried);
         let decision =
             state.budget(&service, &out.retry, |budget| budget.decide(&call, failed.failure));
--- a/crates/sycamore-node/src/calls/message.rs
+++ b/crates/sycamore-node/src/calls/message.rs
@@ -42,7 +42,7 @@
         strip_hop_by_hop(&mut head.headers);
         head.headers.remove(header::EXPECT);
         let decoder = BodyDecoder::new(framing);
-        Ok(Message { head, framing, continues, prefix: BytesMut::new(), decoder })
+        Ok(Message { head, framing, continues, prefix: BytesMut::new(), taken: false, decoder })
     }
 }
 
@@ -53,6 +53,8 @@
     /// The sender waits for an interim answer before it sends the body.
     continues: bool,
     prefix: BytesMut,
+    /// The prefix was taken, to be sent on once.
+    taken: bool,
     pub(super) decoder: BodyDecoder,
 }
 
@@ -101,11 +103,28 @@
         Ok(())
     }
 
-    /// Whether the whole body has been read and can be sent again.
-    pub(super) fn is_whole(&self) -> bool {
+    /// Whether the whole body has been read, so that the next request may follow.
+    pub(super) fn is_read(&self) -> bool {
         self.decoder.is_done()
     }
 
+    /// Whether the whole body is here and can be sent any number of times.
+    pub(super) fn is_whole(&self) -> bool {
+        self.is_read() && !self.taken
+    }
+
+    /// Whether the body has been sent on in part or whole without being kept: it can't be sent
+    /// again.
+    pub(super) fn is_spent(&self) -> bool {
+        self.taken
+    }
+
+    /// Takes the part of the body that has been read, to be sent on once.
+    pub(super) fn take_prefix(&mut self) -> BytesMut {
+        self.taken = true;
+        std::mem::take(&mut self.prefix)
+    }
+
     /// The part of the body that has been read.
     pub(super) fn prefix(&self) -> &[u8] {
         &self.prefix
--- a/crates/sycamore-node/src/calls/serve.rs
+++ b/crates/sycamore-node/src/calls/serve.rs
@@ -120,14 +120,14 @@
     let (meta, service) = match identify(state, &msg, peer, depth) {
         Ok(identified) => identified,
         Err(answer) => {
-            inbound.closes |= !msg.is_whole();
+            inbound.closes |= !msg.is_read();
             return own_answer(state, inbound, &answer).await;
         }
     };
     let _holding = match hold(state, &msg, Role::Relays) {
         Ok(holding) => holding,
         Err(answer) => {
-            inbound.closes |= !msg.is_whole();
+            inbound.closes |= !msg.is_read();
             return own_answer(state, inbound, &answer).await;
         }
     };
@@ -139,7 +139,7 @@
     }
     let meta = CallMeta { fingerprint: fingerprint(&msg, &meta.route), ..meta };
     if let Some(answer) = quarantined(state, &meta) {
-        inbound.closes |= !msg.is_whole();
+        inbound.closes |= !msg.is_read();
         return own_answer(state, inbound, &answer).await;
     }
     let keyed = !super::exchange::is_idempotent(&msg.head.method)
@@ -149,7 +149,7 @@
         true => keyed::forward(state, out).await,
         false => forward::forward(state, out).await,
     };
-    inbound.closes |= !msg.is_whole();
+    inbound.closes |= !msg.is_read();
     served
 }
 
@@ -272,6 +272,6 @@
         Some(target) => beside::serve(state, inbound, msg, &meta, &target).await,
         None => keyed::keep(state, inbound, msg, meta).await,
     };
-    inbound.closes |= !msg.is_whole() && !msg.waits();
+    inbound.closes |= !msg.is_read() && !msg.waits();
     served
 }
--- a/crates/sycamore-node/tests/calls/body.rs
+++ b/crates/sycamore-node/tests/calls/body.rs
@@ -132,3 +132,34 @@
         world.stop().await;
     });
 }
+
+/// Longer than what a node holds of a body.
+const LONG: usize = 200 << 10;
+
+#[test]
+fn a_body_that_was_passed_on_is_not_sent_again_in_part() {
+    run(async {
+        let world = World::start(&Options::default()).await;
+        settle().await;
+        let body = "x".repeat(LONG);
+        let put = || http::Request::put("/counter/close");
+        let resp = world.call(put(), &body).await;
+        assert_eq!(resp.status(), StatusCode::BAD_GATEWAY);
+        assert_eq!(field(&resp, headers::OUTCOME), "unknown");
+        assert_eq!(world.runs("close"), 1);
+        world.stop().await;
+    });
+}
+
+#[test]
+fn a_long_call_that_the_upstream_shed_is_answered_at_once() {
+    run(async {
+        let world = World::start(&Options::default()).await;
+        settle().await;
+        let resp = world.call(post("/counter/shed"), &"x".repeat(LONG)).await;
+        assert_eq!(resp.status(), StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(field(&resp, headers::OUTCOME), "not-run");
+        assert_eq!(world.runs("shed"), 1);
+        world.stop().await;
+    });
+}
