fix(cli): sheet import counts the moves that it names

Cause: a node answers an import with lists of moves, as docs/INTERFACES.md says, and the command line printed the lists where its sentence wants numbers ("[] moves added"). No test ran the real program against real nodes. Ruled out: changing the node's answer, which programs read. Change: the command counts the lists. A process test walks an operator's morning through the program: check, apply, two operators racing on one version, a sheet imported twice, a faulty sheet, an abort of a planned move, report and time line. Conclusion: the planned part of the morning is covered; moves that have begun are not.

--- a/crates/sycamore-bench/tests/process/main.rs
+++ b/crates/sycamore-bench/tests/process/main.rs
@@ -5,5 +5,6 @@
 mod change;
 mod drain;
 mod faults;
+mod morning;
 mod support;
 mod whole_path;
--- a/crates/sycamore-cli/src/commands/sheet.rs
+++ b/crates/sycamore-cli/src/commands/sheet.rs
@@ -6,7 +6,7 @@
 use crate::error::CliError;
 use crate::output::Output;
 use error_stack::Report;
-use serde_json::json;
+use serde_json::{json, Value};
 
 /// Checks the sheet here, then imports it through a node.
 ///
@@ -28,8 +28,16 @@
     let answer = client.command("sheet-import", &body).await?;
     let text = format!(
         "plan {}: {} moves added, {} changed, {} as before",
-        import.plan, answer["added"], answer["changed"], answer["same"]
+        import.plan,
+        count(&answer["added"]),
+        count(&answer["changed"]),
+        count(&answer["same"])
     );
     output.answer(&answer, text);
     Ok(())
 }
+
+/// Number of the moves that a node listed.
+fn count(moves: &Value) -> usize {
+    moves.as_array().map_or(0, Vec::len)
+}
