feat(moves): the share of an unproven version comes from the settings

`[moves] unproven_share` was read by nobody: a sheet without a cap always got 5%. The node that imports now gives such moves the value of its settings, within the bounds that a sheet may name (0.01% to 50%). `check sheet` reads no settings and goes on with 5%, which changes no fault that it lists.

Considered: to keep the cap open in the row until the move starts; then nodes with different settings would apply different shares.

A sheet that is imported again after the setting has changed differs in its cap from what stands. Test: a_move_without_a_cap_gets_the_one_that_is_set. The import command itself has no process test for it.

--- a/crates/sycamore-moves/src/sheet/field.rs
+++ b/crates/sycamore-moves/src/sheet/field.rs
@@ -1,7 +1,7 @@
 //! Columns of the sheet and their fields.
 
 use super::{parse_time, Fault, Problem};
-use crate::plan::{MoveSpec, OnTimeout, DEFAULT_CAP};
+use crate::plan::{MoveSpec, OnTimeout};
 use crate::ramp::MIN_WINDOW;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -80,7 +80,8 @@
         Self { header, record, line, faults: Vec::new() }
     }
 
-    pub(super) fn read(mut self) -> Result<MoveSpec, Vec<Fault>> {
+    /// Reads the row; `default_cap` stands where it names none.
+    pub(super) fn read(mut self, default_cap: Share) -> Result<MoveSpec, Vec<Fault>> {
         let mv = self.required(Column::Move, id);
         let service = self.required(Column::Service, id);
         let from = self.required(Column::From, id);
@@ -100,7 +101,7 @@
             (Some(mv), Some(service), Some(from), Some(to), Some(start), Some(deadline))
                 if self.faults.is_empty() =>
             {
-                let cap = cap.unwrap_or(DEFAULT_CAP);
+                let cap = cap.unwrap_or(default_cap);
                 let on_timeout = on_timeout.unwrap_or_default();
                 Ok(MoveSpec { mv, service, from, to, start, deadline, cap, watch, on_timeout })
             }
@@ -150,6 +151,13 @@
     text.parse().map_err(Problem::BadId)
 }
 
+/// The share nearest to `cap` that a sheet may name.
+pub(super) fn bounded_cap(cap: Share) -> Share {
+    let points = f64::from(cap.basis_points()).clamp(MIN_CAP_BASIS_POINTS, MAX_CAP_BASIS_POINTS);
+    // The range fits, so the conversion loses nothing.
+    Share::from_basis_points(points as u16)
+}
+
 /// Reads `5`, `5%`, `7,5 %`: percent, with either decimal mark.
 fn share(text: &str) -> Result<Share, Problem> {
     let number = text.trim_end_matches('%').trim_end().replace(',', ".");
--- a/crates/sycamore-moves/src/sheet/mod.rs
+++ b/crates/sycamore-moves/src/sheet/mod.rs
@@ -7,9 +7,10 @@
 pub use civil::parse_time;
 pub use fault::{Fault, Problem};
 
-use crate::plan::MoveSpec;
+use crate::plan::{MoveSpec, DEFAULT_CAP};
 use field::{Column, RowReader, COLUMNS};
 use std::collections::BTreeMap;
+use sycamore_types::share::Share;
 
 /// Largest accepted sheet, in bytes.
 pub const MAX_SHEET_BYTES: usize = 1 << 20;
@@ -20,14 +21,23 @@
 
 const BYTE_ORDER_MARK: &str = "\u{feff}";
 
-/// Reads a sheet.
+/// Reads a sheet; a move that names no cap gets [`DEFAULT_CAP`].
+///
+/// # Errors
+/// As [`parse_with_cap`].
+pub fn parse(sheet: &[u8]) -> Result<Vec<MoveSpec>, Vec<Fault>> {
+    parse_with_cap(sheet, DEFAULT_CAP)
+}
+
+/// Reads a sheet; a move that names no cap gets `cap`, or the nearest share that a
+/// sheet may name.
 ///
 /// The delimiter is `;` or `,`, whichever the header holds more of. A byte-order mark, CRLF line
 /// ends, quoted fields, blank rows and any order of columns are accepted.
 ///
 /// # Errors
 /// Every [`Fault`] of the sheet, in order of line and column, at most [`MAX_FAULTS`].
-pub fn parse(sheet: &[u8]) -> Result<Vec<MoveSpec>, Vec<Fault>> {
+pub fn parse_with_cap(sheet: &[u8], cap: Share) -> Result<Vec<MoveSpec>, Vec<Fault>> {
     if sheet.len() > MAX_SHEET_BYTES {
         return Err(vec![Fault::of_sheet(Problem::SheetTooLarge(sheet.len()))]);
     }
@@ -44,7 +54,7 @@
         None => return Err(vec![Fault::of_sheet(Problem::Empty)]),
         Some(record) => read_header(record)?,
     };
-    read_rows(&header, records)
+    read_rows(&header, records, field::bounded_cap(cap))
 }
 
 fn delimiter(text: &str) -> u8 {
@@ -95,6 +105,7 @@
 fn read_rows(
     header: &Header,
     records: impl Iterator<Item = csv::Result<csv::StringRecord>>,
+    cap: Share,
 ) -> Result<Vec<MoveSpec>, Vec<Fault>> {
     let mut faults = Vec::new();
     let mut rows: Vec<(u64, MoveSpec)> = Vec::new();
@@ -103,7 +114,7 @@
             Err(error) => faults.push(unreadable(&error)),
             Ok(record) => {
                 let line = line_of(&record);
-                match RowReader::new(header, &record, line).read() {
+                match RowReader::new(header, &record, line).read(cap) {
                     Ok(spec) => rows.push((line, spec)),
                     Err(of_row) => faults.extend(of_row),
                 }
--- a/crates/sycamore-moves/tests/sheet.rs
+++ b/crates/sycamore-moves/tests/sheet.rs
@@ -3,7 +3,7 @@
 use quickcheck::quickcheck;
 use std::time::Duration;
 use sycamore_moves::plan::OnTimeout;
-use sycamore_moves::sheet::{parse, parse_time, Problem};
+use sycamore_moves::sheet::{parse, parse_time, parse_with_cap, Problem};
 use sycamore_types::prelude::*;
 
 const HEADER: &str = "move,service,from,to,start,deadline,cap,watch,on_timeout\n";
@@ -31,6 +31,21 @@
     assert_eq!(moves[1].deadline.since(moves[1].start), Duration::from_secs(3_630));
 }
 
+#[test]
+fn a_move_without_a_cap_gets_the_one_that_is_set() {
+    let set = Share::from_basis_points(200);
+    let window = "2026-12-04 06:30 UTC,2026-12-04 07:00 UTC";
+    let sheet = format!("{HEADER}a,counter,1,2,{window},,,\nb,slots,1,2,{window},7%,,\n");
+    let moves = parse_with_cap(sheet.as_bytes(), set).expect("the sheet is right");
+    assert_eq!(moves[0].cap, set);
+    assert_eq!(moves[1].cap, Share::from_basis_points(700));
+    let sheet = format!("move,service,from,to,start,deadline\na,counter,1,2,{window}\n");
+    assert_eq!(parse_with_cap(sheet.as_bytes(), set).expect("right")[0].cap, set);
+    let of = |set| parse_with_cap(sheet.as_bytes(), set).expect("right")[0].cap;
+    assert_eq!(of(Share::ALL), Share::from_basis_points(5_000));
+    assert_eq!(of(Share::NONE), Share::from_basis_points(1));
+}
+
 #[test]
 fn lists_every_fault_with_line_and_column() {
     let sheet = format!(
--- a/crates/sycamore-node/src/moves/commands.rs
+++ b/crates/sycamore-node/src/moves/commands.rs
@@ -45,11 +45,13 @@
     /// [`OperatorError`] where the sheet is faulty, somebody else won or the platform is out.
     pub async fn import(&self, body: &[u8]) -> Result<Value, OperatorError> {
         let body: ImportBody = serde_json::from_slice(body).map_err(OperatorError::bad_input)?;
-        let specs =
-            sheet::parse(body.sheet.as_bytes()).map_err(|faults| OperatorError::BadInput {
+        let cap = self.state.hub.settings.moves.unproven_share;
+        let specs = sheet::parse_with_cap(body.sheet.as_bytes(), cap).map_err(|faults| {
+            OperatorError::BadInput {
                 error: format!("the sheet has {} faults; nothing was imported", faults.len()),
                 faults: faults.iter().map(ToString::to_string).collect(),
-            })?;
+            }
+        })?;
         import_specs(&self.state, &body, &specs).await
     }
 
