--- a/crates/sycamore-bench/src/measure/moves/trial.rs
+++ b/crates/sycamore-bench/src/measure/moves/trial/mod.rs
@@ -1,12 +1,13 @@
 //! One move on faked time: the product's state machines on emulated nodes, with traffic and faults.
 
+mod traffic;
+
 use super::baseline::Baseline;
 use super::bus::Bus;
 use super::node::{Node, REPORT_MS, TICK_MS};
 use super::scenario::{Kind, Scenario};
-use super::setup::{self, CALLER_NODES};
+use super::setup;
 use super::table::{Answer, Table};
-use super::upstream::{answer, Call};
 use super::witness::{Witness, LOOK_MS};
 use super::{Faults, Policy};
 use rand::rngs::SmallRng;
@@ -169,117 +170,6 @@
         }
     }
 
-    fn traffic(&mut self) {
-        self.owed += self.scenario.rate * ROUND_MS as f64 / 1_000.0;
-        while self.owed >= 1.0 {
-            self.owed -= 1.0;
-            let caller = self.rng.random_range(0..self.scenario.callers);
-            self.call(caller);
-        }
-    }
-
-    fn call(&mut self, caller: u64) {
-        let open = !self.table.row().is_ended() && self.baseline.withdrawn_ms.is_none();
-        if open && self.now >= self.scenario.start_ms {
-            self.calls += 1;
-        }
-        let wants_new = self.rng.random_bool(self.share(caller).as_fraction());
-        let target = wants_new.then(|| self.pick(true)).flatten();
-        let Some(index) = target.or_else(|| self.pick(false)) else { return };
-        let mut call = Call {
-            route: self.rng.random_range(0..self.scenario.routes),
-            caller,
-            is_new: self.nodes[index].is_new,
-            at_ms: self.now,
-            load: 0.0,
-        };
-        call.load = self.nodes[index].count_load(&call);
-        if call.is_new {
-            self.calls_new += u64::from(open);
-            self.count_new(index);
-        }
-        self.start(index, &call);
-    }
-
-    /// The share that the node applies which `caller` speaks to.
-    fn share(&self, caller: u64) -> Share {
-        match self.policy {
-            Policy::Baseline => self.baseline.share(self.scenario, self.now),
-            Policy::Product => {
-                // There are few caller nodes, so the conversion loses nothing.
-                let index = 2 * self.scenario.instances + (caller as usize) % CALLER_NODES;
-                self.nodes[index].control.split(WallTime(self.now)).to
-            }
-        }
-    }
-
-    /// A node that admits a call; one that holds a verdict refuses, and the call goes elsewhere.
-    fn pick(&mut self, is_new: bool) -> Option<usize> {
-        let instances = self.scenario.instances;
-        let first = if is_new { instances } else { 0 };
-        let offset = self.rng.random_range(0..instances);
-        let mut candidates = (0..instances).map(|i| first + (i + offset) % instances);
-        let product = self.policy == Policy::Product;
-        candidates.find(|index| {
-            let node = &self.nodes[*index];
-            node.is_up(self.now) && !(product && node.refuses())
-        })
-    }
-
-    fn count_new(&mut self, index: usize) {
-        self.last_new_ms = self.now;
-        if self.policy == Policy::Product && self.nodes[index].control.is_withdrawn() {
-            self.after_verdict += 1;
-        }
-        let sufficed = self.witness.as_ref().and_then(|witness| witness.sufficed_ms);
-        if sufficed.is_some_and(|at| self.now > at + 1_000) {
-            self.after_evidence += 1;
-        }
-    }
-
-    fn start(&mut self, index: usize, call: &Call) {
-        let answer = answer(self.scenario, call, &mut self.rng);
-        if answer.shows {
-            self.shown_ms.get_or_insert(self.now);
-        }
-        let mut crash = answer.crash;
-        if self.crash_requests > 0 && call.is_new && self.now > self.scenario.start_ms + 5_000 {
-            self.crash_requests -= 1;
-            crash = true;
-        }
-        // A latency is at most the call limit, a few seconds.
-        let ends_ms = self.now + (answer.latency.as_millis() as u64).max(1);
-        let member = &self.nodes[index].member;
-        let outcome = CallOutcome {
-            service: member.service.clone(),
-            version: member.version.clone(),
-            route: setup::route(call.route),
-            caller: call.caller,
-            kind: answer.kind,
-            latency: answer.latency,
-            cold: answer.cold,
-        };
-        self.nodes[index].running.push(super::node::Running { ends_ms, outcome, crash });
-    }
-
-    fn finish(&mut self) {
-        for index in 0..2 * self.scenario.instances {
-            let node = &mut self.nodes[index];
-            let was_up = node.is_up(self.now);
-            let outcomes = node.finish(self.now);
-            let crashed = was_up && !node.is_up(self.now);
-            let (is_new, instance) = (node.is_new, node.member.instance.clone());
-            for (nth, outcome) in outcomes.iter().enumerate() {
-                if let Some(witness) = &mut self.witness {
-                    witness.record(self.now, &instance, outcome, crashed && nth == 0);
-                }
-                if is_new {
-                    self.baseline.record(self.now, outcome.kind);
-                }
-            }
-        }
-    }
-
     fn control(&mut self) {
         self.kill();
         self.abort();
