fix(cli): join the connection's task however the exchange goes

Cause: an exchange that failed left the task that drove its connection unjoined. Change: the exchange is a function of its own; its task is joined after it in every case.

--- a/crates/sycamore-cli/src/client/mod.rs
+++ b/crates/sycamore-cli/src/client/mod.rs
@@ -139,7 +139,6 @@
         let stream = stream.into_poll_io().change_context(ExchangeError)?;
         let (mut sender, connection) =
             http1::handshake(MonoioIo::new(stream)).await.change_context(ExchangeError)?;
-        let driver = monoio::spawn(connection);
         let req = Request::builder()
             .method(method)
             .uri(path)
@@ -147,19 +146,29 @@
             .header(header::AUTHORIZATION, format!("Bearer {}", self.token))
             .body(Full::new(body))
             .change_context(ExchangeError)?;
-        let answer = sender.send_request(req).await.change_context(ExchangeError)?;
-        let status = answer.status();
-        let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES)
-            .collect()
-            .await
-            .map_err(|error| Report::new(ExchangeError).attach(error.to_string()))?
-            .to_bytes();
+        let driver = monoio::spawn(connection);
+        let exchanged = exchange(&mut sender, req).await;
+        // Without its sender the connection ends, however the exchange went.
         drop(sender);
         let _ = driver.await;
-        Ok((status, body))
+        exchanged
     }
 }
 
+/// Sends `req` and reads the whole answer.
+async fn exchange(
+    sender: &mut http1::SendRequest<Full<Bytes>>,
+    req: Request<Full<Bytes>>,
+) -> Result<(StatusCode, Bytes), Report<ExchangeError>> {
+    let answer = sender.send_request(req).await.change_context(ExchangeError)?;
+    let status = answer.status();
+    let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES)
+        .collect()
+        .await
+        .map_err(|error| Report::new(ExchangeError).attach(error.to_string()))?;
+    Ok((status, body.to_bytes()))
+}
+
 /// The exchange with a node broke off.
 #[derive(Debug)]
 struct ExchangeError;
