--- a/crates/sycamore-bench/src/measure/moves/witness.rs
+++ b/crates/sycamore-bench/src/measure/moves/witness.rs
@@ -5,8 +5,8 @@
 use sycamore_moves::verdict::{Judge, JudgeOptions};
 use sycamore_types::prelude::*;
 
-/// Time between two looks, in milliseconds: as often as the nodes look.
-pub const LOOK_MS: u64 = 200;
+/// Time between two looks, in milliseconds; the nodes look every 200.
+pub const LOOK_MS: u64 = 100;
 
 /// Judges with every outcome at hand, by the same rules as the nodes.
 pub struct Witness {
