--- a/crates/sycamore-call/src/admit/mod.rs
+++ b/crates/sycamore-call/src/admit/mod.rs
@@ -45,6 +45,15 @@
         }
     }
 
+    /// The class of calls with a rank, of which 0 is served first.
+    pub fn from_rank(rank: u8) -> Self {
+        match rank {
+            0 => Criticality::Critical,
+            1 => Criticality::Normal,
+            _ => Criticality::Sheddable,
+        }
+    }
+
     /// The class as headers carry it.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/crates/sycamore-call/src/lib.rs
+++ b/crates/sycamore-call/src/lib.rs
@@ -5,6 +5,7 @@
 //! and [`CrashLog`]; the node that a caller reaches runs [`Router`] and [`RetryBudget`].
 
 pub mod admit;
+pub mod announce;
 pub mod gate;
 pub mod key;
 pub mod load;
--- a/crates/sycamore-config/src/bundle/check.rs
+++ b/crates/sycamore-config/src/bundle/check.rs
@@ -1,8 +1,8 @@
 //! Checks of resources against each other and against bounds.
 
 use super::{
-    Fault, MAX_ATTEMPTS, MAX_BODY_BYTES, MAX_PREFIX_BYTES, MAX_QUEUE, MAX_QUEUE_MS, MAX_RESOURCES,
-    MAX_TIMEOUT_MS,
+    Fault, MAX_ATTEMPTS, MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_PREFIX_BYTES, MAX_QUEUE, MAX_QUEUE_MS,
+    MAX_RESOURCES, MAX_TIMEOUT_MS,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use sycamore_types::prelude::*;
@@ -19,6 +19,7 @@
         match resource {
             Resource::Service(service) => check.service(service),
             Resource::Route(route) => check.route(route),
+            Resource::Callers(limits) => check.callers(limits),
         }
     }
     check.faults
@@ -27,7 +28,7 @@
 fn service_names(resources: &[Resource]) -> BTreeSet<&ServiceName> {
     let names = resources.iter().filter_map(|resource| match resource {
         Resource::Service(service) => Some(&service.name),
-        Resource::Route(_) => None,
+        Resource::Route(_) | Resource::Callers(_) => None,
     });
     names.collect()
 }
@@ -37,7 +38,8 @@
     services: BTreeSet<&'a ServiceName>,
     seen_services: BTreeMap<&'a ServiceName, String>,
     seen_routes: BTreeMap<&'a RouteName, String>,
-    seen_prefixes: BTreeMap<&'a str, String>,
+    seen_prefixes: BTreeMap<(&'a str, &'a str), String>,
+    seen_callers: Option<String>,
     place: String,
     faults: Vec<Fault>,
 }
@@ -71,12 +73,41 @@
             let reason = format!("service {} is not in the configuration", route.service);
             self.fault("service", reason);
         }
+        self.split(&route.split);
+        if let Some(attempts) = route.policy.attempts {
+            self.bound("policy.attempts", attempts, 1, MAX_ATTEMPTS);
+        }
         let timeout_ms = u64::try_from(route.timeout.as_millis()).unwrap_or(u64::MAX);
         self.bound("timeout_ms", timeout_ms, 1, MAX_TIMEOUT_MS);
-        self.prefix(&route.prefix);
+        let host = route.host.as_deref().unwrap_or_default();
+        let bad_host = |c: char| !c.is_ascii_graphic() || "/?#@:".contains(c);
+        if let Some(c) = host.chars().find(|c| bad_host(*c)) {
+            self.fault("host", format!("{c:?} cannot be in a host name"));
+        }
+        self.prefix(host, &route.prefix);
+    }
+
+    fn split(&mut self, split: &[WeightedService]) {
+        for part in split {
+            if !self.services.contains(&part.service) {
+                let reason = format!("service {} is not in the configuration", part.service);
+                self.fault("split", reason);
+            }
+        }
+        if !split.is_empty() && split.iter().all(|part| part.weight == 0) {
+            self.fault("split", "no weight is above 0".to_owned());
+        }
+    }
+
+    fn callers(&mut self, limits: &CallerLimits) {
+        if let Some(first) = self.seen_callers.replace(self.place.clone()) {
+            self.fault("kind", format!("limits of callers are also {first}"));
+        }
+        self.bound("head_bytes", limits.head_bytes, 1_024, MAX_HEAD_BYTES);
+        self.bound("body_bytes", limits.body_bytes, 0, MAX_BODY_BYTES);
     }
 
-    fn prefix(&mut self, prefix: &'a str) {
+    fn prefix(&mut self, host: &'a str, prefix: &'a str) {
         if !prefix.starts_with('/') {
             self.fault("prefix", format!("{prefix:?} does not start with '/'"));
         }
@@ -89,7 +120,7 @@
         }
         // "/a" and "/a/" match the same segment, so that neither could be said to win.
         let segment = prefix.trim_end_matches('/');
-        if let Some(first) = self.seen_prefixes.insert(segment, self.place.clone()) {
+        if let Some(first) = self.seen_prefixes.insert((host, segment), self.place.clone()) {
             self.fault("prefix", format!("prefix {prefix} is also that of {first}"));
         }
     }
--- a/crates/sycamore-config/src/bundle/fields.rs
+++ b/crates/sycamore-config/src/bundle/fields.rs
@@ -22,9 +22,27 @@
 const ROUTE: &[Field] = &[
     Field { name: "kind", required: true, check: typed::<String> },
     Field { name: "name", required: true, check: typed::<RouteName> },
+    Field { name: "host", required: false, check: typed::<String> },
     Field { name: "prefix", required: true, check: typed::<String> },
     Field { name: "service", required: true, check: typed::<ServiceName> },
+    Field { name: "split", required: false, check: typed::<Vec<WeightedService>> },
     Field { name: "timeout_ms", required: true, check: typed::<u64> },
+    Field { name: "policy", required: false, check: policy },
+];
+
+const POLICY: &[Field] = &[
+    Field { name: "repeat", required: false, check: typed::<Repeat> },
+    Field { name: "attempts", required: false, check: typed::<u8> },
+    Field { name: "objective_ms", required: false, check: typed::<u64> },
+    Field { name: "rank", required: false, check: typed::<u8> },
+];
+
+const CALLERS: &[Field] = &[
+    Field { name: "kind", required: true, check: typed::<String> },
+    Field { name: "head_bytes", required: false, check: typed::<u64> },
+    Field { name: "body_bytes", required: false, check: typed::<u64> },
+    Field { name: "head_ms", required: false, check: typed::<u64> },
+    Field { name: "idle_ms", required: false, check: typed::<u64> },
 ];
 
 const LIMITS: &[Field] = &[
@@ -43,10 +61,12 @@
     match resource.get("kind").and_then(Value::as_str) {
         Some("service") => object(place, resource, SERVICE),
         Some("route") => object(place, resource, ROUTE),
+        Some("callers") => object(place, resource, CALLERS),
         Some(kind) => {
-            vec![fault(&format!("{place}.kind"), format!("{kind:?} is neither service nor route"))]
+            let reason = format!("{kind:?} is neither service, route nor callers");
+            vec![fault(&format!("{place}.kind"), reason)]
         }
-        None => vec![fault(place, "must be an object with a kind, service or route")],
+        None => vec![fault(place, "must be an object with a kind: service, route or callers")],
     }
 }
 
@@ -92,6 +112,10 @@
     object(place, value, LIMITS)
 }
 
+fn policy(place: &str, value: &Value) -> Vec<Fault> {
+    object(place, value, POLICY)
+}
+
 fn retry(place: &str, value: &Value) -> Vec<Fault> {
     object(place, value, RETRY)
 }
--- a/crates/sycamore-config/src/bundle/mod.rs
+++ b/crates/sycamore-config/src/bundle/mod.rs
@@ -21,6 +21,8 @@
 pub const MAX_QUEUE: u16 = 4_096;
 /// Largest body that may be accepted, in bytes.
 pub const MAX_BODY_BYTES: u64 = 64 << 20;
+/// Longest request head that may be accepted, in bytes.
+pub const MAX_HEAD_BYTES: u64 = 1 << 20;
 /// Most attempts of one call.
 pub const MAX_ATTEMPTS: u8 = 10;
 
@@ -75,17 +77,20 @@
     pub fn to_snapshot(&self, version: ConfigVersion) -> Snapshot {
         let mut services = BTreeMap::new();
         let mut routes = Vec::new();
+        let mut callers = CallerLimits::default();
         for resource in &self.resources {
             match resource {
                 Resource::Service(service) => {
                     services.insert(service.name.clone(), service.clone());
                 }
                 Resource::Route(route) => routes.push(route.clone()),
+                Resource::Callers(limits) => callers = limits.clone(),
             }
         }
         routes.sort_by(|a: &Route, b| {
-            b.prefix.len().cmp(&a.prefix.len()).then_with(|| a.prefix.cmp(&b.prefix))
+            let key = |route: &Route| (route.prefix.len(), route.host.is_some());
+            key(b).cmp(&key(a)).then_with(|| (&a.prefix, &a.host).cmp(&(&b.prefix, &b.host)))
         });
-        Snapshot { version, services, routes }
+        Snapshot { version, services, routes, callers }
     }
 }
--- a/crates/sycamore-config/tests/common/mod.rs
+++ b/crates/sycamore-config/tests/common/mod.rs
@@ -13,8 +13,11 @@
 pub fn route(name: &str, service: &str, timeout_ms: u64) -> Resource {
     Resource::Route(Route {
         name: RouteName::new(name).expect("constant identifier"),
+        host: None,
         prefix: format!("/{name}"),
         service: ServiceName::new(service).expect("constant identifier"),
+        split: Vec::new(),
         timeout: Duration::from_millis(timeout_ms),
+        policy: RoutePolicy::default(),
     })
 }
--- a/crates/sycamore-http/src/conn/reader.rs
+++ b/crates/sycamore-http/src/conn/reader.rs
@@ -112,14 +112,14 @@
             match body.decode(&mut self.buf)? {
                 Piece::Data(data) => return Ok(Some(data)),
                 Piece::End => return Ok(None),
-                Piece::Need => self.fill_body().await?,
+                Piece::Need => self.fill_body(body).await?,
             }
         }
     }
 
-    async fn fill_body(&mut self) -> Result<(), ReadError> {
+    async fn fill_body(&mut self, body: &mut BodyDecoder) -> Result<(), ReadError> {
         match self.fill().await? {
-            0 => Err(ReadError::Cut),
+            0 if !body.closed() => Err(ReadError::Cut),
             _ => Ok(()),
         }
     }
@@ -215,7 +215,7 @@
                 if !out.is_empty() {
                     write_all(writer, out.split().freeze()).await?;
                 }
-                if let Err(err) = reader.fill_body().await {
+                if let Err(err) = reader.fill_body(decoder).await {
                     return Ok(Err(err));
                 }
                 Ok(())
--- a/crates/sycamore-http/src/wire/body.rs
+++ b/crates/sycamore-http/src/wire/body.rs
@@ -24,6 +24,7 @@
 enum Decoding {
     Length(u64),
     Chunked(ChunkDecoder),
+    UntilClose { closed: bool },
 }
 
 impl BodyDecoder {
@@ -33,6 +34,7 @@
             Framing::Empty => Decoding::Length(0),
             Framing::Length(bytes) => Decoding::Length(bytes),
             Framing::Chunked => Decoding::Chunked(ChunkDecoder::Size),
+            Framing::UntilClose => Decoding::UntilClose { closed: false },
         })
     }
 
@@ -50,12 +52,29 @@
                 Ok(Piece::Data(buf.split_to(take).freeze()))
             }
             Decoding::Chunked(chunks) => chunks.decode(buf),
+            Decoding::UntilClose { closed: true } => Ok(Piece::End),
+            Decoding::UntilClose { .. } if buf.is_empty() => Ok(Piece::Need),
+            Decoding::UntilClose { .. } => Ok(Piece::Data(buf.split().freeze())),
         }
     }
 
+    /// Takes note that the peer closed the connection in an orderly way, which ends a body that has
+    /// no other end. Gives whether the body is whole now; any other body was cut.
+    pub fn closed(&mut self) -> bool {
+        if let Decoding::UntilClose { closed } = &mut self.0 {
+            *closed = true;
+        }
+        self.is_done()
+    }
+
     /// Whether the body has ended.
     pub fn is_done(&self) -> bool {
-        matches!(self.0, Decoding::Length(0) | Decoding::Chunked(ChunkDecoder::Done))
+        matches!(
+            self.0,
+            Decoding::Length(0)
+                | Decoding::Chunked(ChunkDecoder::Done)
+                | Decoding::UntilClose { closed: true }
+        )
     }
 }
 
@@ -75,7 +94,8 @@
         Self(match framing {
             Framing::Empty => Encoding::Length(0),
             Framing::Length(bytes) => Encoding::Length(bytes),
-            Framing::Chunked => Encoding::Chunked,
+            // Chunks show where a body was cut, which a closed connection does not.
+            Framing::Chunked | Framing::UntilClose => Encoding::Chunked,
         })
     }
 
--- a/crates/sycamore-http/src/wire/error.rs
+++ b/crates/sycamore-http/src/wire/error.rs
@@ -24,8 +24,6 @@
     BadLength,
     /// The transfer coding is not `chunked` alone.
     Coding,
-    /// A response gives no length: its end can't be told from a cut.
-    Unframed,
     /// A response switches to another protocol.
     Upgrade,
 }
@@ -55,7 +53,6 @@
             HeadError::ManyLengths => "more than one content-length is given",
             HeadError::BadLength => "content-length is not a decimal number",
             HeadError::Coding => "transfer-encoding is not chunked",
-            HeadError::Unframed => "response gives no length",
             HeadError::Upgrade => "response switches protocols",
         })
     }
--- a/crates/sycamore-http/src/wire/framing.rs
+++ b/crates/sycamore-http/src/wire/framing.rs
@@ -16,6 +16,8 @@
     Length(u64),
     /// The body comes in chunks.
     Chunked,
+    /// The body ends where its connection is closed; only a response's may (RFC 9112, section 6.3).
+    UntilClose,
 }
 
 /// The framing of a request's body.
@@ -29,7 +31,7 @@
 /// The framing of the body of a response to a request with `method`.
 ///
 /// # Errors
-/// [`HeadError`] as for requests, and for a response that would end with its connection.
+/// [`HeadError`] as for requests, and for a response that switches protocols.
 pub fn response_framing(head: &ResponseHead, method: &Method) -> Result<Framing, HeadError> {
     let framing = declared(&head.headers, head.version)?;
     if head.status == StatusCode::SWITCHING_PROTOCOLS {
@@ -38,7 +40,7 @@
     if has_no_body(head.status, method) {
         return Ok(Framing::Empty);
     }
-    framing.ok_or(HeadError::Unframed)
+    Ok(framing.unwrap_or(Framing::UntilClose))
 }
 
 fn has_no_body(status: StatusCode, method: &Method) -> bool {
--- a/crates/sycamore-http/src/wire/head.rs
+++ b/crates/sycamore-http/src/wire/head.rs
@@ -164,7 +164,9 @@
             out.put_slice(bytes.to_string().as_bytes());
             out.put_slice(b"\r\n");
         }
-        Framing::Chunked => out.put_slice(b"transfer-encoding: chunked\r\n"),
+        Framing::Chunked | Framing::UntilClose => {
+            out.put_slice(b"transfer-encoding: chunked\r\n");
+        }
     }
     out.put_slice(b"\r\n");
 }
--- a/crates/sycamore-http/tests/conn/relay.rs
+++ b/crates/sycamore-http/tests/conn/relay.rs
@@ -55,3 +55,31 @@
     assert!(matches!(relayed, Err(ReadError::Cut)));
     assert_eq!(got, []);
 }
+
+#[test]
+fn a_body_without_a_length_goes_on_in_chunks_and_ends_with_its_connection() {
+    let (relayed, got) = run(relay(b"whole".to_vec(), Framing::UntilClose, Framing::Chunked));
+    assert!(relayed.is_ok());
+    assert_eq!(got, b"whole");
+}
+
+#[test]
+fn a_reset_connection_does_not_end_a_body_without_a_length() {
+    run(async {
+        let (near, far) = pair().await;
+        let (read, _write) = far.into_split();
+        let mut reader = Reader::new(read);
+        let sending = monoio::spawn(async move {
+            let mut near = near;
+            near.write_all(b"half".to_vec()).await.0.unwrap();
+            monoio::time::sleep(std::time::Duration::from_millis(50)).await;
+            // Zero seconds of linger make the close a reset.
+            let linger = nix::libc::linger { l_onoff: 1, l_linger: 0 };
+            let fd = std::os::fd::AsRawFd::as_raw_fd(&near);
+            nix::sys::socket::setsockopt(fd, nix::sys::socket::sockopt::Linger, &linger).unwrap();
+        });
+        let body = reader.body(BodyDecoder::new(Framing::UntilClose), usize::MAX).await;
+        sending.await;
+        assert!(matches!(body, Err(ReadError::Io(_))), "{body:?}");
+    });
+}
--- a/crates/sycamore-node/src/calls/announce.rs
+++ b/crates/sycamore-node/src/calls/announce.rs
@@ -4,39 +4,17 @@
 use super::forward::own_answer;
 use super::message::{Inbound, Message};
 use super::state::State;
+use crate::edge::{Announcement, Process, UpstreamMessage};
 use crate::hub::AnnouncedUpstream;
-use bytes::Bytes;
-use http::{Method, Response, StatusCode};
-use serde::Deserialize;
-use std::net::SocketAddr;
+use http::StatusCode;
+use slog::{info, warn};
 use std::rc::Rc;
 use std::time::Duration;
-use sycamore_http::RequestHead;
-use sycamore_types::prelude::*;
+use sycamore_call::announce::{Heard, ProcessRef};
 
-/// Path of the announcement.
-const ANNOUNCE: &str = "/shift/announce";
-/// Path of the drain.
-const DRAIN: &str = "/shift/drain";
 /// Time without an announcement after which the upstream is taken for dead.
 const SILENCE: Duration = Duration::from_secs(5);
 
-/// The body of an announcement.
-#[derive(Debug, Deserialize)]
-struct Announcement {
-    version: UpstreamVersion,
-    address: SocketAddr,
-    slots: u16,
-    connections: u16,
-    #[serde(default)]
-    cold_ms: u64,
-}
-
-/// Whether a request of the upstream is meant for the node itself.
-pub(super) fn is_for(head: &RequestHead) -> bool {
-    head.method == Method::POST && matches!(head.uri.path(), ANNOUNCE | DRAIN)
-}
-
 /// Serves an announcement or a drain.
 pub(super) async fn serve(
     state: &Rc<State>,
@@ -47,39 +25,88 @@
     if msg.read_prefix(inbound).await.is_err() || !msg.is_whole() {
         return Err(std::io::ErrorKind::InvalidData.into());
     }
-    if msg.head.uri.path() == DRAIN {
-        drain(state);
-    } else if let Err(err) = announced(state, msg.prefix()) {
-        let answer = Answer::rejected(StatusCode::BAD_REQUEST, "malformed", err);
-        return own_answer(state, inbound, &answer).await;
+    let heard = match state.edges.upstream.read(&msg.head, msg.prefix()) {
+        Ok(UpstreamMessage::Announce(said)) => announced(state, said),
+        Ok(UpstreamMessage::Leave(process)) => Ok(left(state, &process)),
+        Err(err) => Err(err),
+    };
+    match heard {
+        Ok(Heard::Current | Heard::Repeated) => {
+            let in_flight = state.admission.borrow().load().running;
+            respond(inbound, &state.edges.upstream.acknowledge(in_flight)).await
+        }
+        Ok(Heard::Earlier) => {
+            state.metrics.announcement("earlier");
+            let detail = "a later start of the upstream is known";
+            let answer = Answer::rejected(StatusCode::CONFLICT, "earlier", detail);
+            own_answer(state, inbound, &answer).await
+        }
+        Err(err) => {
+            state.metrics.announcement("malformed");
+            warn!(state.hub.log, "announcement rejected"; "why" => &err);
+            let answer = Answer::rejected(StatusCode::BAD_REQUEST, "malformed", err);
+            own_answer(state, inbound, &answer).await
+        }
+    }
+}
+
+fn announced(state: &State, said: Announcement) -> Result<Heard, String> {
+    let own = &state.hub.settings.node.service;
+    if let Some(other) = said.service.as_ref().filter(|service| *service != own) {
+        return Err(format!("service {other} is not this node's, {own}"));
+    }
+    let process = process_ref(&said.process);
+    let heard = state.announcements.borrow_mut().announced(process, said.sequence);
+    if heard == Heard::Current {
+        state.metrics.announcement("taken");
+        take(state, said);
     }
-    let in_flight = state.admission.borrow().load().running;
-    let body = serde_json::json!({ "in_flight": in_flight }).to_string();
-    respond(inbound, &Response::new(Bytes::from(body))).await
+    Ok(heard)
 }
 
-fn announced(state: &State, body: &[u8]) -> serde_json::Result<()> {
-    let said: Announcement = serde_json::from_slice(body)?;
+fn take(state: &State, said: Announcement) {
     let now = state.now();
     state.heard.set(now);
-    state.hub.upstream.send_if_modified(|known| {
-        let same = known
-            .as_ref()
-            .filter(|known| known.address == said.address && known.version == said.version);
-        let warm_at = same.map_or(now + Duration::from_millis(said.cold_ms), |known| known.warm_at);
+    let changed = state.hub.upstream.send_if_modified(|known| {
+        let same = known.as_ref().filter(|known| {
+            known.address == said.address
+                && known.version == said.version
+                && known.name == said.process.name
+        });
+        let warm_at = same.map_or(now + said.cold, |known| known.warm_at);
         let next = AnnouncedUpstream {
+            name: said.process.name,
             version: said.version,
             address: said.address,
             slots: said.slots,
             connections: said.connections,
             warm_at,
-            draining: false,
+            draining: said.draining,
         };
         let changed = known.as_ref() != Some(&next);
         *known = Some(next);
         changed
     });
-    Ok(())
+    if let (true, Some(known)) = (changed, state.upstream()) {
+        info!(state.hub.log, "upstream announced";
+            "upstream" => known.name.as_deref().unwrap_or("-"),
+            "version" => %known.version,
+            "slots" => known.slots,
+            "draining" => known.draining);
+    }
+}
+
+fn left(state: &State, process: &Process) -> Heard {
+    let heard = state.announcements.borrow_mut().left(process_ref(process));
+    if heard == Heard::Current {
+        drain(state);
+        info!(state.hub.log, "upstream leaves"; "upstream" => process.name.as_deref().unwrap_or("-"));
+    }
+    heard
+}
+
+fn process_ref(process: &Process) -> ProcessRef<'_> {
+    ProcessRef { name: process.name.as_deref(), started: process.started }
 }
 
 fn drain(state: &State) {
@@ -94,7 +121,11 @@
 
 /// Takes the upstream for dead where it has been silent too long.
 pub(super) fn check_silence(state: &State) {
-    if state.now().since(state.heard.get()) >= SILENCE {
-        state.hub.upstream.send_if_modified(|known| known.take().is_some());
+    let silent = state.now().since(state.heard.get());
+    if silent >= SILENCE {
+        let lost = state.hub.upstream.send_if_modified(|known| known.take().is_some());
+        if lost {
+            warn!(state.hub.log, "upstream lost"; "silent_ms" => silent.as_millis());
+        }
     }
 }
--- a/crates/sycamore-node/src/calls/answer.rs
+++ b/crates/sycamore-node/src/calls/answer.rs
@@ -1,6 +1,7 @@
 //! Answers of the node itself.
 
-use super::message::Inbound;
+use super::listen::Side;
+use super::message::{strip_internal, Inbound};
 use bytes::{Bytes, BytesMut};
 use http::{header, HeaderValue, Response, StatusCode};
 use std::time::Duration;
@@ -15,7 +16,7 @@
 
 /// What an answer says about the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Outcome {
+pub enum Outcome {
     /// It certainly did not run.
     NotRun,
     /// It may have run.
@@ -23,7 +24,8 @@
 }
 
 impl Outcome {
-    pub(super) fn as_str(self) -> &'static str {
+    /// The outcome as headers carry it.
+    pub fn as_str(self) -> &'static str {
         match self {
             Outcome::NotRun => "not-run",
             Outcome::Unknown => "unknown",
@@ -33,14 +35,17 @@
 
 /// An answer of the node itself.
 #[derive(Debug, Clone)]
-pub(super) struct Answer {
-    pub(super) status: StatusCode,
-    pub(super) outcome: Outcome,
-    /// One word.
-    pub(super) reason: String,
-    /// A sentence.
-    pub(super) detail: String,
-    pub(super) retry_after: Option<Duration>,
+pub struct Answer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Whether the request may have run.
+    pub outcome: Outcome,
+    /// Why, in one word.
+    pub reason: String,
+    /// Why, in a sentence.
+    pub detail: String,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
 }
 
 impl Answer {
@@ -77,8 +82,8 @@
         }
     }
 
-    /// The answer as an HTTP response.
-    pub(super) fn to_response(&self) -> Response<Bytes> {
+    /// The answer as an HTTP response by the protocol of `docs/INTERFACES.md`.
+    pub fn to_response(&self) -> Response<Bytes> {
         let body = serde_json::json!({
             "outcome": self.outcome.as_str(),
             "reason": self.reason,
@@ -95,6 +100,8 @@
         if let Some(after) = self.retry_after {
             let secs = after.as_secs() + u64::from(after.subsec_nanos() > 0);
             fields.insert(header::RETRY_AFTER, HeaderValue::from(secs));
+            let millis = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
+            fields.insert(headers::RETRY_AFTER_MS, HeaderValue::from(millis));
         }
         resp
     }
@@ -134,6 +141,9 @@
 /// `inbound` closes anyway.
 pub(super) async fn respond(inbound: &mut Inbound, resp: &Response<Bytes>) -> std::io::Result<()> {
     let (mut head, ()) = resp.clone().map(drop).into_parts();
+    if inbound.side != Side::Relay {
+        strip_internal(&mut head.headers);
+    }
     if inbound.closes {
         head.headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
--- a/crates/sycamore-node/src/calls/beside.rs
+++ b/crates/sycamore-node/src/calls/beside.rs
@@ -2,16 +2,18 @@
 
 use super::answer::{Answer, RETRY_AFTER};
 use super::crash;
-use super::exchange::{relay_answer, send, Answered, Failure, Relayed};
-use super::forward::own_answer;
+use super::exchange::{relay_answer, send, whole_body, Answered, Failure, Relayed};
+use super::forward::{own_answer, MAX_REFUSAL_BYTES, REFUSAL_TIME};
 use super::message::{strip_internal, Inbound, Message};
 use super::meta::{text, CallMeta, Target};
 use super::pool::Stream;
 use super::slot::{acquire, Slot};
 use super::state::State;
+use crate::edge::{UpstreamAnswer, UpstreamCall};
 use crate::hub::{AnnouncedUpstream, Phase};
 use futures::future::{select, Either};
-use http::{header, HeaderName, HeaderValue, StatusCode};
+use http::{HeaderName, HeaderValue, StatusCode};
+use slog::warn;
 use std::pin::pin;
 use std::rc::Rc;
 use sycamore_call::admit::RunEnd;
@@ -146,10 +148,28 @@
     ) -> std::io::Result<()> {
         let mut head = msg.head.clone();
         strip_internal(&mut head.headers);
-        self.meta.write_for_upstream(self.state.now(), &mut head.headers);
         let left = self.meta.left(self.state.now());
+        let call = UpstreamCall {
+            left,
+            origin: &self.meta.origin,
+            upstream: self.upstream.name.as_deref(),
+            hops: &self.meta.depth.to_text(),
+        };
+        let calls = self.state.edges.calls.clone();
+        calls.for_upstream(&call, &mut head.headers);
         match send(inbound, msg, &mut stream, head, false, left).await {
-            Ok(answered) => self.relay(inbound, stream, answered).await,
+            Ok(answered) => match calls.judge(&msg.head.headers, &answered.head) {
+                UpstreamAnswer::Ran => self.relay(inbound, stream, answered, false).await,
+                UpstreamAnswer::Shed => self.relay(inbound, stream, answered, true).await,
+                UpstreamAnswer::NotRun(reason) => {
+                    self.not_run(inbound, msg, stream, &answered, reason).await
+                }
+                UpstreamAnswer::Foreign(why) => {
+                    drop(stream);
+                    warn!(self.state.hub.log, "answer rejected"; "why" => why, "call" => %self.meta.call);
+                    self.fail(inbound, msg, Failure::Broken).await
+                }
+            },
             Err(failure) => {
                 // Closing the connection cancels the call at the upstream.
                 drop(stream);
@@ -163,9 +183,9 @@
         inbound: &mut Inbound,
         mut stream: Stream,
         answered: Answered,
+        shed: bool,
     ) -> std::io::Result<()> {
         let status = answered.head.status;
-        let shed = is_shed(&answered.head);
         let left = self.meta.left(self.state.now());
         let state = self.state;
         let edit = |head: &mut ResponseHead| {
@@ -192,6 +212,24 @@
         }
     }
 
+    /// Answers a call that the upstream turned away before running it.
+    async fn not_run(
+        &mut self,
+        inbound: &mut Inbound,
+        msg: &Message,
+        mut stream: Stream,
+        answered: &Answered,
+        reason: RefusalReason,
+    ) -> std::io::Result<()> {
+        let read = whole_body(&mut stream, answered, MAX_REFUSAL_BYTES, REFUSAL_TIME).await;
+        if read.is_ok() && answered.is_reusable() && !stream.reader.has_unread() {
+            self.state.upstreams.put(self.upstream.address, stream);
+        }
+        self.slot.ended(RunEnd::Overloaded);
+        self.report(OutcomeKind::Shed);
+        refuse(self.state, inbound, msg, Answer::refused(reason, RETRY_AFTER)).await
+    }
+
     /// Answers a call that got no answer.
     async fn fail(
         &mut self,
@@ -270,10 +308,3 @@
         self.state.running.borrow_mut().remove(&self.slot.id());
     }
 }
-
-/// Whether the upstream itself says that it refused without running the call.
-fn is_shed(head: &ResponseHead) -> bool {
-    head.status == StatusCode::SERVICE_UNAVAILABLE
-        && text(&head.headers, headers::OUTCOME) == Some("not-run")
-        && head.headers.contains_key(header::RETRY_AFTER)
-}
--- a/crates/sycamore-node/src/calls/exchange.rs
+++ b/crates/sycamore-node/src/calls/exchange.rs
@@ -5,7 +5,7 @@
 use super::pool::Stream;
 use bytes::{Bytes, BytesMut};
 use futures::future::{select, Either};
-use http::{header, HeaderValue, Method, StatusCode};
+use http::{header, HeaderValue, StatusCode};
 use monoio::time::timeout;
 use std::pin::pin;
 use std::time::Duration;
@@ -74,7 +74,8 @@
     let (head, is_sent) = timeout(left, sent).await.map_err(|_| Failure::Deadline)??;
     let framing = response_framing(&head, &method).map_err(|_| Failure::Broken)?;
     // The request must have gone out whole, or its rest would be taken for the next one.
-    let reusable = is_sent && !wants_close(&head.headers, head.version);
+    let reusable =
+        is_sent && framing != Framing::UntilClose && !wants_close(&head.headers, head.version);
     Ok(Answered { head, framing, reusable })
 }
 
@@ -192,11 +193,6 @@
     timeout(left, body).await.unwrap_or(Err(ReadError::Cut))
 }
 
-/// Whether running a request with `method` twice does no harm (RFC 9110, section 9.2.2).
-pub(super) fn is_idempotent(method: &Method) -> bool {
-    method.is_idempotent()
-}
-
 impl Answered {
     /// Whether the connection may be used again once the answer is read.
     pub(super) fn is_reusable(&self) -> bool {
--- a/crates/sycamore-node/src/calls/failed.rs
+++ b/crates/sycamore-node/src/calls/failed.rs
@@ -124,6 +124,9 @@
 }
 
 fn retry_after(fields: &HeaderMap) -> Option<Duration> {
-    let secs = fields.get(header::RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
+    if let Some(millis) = text(fields, headers::RETRY_AFTER_MS).and_then(|text| text.parse().ok()) {
+        return Some(Duration::from_millis(millis));
+    }
+    let secs = text(fields, header::RETRY_AFTER.as_str())?.parse().ok()?;
     Some(Duration::from_secs(secs))
 }
--- a/crates/sycamore-node/src/calls/forward.rs
+++ b/crates/sycamore-node/src/calls/forward.rs
@@ -1,8 +1,9 @@
 //! The callers' side: route, choose an upstream, relay, and try again where that is safe.
 
 use super::answer::{respond, Answer, RETRY_AFTER};
-use super::exchange::{is_idempotent, relay_answer, send, Answered, Failure, Relayed};
+use super::exchange::{relay_answer, send, Answered, Failure, Relayed};
 use super::failed::{broken, end_of, failure_in, is_reroute, no_upstream, Failed};
+use super::listen::Side;
 use super::message::{strip_internal, Inbound, Message};
 use super::meta::{text, CallMeta, Target};
 use super::pool::Stream;
@@ -82,7 +83,11 @@
     answer: &Answer,
 ) -> std::io::Result<()> {
     state.metrics.answered(answer.outcome.as_str(), &answer.reason);
-    respond(inbound, &answer.to_response()).await
+    let resp = match inbound.side {
+        Side::Relay => answer.to_response(),
+        Side::Caller | Side::Upstream => state.edges.calls.answer(answer, &inbound.words),
+    };
+    respond(inbound, &resp).await
 }
 
 /// Makes attempts until one is answered or the call is given up.
@@ -133,7 +138,7 @@
     let view = state.hub.members.borrow().clone();
     CallState {
         attempts,
-        idempotent: is_idempotent(&out.msg.head.method) && out.msg.is_whole(),
+        idempotent: out.meta.repeats && out.msg.is_whole(),
         is_retry: out.meta.depth.is_retry && attempts == 1,
         has_room: state.router.borrow().has_room(now, &out.meta.service, &view, tried),
         left: out.meta.left(now),
@@ -256,9 +261,9 @@
 }
 
 /// Most bytes of a refusal's body.
-const MAX_REFUSAL_BYTES: usize = 4 << 10;
+pub(super) const MAX_REFUSAL_BYTES: usize = 4 << 10;
 /// Longest time to read it.
-const REFUSAL_TIME: Duration = Duration::from_millis(50);
+pub(super) const REFUSAL_TIME: Duration = Duration::from_millis(50);
 
 async fn keep_after_refusal(
     state: &State,
--- a/crates/sycamore-node/src/calls/keyed.rs
+++ b/crates/sycamore-node/src/calls/keyed.rs
@@ -237,7 +237,7 @@
     let short = match reply.answered.framing {
         Framing::Empty => true,
         Framing::Length(len) => len <= limit as u64,
-        Framing::Chunked => false,
+        Framing::Chunked | Framing::UntilClose => false,
     };
     if !short {
         claim.end = KeyEnd::AnswerLost;
--- a/crates/sycamore-node/src/calls/message.rs
+++ b/crates/sycamore-node/src/calls/message.rs
@@ -1,6 +1,8 @@
 //! Requests as they come in.
 
+use super::listen::Side;
 use super::pool::Stream;
+use crate::edge::RequestWords;
 use bytes::{Bytes, BytesMut};
 use http::{header, Method};
 use monoio::io::{OwnedReadHalf, OwnedWriteHalf, Splitable};
@@ -24,17 +26,22 @@
     pub(super) closes: bool,
     /// The request under way is a HEAD.
     pub(super) head_only: bool,
+    /// Who connects.
+    pub(super) side: Side,
+    /// What the request under way says of itself.
+    pub(super) words: RequestWords,
 }
 
 impl Inbound {
-    pub(super) fn new(stream: TcpStream) -> Self {
+    pub(super) fn new(stream: TcpStream, side: Side) -> Self {
         let Stream { reader, writer } = Stream::from_split(stream.into_split());
-        Self { reader, writer, closes: false, head_only: false }
+        let words = RequestWords::default();
+        Self { reader, writer, closes: false, head_only: false, side, words }
     }
 
     /// Reads a request up to its body.
-    pub(super) async fn message(&mut self) -> Result<Message, ReadError> {
-        let mut head = self.reader.request_head(&HeadLimits::default()).await?;
+    pub(super) async fn message(&mut self, limits: &HeadLimits) -> Result<Message, ReadError> {
+        let mut head = self.reader.request_head(limits).await?;
         let framing = request_framing(&head)?;
         self.closes |= wants_close(&head.headers, head.version);
         self.head_only = head.method == Method::HEAD;
@@ -69,7 +76,7 @@
         match self.framing {
             Framing::Empty => Some(0),
             Framing::Length(len) => Some(len),
-            Framing::Chunked => None,
+            Framing::Chunked | Framing::UntilClose => None,
         }
     }
 
--- a/crates/sycamore-node/src/calls/meta.rs
+++ b/crates/sycamore-node/src/calls/meta.rs
@@ -1,14 +1,14 @@
 //! What nodes tell each other about a call, in headers.
 
-use http::{HeaderMap, HeaderName, HeaderValue};
+pub(super) use crate::edge::native::text;
+
+use crate::edge::native::{class, set, timeout};
+use http::HeaderMap;
 use std::time::Duration;
 use sycamore_call::Criticality;
 use sycamore_types::headers;
 use sycamore_types::prelude::*;
 
-/// Longest time that a caller may ask for.
-const MAX_TIMEOUT: Duration = Duration::from_secs(600);
-
 /// How deep a call is.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) struct Depth {
@@ -27,7 +27,7 @@
         Self { level, is_retry: digits.len() < text.len() }
     }
 
-    fn to_text(self) -> String {
+    pub(super) fn to_text(self) -> String {
         format!("{}{}", self.level, if self.is_retry { "r" } else { "" })
     }
 }
@@ -43,6 +43,10 @@
     pub(super) class: Criticality,
     pub(super) depth: Depth,
     pub(super) deadline: Time,
+    /// The service of the instance at which the call began.
+    pub(super) origin: ServiceName,
+    /// It may run more than once.
+    pub(super) repeats: bool,
 }
 
 /// The version that an attempt is meant for.
@@ -79,7 +83,11 @@
         set(fields, headers::CALLER_HASH, &format!("{:x}", self.caller));
         set(fields, headers::ATTEMPT, &attempt.to_string());
         set(fields, headers::CRITICALITY, self.class.as_str());
-        self.write_for_upstream(now, fields);
+        set(fields, headers::ORIGIN, self.origin.as_str());
+        set(fields, headers::REPEATS, if self.repeats { "1" } else { "0" });
+        set(fields, headers::HOPS, &self.depth.to_text());
+        let left = u64::try_from(self.left(now).as_millis()).unwrap_or(u64::MAX);
+        set(fields, headers::TIMEOUT_MS, &left.to_string());
         let (version, share) = match target {
             Some(target) => (target.version.as_str(), target.share.basis_points()),
             None => ("-", 0),
@@ -91,13 +99,6 @@
         }
     }
 
-    /// Writes what an upstream must know: how deep the call is and the time left for it.
-    pub(super) fn write_for_upstream(&self, now: Time, fields: &mut HeaderMap) {
-        set(fields, headers::HOPS, &self.depth.to_text());
-        let left = u64::try_from(self.left(now).as_millis()).unwrap_or(u64::MAX);
-        set(fields, headers::TIMEOUT_MS, &left.to_string());
-    }
-
     /// Reads what another node wrote; `None` where a part is missing or malformed.
     pub(super) fn read(now: Time, fields: &HeaderMap) -> Option<(Self, Option<Target>)> {
         let mut parts = text(fields, headers::ROUTE)?.splitn(4, ';');
@@ -121,29 +122,9 @@
             class: class(fields),
             depth: Depth::read(fields),
             deadline: now + timeout(fields)?,
+            origin: ServiceName::new(text(fields, headers::ORIGIN)?).ok()?,
+            repeats: text(fields, headers::REPEATS) == Some("1"),
         };
         Some((meta, target))
     }
 }
-
-/// The class that a request names.
-pub(super) fn class(fields: &HeaderMap) -> Criticality {
-    text(fields, headers::CRITICALITY).map_or(Criticality::default(), Criticality::from_text)
-}
-
-/// The time that a request names.
-pub(super) fn timeout(fields: &HeaderMap) -> Option<Duration> {
-    let millis = text(fields, headers::TIMEOUT_MS)?.parse().ok()?;
-    Some(Duration::from_millis(millis).min(MAX_TIMEOUT))
-}
-
-/// The field `name` as text.
-pub(super) fn text<'a>(fields: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    fields.get(name)?.to_str().ok()
-}
-
-fn set(fields: &mut HeaderMap, name: &'static str, value: &str) {
-    if let Ok(value) = HeaderValue::from_str(value) {
-        fields.insert(HeaderName::from_static(name), value);
-    }
-}
--- a/crates/sycamore-node/src/calls/metrics.rs
+++ b/crates/sycamore-node/src/calls/metrics.rs
@@ -8,6 +8,7 @@
 /// Metrics of calls.
 pub(super) struct Metrics {
     answers: IntCounterVec,
+    announcements: IntCounterVec,
     first_attempts: IntCounter,
     retries: IntCounter,
     running: IntGauge,
@@ -21,7 +22,10 @@
     pub(super) fn new(registry: &Registry) -> Result<Self, Report<io::Error>> {
         let build = || -> prometheus::Result<Self> {
             let answers = Opts::new("sycamoreshift_call_answers_total", "Answers given to calls");
+            let announcements =
+                Opts::new("sycamoreshift_announcements_total", "Announcements of the upstream");
             let metrics = Self {
+                announcements: IntCounterVec::new(announcements, &["result"])?,
                 answers: IntCounterVec::new(answers, &["outcome", "reason"])?,
                 first_attempts: counter("first_attempts_total", "First attempts of calls")?,
                 retries: counter("retries_total", "Further attempts of calls")?,
@@ -32,6 +36,7 @@
                 body_bytes: gauge("body_bytes", "Memory that bodies under way hold, in bytes")?,
             };
             registry.register(Box::new(metrics.answers.clone()))?;
+            registry.register(Box::new(metrics.announcements.clone()))?;
             registry.register(Box::new(metrics.first_attempts.clone()))?;
             registry.register(Box::new(metrics.retries.clone()))?;
             for gauge in [
@@ -53,6 +58,11 @@
         self.answers.with_label_values(&[outcome, reason]).inc();
     }
 
+    /// Counts an announcement of the upstream by what became of it.
+    pub(super) fn announcement(&self, result: &str) {
+        self.announcements.with_label_values(&[result]).inc();
+    }
+
     /// Counts the attempt with this number, from 1.
     pub(super) fn attempt(&self, number: u8) {
         match number {
--- a/crates/sycamore-node/src/calls/mod.rs
+++ b/crates/sycamore-node/src/calls/mod.rs
@@ -24,6 +24,9 @@
 mod state;
 mod watch;
 
+pub use answer::{Answer, Outcome};
+
+use crate::edge::Edges;
 use crate::hub::Hub;
 use crate::tasks::TaskGroup;
 use error_stack::Report;
@@ -45,8 +48,12 @@
 ///
 /// # Errors
 /// Where a listener's address is taken.
-pub async fn start(hub: &Rc<Hub>, tasks: &TaskGroup) -> Result<Rc<Calls>, Report<std::io::Error>> {
-    let state = State::new(hub)?;
+pub async fn start(
+    hub: &Rc<Hub>,
+    tasks: &TaskGroup,
+    edges: &Edges,
+) -> Result<Rc<Calls>, Report<std::io::Error>> {
+    let state = State::new(hub, edges)?;
     let listen = &hub.settings.listen;
     for (side, address) in [
         (Side::Caller, listen.caller),
--- a/crates/sycamore-node/src/calls/serve.rs
+++ b/crates/sycamore-node/src/calls/serve.rs
@@ -11,9 +11,10 @@
 use super::message::{Inbound, Message};
 use super::meta::{self, CallMeta, Depth};
 use super::state::State;
+use crate::edge::RequestWords;
 use crate::hub::Phase;
 use crate::tasks::Stop;
-use http::StatusCode;
+use http::{header, StatusCode, Version};
 use monoio::io::AsyncWriteRent;
 use monoio::net::TcpStream;
 use monoio::time::timeout;
@@ -21,12 +22,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 use sycamore_call::quarantine::Verdict;
+use sycamore_call::Criticality;
 use sycamore_http::conn::ReadError;
+use sycamore_http::HeadLimits;
 use sycamore_types::headers;
 use sycamore_types::prelude::*;
 
-/// Longest time that a connection stays idle.
-const IDLE_TIME: Duration = Duration::from_secs(60);
+/// Longest time that a connection of another node stays idle.
+const RELAY_IDLE_TIME: Duration = Duration::from_secs(60);
+/// Bytes of the fields that nodes add to a head at most.
+const RELAY_HEAD_BYTES: usize = 4 << 10;
 /// Longest time to send the first part of a body.
 const PREFIX_TIME: Duration = Duration::from_secs(10);
 /// Bytes of a refused request that are read and dropped so that the answer arrives.
@@ -42,9 +47,13 @@
     peer: SocketAddr,
     mut stop: Stop,
 ) {
-    let mut inbound = Inbound::new(stream);
+    let mut inbound = Inbound::new(stream, side);
     loop {
-        let begun = stop.or(timeout(IDLE_TIME, inbound.reader.wait())).await;
+        let idle_time = match side {
+            Side::Relay => RELAY_IDLE_TIME,
+            Side::Caller | Side::Upstream => state.hub.snapshot.borrow().callers.idle_time,
+        };
+        let begun = stop.or(timeout(idle_time, inbound.reader.wait())).await;
         if !matches!(begun, Some(Ok(Ok(())))) {
             return;
         }
@@ -76,15 +85,17 @@
         // The caller moves on to another node.
         inbound.closes = true;
     }
-    let limit = state.hub.settings.calls.head_timeout;
-    let mut msg = match timeout(limit, inbound.message()).await {
+    let (limits, limit) = head_limits(state, side);
+    inbound.words = RequestWords::default();
+    let mut msg = match timeout(limit, inbound.message(&limits)).await {
         Err(_) => return Err(std::io::ErrorKind::TimedOut.into()),
         Ok(Err(err)) => return reject(state, inbound, &err).await,
         Ok(Ok(msg)) => msg,
     };
+    inbound.words = state.edges.calls.words(&msg.head);
     match side {
         Side::Relay => relayed(state, inbound, &mut msg).await,
-        Side::Upstream if announce::is_for(&msg.head) => {
+        Side::Upstream if state.edges.upstream.is_for_node(&msg.head) => {
             announce::serve(state, inbound, &mut msg).await
         }
         Side::Upstream => {
@@ -95,6 +106,18 @@
     }
 }
 
+/// Limits of a request's head and of the time to send it.
+fn head_limits(state: &State, side: Side) -> (HeadLimits, Duration) {
+    let callers = &state.hub.snapshot.borrow().callers;
+    let time = callers.head_time.unwrap_or(state.hub.settings.calls.head_timeout);
+    let bytes = usize::try_from(callers.head_bytes).unwrap_or(usize::MAX);
+    match side {
+        // Nodes add fields of their own to what callers sent.
+        Side::Relay => (HeadLimits { bytes: bytes + RELAY_HEAD_BYTES }, time),
+        Side::Caller | Side::Upstream => (HeadLimits { bytes }, time),
+    }
+}
+
 /// Answers a request that can't be read, and closes.
 async fn reject(state: &State, inbound: &mut Inbound, err: &ReadError) -> std::io::Result<()> {
     let status = match err {
@@ -118,7 +141,7 @@
     depth: Depth,
 ) -> std::io::Result<()> {
     msg.strip_internal();
-    let (meta, service) = match identify(state, &msg, peer, depth) {
+    let (meta, retry) = match identify(state, &msg, &inbound.words, peer, depth) {
         Ok(identified) => identified,
         Err(answer) => {
             inbound.closes |= !msg.is_read();
@@ -143,9 +166,8 @@
         inbound.closes |= !msg.is_read();
         return own_answer(state, inbound, &answer).await;
     }
-    let keyed = !super::exchange::is_idempotent(&msg.head.method)
-        && msg.head.headers.contains_key(headers::IDEMPOTENCY_KEY);
-    let out = Outgoing { inbound, msg: &mut msg, meta, retry: service.retry };
+    let keyed = !meta.repeats && msg.head.headers.contains_key(headers::IDEMPOTENCY_KEY);
+    let out = Outgoing { inbound, msg: &mut msg, meta, retry };
     let served = match keyed {
         true => keyed::forward(state, out).await,
         false => forward::forward(state, out).await,
@@ -167,9 +189,11 @@
 fn identify(
     state: &State,
     msg: &Message,
+    words: &RequestWords,
     peer: SocketAddr,
     depth: Depth,
-) -> Result<(CallMeta, Service), Answer> {
+) -> Result<(CallMeta, RetryPolicy), Answer> {
+    let host = host(msg)?;
     if state.hub.phase() == Phase::Starting {
         return Err(Answer::refused(RefusalReason::NotReady, RETRY_AFTER));
     }
@@ -178,34 +202,62 @@
     }
     let snapshot = state.hub.snapshot.borrow().clone();
     let path = msg.head.uri.path();
-    let Some(route) = snapshot.route(path) else {
+    let Some(route) = snapshot.route(host, path) else {
         return Err(Answer::rejected(StatusCode::NOT_FOUND, "no-route", "no route has this path"));
     };
-    let Some(service) = snapshot.services.get(&route.service) else {
+    let name = route.service_for(state.draw());
+    let Some(service) = snapshot.services.get(name) else {
         return Err(Answer::refused(RefusalReason::NotReady, RETRY_AFTER));
     };
-    if msg.body_len().is_some_and(|len| len > service.limits.body_bytes) {
+    let most = service.limits.body_bytes.min(snapshot.callers.body_bytes);
+    if msg.body_len().is_some_and(|len| len > most) {
         let status = StatusCode::PAYLOAD_TOO_LARGE;
         return Err(Answer::rejected(status, "body-too-large", "the body is over the limit"));
     }
-    let fields = &msg.head.headers;
-    let time = meta::timeout(fields).unwrap_or(route.timeout);
+    let time = words.timeout.map_or(route.timeout, |time| time.min(longest(route)));
     let meta = CallMeta {
         call: state.new_call(),
-        service: route.service.clone(),
+        service: name.clone(),
         route: route.name.clone(),
         fingerprint: Fingerprint(0),
-        caller: caller_hash(fields, peer),
-        class: meta::class(fields),
+        caller: caller_hash(words, peer),
+        class: route.policy.rank.map_or(words.class, Criticality::from_rank),
         depth: Depth { level: depth.level + 1, ..depth },
         deadline: state.now() + time,
+        origin: state.hub.settings.node.service.clone(),
+        repeats: match route.policy.repeat {
+            Repeat::ByMethod => msg.head.method.is_idempotent(),
+            Repeat::Always => true,
+            Repeat::Never => false,
+        },
     };
-    Ok((meta, service.clone()))
+    let attempts = route.policy.attempts.unwrap_or(service.retry.attempts);
+    Ok((meta, RetryPolicy { attempts, ..service.retry.clone() }))
+}
+
+/// The host that a request names: exactly one (RFC 9112, section 3.2).
+fn host(msg: &Message) -> Result<&str, Answer> {
+    let malformed = |detail| Answer::rejected(StatusCode::BAD_REQUEST, "malformed", detail);
+    let mut hosts = msg.head.headers.get_all(header::HOST).iter();
+    match (hosts.next(), hosts.next()) {
+        (Some(host), None) => host.to_str().map_err(|_| malformed("the host is not ASCII")),
+        (None, _) if msg.head.version == Version::HTTP_10 => Ok(""),
+        (None, _) => Err(malformed("the request names no host")),
+        (Some(_), Some(_)) => Err(malformed("the request names more than one host")),
+    }
+}
+
+/// Longest time that a call of `route` may take. A route that names no policy leaves it to callers.
+fn longest(route: &Route) -> Duration {
+    match route.policy == RoutePolicy::default() {
+        true => Duration::MAX,
+        false => route.timeout,
+    }
 }
 
 /// Callers are told apart by the name that they give, or else by address.
-fn caller_hash(fields: &http::HeaderMap, peer: SocketAddr) -> u64 {
-    let hash = match fields.get(headers::CALLER) {
+fn caller_hash(words: &RequestWords, peer: SocketAddr) -> u64 {
+    let hash = match &words.caller {
         Some(name) => ContentHash::of(name.as_bytes()),
         None => ContentHash::of(peer.ip().to_string().as_bytes()),
     };
--- a/crates/sycamore-node/src/calls/state.rs
+++ b/crates/sycamore-node/src/calls/state.rs
@@ -5,6 +5,7 @@
 use super::metrics::Metrics;
 use super::pool::Pool;
 use super::slot::Waiters;
+use crate::edge::Edges;
 use crate::hub::{AnnouncedUpstream, Hub};
 use bytes::Bytes;
 use error_stack::Report;
@@ -15,6 +16,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
+use sycamore_call::announce::AnnouncementLog;
 use sycamore_call::key::OwnershipConfig;
 use sycamore_call::route::VersionBans;
 use sycamore_call::{
@@ -45,6 +47,10 @@
 /// What the tasks of the slice share; everything is on one thread.
 pub(super) struct State {
     pub(super) hub: Rc<Hub>,
+    /// How callers and upstreams speak.
+    pub(super) edges: Edges,
+    /// Which announcements of the upstream count.
+    pub(super) announcements: RefCell<AnnouncementLog>,
     pub(super) router: RefCell<Router>,
     pub(super) bans: RefCell<VersionBans>,
     pub(super) gate: RefCell<Option<Gate>>,
@@ -78,7 +84,7 @@
 }
 
 impl State {
-    pub(super) fn new(hub: &Rc<Hub>) -> Result<Rc<Self>, Report<std::io::Error>> {
+    pub(super) fn new(hub: &Rc<Hub>, edges: &Edges) -> Result<Rc<Self>, Report<std::io::Error>> {
         let mut rng = SmallRng::from_os_rng();
         let settings = &hub.settings.calls;
         let now = hub.clock.now();
@@ -89,6 +95,8 @@
         let metrics = Metrics::new(&hub.registry)?;
         Ok(Rc::new(Self {
             hub: hub.clone(),
+            edges: edges.clone(),
+            announcements: RefCell::default(),
             router: RefCell::new(Router::new(RouterConfig::default(), rng.random())),
             bans: RefCell::default(),
             gate: RefCell::default(),
@@ -125,6 +133,11 @@
         self.next_id.get()
     }
 
+    /// An even draw from 0.0 to 1.0.
+    pub(super) fn draw(&self) -> f64 {
+        self.rng.borrow_mut().random()
+    }
+
     pub(super) fn new_call(&self) -> CallId {
         CallId(self.rng.borrow_mut().random())
     }
--- a/crates/sycamore-node/src/config/find.rs
+++ b/crates/sycamore-node/src/config/find.rs
@@ -17,13 +17,17 @@
 /// How much more a node without a floor may read than others.
 const START_FACTOR: f64 = 10.0;
 
-/// Starts the tasks.
-pub(super) fn start(driver: &Rc<Driver>, tasks: &TaskGroup) {
-    tasks.spawn_until_stop(poll(driver.clone()));
+/// Starts to poll the head row.
+pub(super) fn poll(driver: &Rc<Driver>, tasks: &TaskGroup) {
+    tasks.spawn_until_stop(poll_head(driver.clone()));
+}
+
+/// Starts to follow what peers spread.
+pub(super) fn follow(driver: &Rc<Driver>, tasks: &TaskGroup) {
     tasks.spawn_until_stop(follow_facts(driver.clone()));
 }
 
-async fn poll(driver: Rc<Driver>) {
+async fn poll_head(driver: Rc<Driver>) {
     monoio::time::sleep(START_JITTER.mul_f64(rand::rng().random::<f64>())).await;
     let mut failures = 0;
     loop {
--- /dev/null
+++ b/crates/sycamore-node/src/config/follow.rs
@@ -0,0 +1,182 @@
+//! Follows the rows that operators write into the platform's table: configurations and orders.
+//!
+//! Some nodes watch; a configuration that one of them reads spreads to the others as any head does.
+
+use super::driver::Driver;
+use crate::edge::{OperatorEdge, OperatorRow};
+use crate::tasks::TaskGroup;
+use slog::{info, warn};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use sycamore_config::{Bundle, Encoded};
+use sycamore_platform::backoff::{Backoff, BackoffSettings};
+use sycamore_platform::{Error, PageQuery, Result, Revision, Row, Table};
+use sycamore_types::prelude::*;
+
+/// Time between two looks at whether this node is to watch.
+const ROLE_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest pause after a failed watch: an answer that comes back must be used within a second.
+const LONGEST_PAUSE: Duration = Duration::from_millis(600);
+
+/// Starts the task.
+pub(super) fn start(driver: &Rc<Driver>, tasks: &TaskGroup, edge: Rc<dyn OperatorEdge>) {
+    tasks.spawn_until_stop(run(driver.clone(), edge));
+}
+
+async fn run(driver: Rc<Driver>, edge: Rc<dyn OperatorEdge>) {
+    let settings = BackoffSettings { cap: LONGEST_PAUSE, ..BackoffSettings::default() };
+    let mut backoff = Backoff::new(settings.clone(), rand::random());
+    let mut watch = Watch { driver: &driver, edge: &*edge, at: None, lost_since: None };
+    loop {
+        if !is_watcher(&driver) {
+            watch.at = None;
+            monoio::time::sleep(ROLE_INTERVAL).await;
+            continue;
+        }
+        match watch.step().await {
+            Ok(()) => {
+                watch.regained();
+                backoff = Backoff::new(settings.clone(), rand::random());
+            }
+            Err(report) => {
+                watch.failed(report.current_context());
+                monoio::time::sleep(backoff.fail()).await;
+            }
+        }
+        driver.metrics.platform(driver.platform.http().traffic());
+    }
+}
+
+/// Whether this node is among those that watch: in a small fleet all do, in a larger one those that
+/// come first by the hash of their names. A node without a configuration reads for itself.
+fn is_watcher(driver: &Driver) -> bool {
+    let watchers = driver.hub.settings.config.watchers as usize;
+    let view = driver.hub.members.borrow().clone();
+    if view.members.len() <= watchers || driver.floor().is_none() {
+        return true;
+    }
+    let rank = |instance: &InstanceId| ContentHash::of(instance.as_str().as_bytes());
+    let own = rank(&driver.hub.settings.node.instance);
+    view.members.keys().filter(|instance| rank(instance) < own).count() < watchers
+}
+
+struct Watch<'a> {
+    driver: &'a Driver,
+    edge: &'a dyn OperatorEdge,
+    /// Revision up to which changes are known.
+    at: Option<Revision>,
+    lost_since: Option<Instant>,
+}
+
+impl Watch<'_> {
+    /// Reads all rows, or waits for changes to them.
+    async fn step(&mut self) -> Result<()> {
+        let platform = self.driver.platform.http();
+        let prefix = self.edge.prefix();
+        let Some(at) = self.at else {
+            let page = platform.list(PageQuery { prefix, ..PageQuery::default() }).await?;
+            self.forget_orders(&page.rows);
+            page.rows.iter().for_each(|row| self.take(row));
+            if !page.rows.iter().any(|row| self.is_config(row)) {
+                self.driver.read_head(None);
+            }
+            self.at = Some(page.at);
+            return Ok(());
+        };
+        let wait = self.driver.hub.settings.config.watch_time;
+        match platform.changes(prefix, at, wait).await {
+            Ok(changes) => {
+                changes.rows.iter().for_each(|row| self.take(row));
+                self.at = Some(changes.at);
+                Ok(())
+            }
+            Err(report) => {
+                if *report.current_context() == Error::HistoryLost {
+                    self.at = None;
+                    return Ok(());
+                }
+                Err(report)
+            }
+        }
+    }
+
+    fn is_config(&self, row: &Row) -> bool {
+        matches!(self.edge.read(&row.key, &row.value), OperatorRow::Config(_))
+    }
+
+    fn take(&self, row: &Row) {
+        match self.edge.read(&row.key, &row.value) {
+            OperatorRow::Config(Ok((version, resources))) => self.take_config(version, resources),
+            OperatorRow::Config(Err(why)) => self.reject(row, &why),
+            OperatorRow::Release(Ok(order)) => self.take_order(row, order),
+            OperatorRow::Release(Err(why)) => self.reject(row, &why),
+            OperatorRow::Other => {}
+        }
+    }
+
+    fn take_config(&self, version: ConfigVersion, resources: Vec<Resource>) {
+        let driver = self.driver;
+        if version <= driver.hub.snapshot.borrow().version {
+            return;
+        }
+        match Bundle::new(resources) {
+            Ok(bundle) => {
+                let encoded = Encoded::new(bundle.resources(), version);
+                info!(driver.hub.log, "configuration read"; "version" => version.0,
+                    "bytes" => encoded.pack().len());
+                driver.accepted(encoded.head, encoded.pack());
+                driver.read_head(Some(encoded.head));
+            }
+            Err(faults) => {
+                let why: Vec<String> = faults.iter().map(ToString::to_string).collect();
+                warn!(driver.hub.log, "configuration rejected"; "version" => version.0,
+                    "faults" => why.join("; "));
+                driver.metrics.rejected();
+            }
+        }
+    }
+
+    fn take_order(&self, row: &Row, order: crate::edge::ReleaseOrder) {
+        let orders = &self.driver.hub.orders;
+        let known = orders.borrow().get(&row.key).map(|(_, revision)| *revision);
+        if known.is_some_and(|known| known >= row.revision.0) {
+            return;
+        }
+        info!(self.driver.hub.log, "release ordered"; "service" => %order.service,
+            "to" => %order.to, "within_ms" => order.duration.as_millis());
+        orders.send_modify(|orders| {
+            Arc::make_mut(orders).insert(row.key.clone(), (order, row.revision.0));
+        });
+    }
+
+    /// Forgets the orders whose rows are gone.
+    fn forget_orders(&self, rows: &[Row]) {
+        let keys: BTreeSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
+        self.driver.hub.orders.send_if_modified(|orders| {
+            let before = orders.len();
+            Arc::make_mut(orders).retain(|key, _| keys.contains(key.as_str()));
+            orders.len() != before
+        });
+    }
+
+    fn reject(&self, row: &Row, why: &str) {
+        self.driver.metrics.rejected();
+        warn!(self.driver.hub.log, "operator's row rejected"; "key" => &row.key,
+            "revision" => row.revision.0, "why" => why);
+    }
+
+    fn failed(&mut self, error: &Error) {
+        if self.lost_since.is_none() {
+            self.lost_since = Some(Instant::now());
+            warn!(self.driver.hub.log, "platform lost"; "error" => %error);
+        }
+    }
+
+    fn regained(&mut self) {
+        if let Some(since) = self.lost_since.take() {
+            info!(self.driver.hub.log, "platform regained"; "away_ms" => since.elapsed().as_millis());
+        }
+    }
+}
--- a/crates/sycamore-node/src/config/mod.rs
+++ b/crates/sycamore-node/src/config/mod.rs
@@ -5,10 +5,12 @@
 mod fetch;
 mod find;
 mod floor;
+mod follow;
 mod metrics;
 mod query;
 mod serve;
 
+use crate::edge::OperatorEdge;
 use crate::hub::Hub;
 use crate::operator::OperatorError;
 use crate::peers::Peers;
@@ -46,11 +48,16 @@
     tasks: &TaskGroup,
     platform: &Rc<Platform>,
     peers: &Rc<Peers>,
+    operators: Option<Rc<dyn OperatorEdge>>,
 ) -> Result<Rc<Config>, Report<ConfigError>> {
     let metrics = Metrics::register(&hub.registry).change_context(ConfigError)?;
     let (driver, fetches) = Driver::new(hub, platform, peers, metrics);
     fetch::start(&driver, tasks, fetches);
-    find::start(&driver, tasks);
+    find::follow(&driver, tasks);
+    match operators {
+        Some(edge) => follow::start(&driver, tasks, edge),
+        None => find::poll(&driver, tasks),
+    }
     floor::start(&driver, tasks);
     serve::start(&driver, tasks);
     Ok(Rc::new(Config { driver }))
--- a/crates/sycamore-node/src/config/query.rs
+++ b/crates/sycamore-node/src/config/query.rs
@@ -54,5 +54,8 @@
 
 fn resources(snapshot: &Snapshot) -> Vec<Resource> {
     let services = snapshot.services.values().cloned().map(Resource::Service);
-    services.chain(snapshot.routes.iter().cloned().map(Resource::Route)).collect()
+    let routes = snapshot.routes.iter().cloned().map(Resource::Route);
+    let limits = (snapshot.callers != CallerLimits::default())
+        .then(|| Resource::Callers(snapshot.callers.clone()));
+    services.chain(routes).chain(limits).collect()
 }
--- a/crates/sycamore-node/src/hub/mod.rs
+++ b/crates/sycamore-node/src/hub/mod.rs
@@ -7,10 +7,12 @@
 pub use clock::Clock;
 pub use facts::Facts;
 
+use crate::edge::ReleaseOrder;
 use crate::timeline::Recorder;
 use prometheus::Registry;
 use slog::{info, Logger};
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -37,6 +39,8 @@
 /// The upstream beside the node, as it announced itself.
 #[derive(Debug, Clone, PartialEq)]
 pub struct AnnouncedUpstream {
+    /// Its own name of its process, where it has one.
+    pub name: Option<String>,
     /// Its version.
     pub version: UpstreamVersion,
     /// Where it takes calls.
@@ -71,6 +75,8 @@
     pub shares: watch::Sender<Arc<ShareTable>>,
     /// The upstream beside the node, while it announces itself.
     pub upstream: watch::Sender<Option<AnnouncedUpstream>>,
+    /// The orders of operators in force, by the key of their row, with its revision.
+    pub orders: watch::Sender<Arc<BTreeMap<String, (ReleaseOrder, u64)>>>,
     /// Facts that spread.
     pub facts: Facts,
     phase: watch::Sender<Phase>,
@@ -99,6 +105,7 @@
             members: watch::Sender::new(Arc::default()),
             shares: watch::Sender::new(Arc::default()),
             upstream: watch::Sender::new(None),
+            orders: watch::Sender::new(Arc::default()),
             facts: Facts::default(),
             phase: watch::Sender::new(Phase::Starting),
             timeline: RefCell::new(recorder),
--- a/crates/sycamore-node/src/lib.rs
+++ b/crates/sycamore-node/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod calls;
 pub mod config;
+pub mod edge;
 pub mod hub;
 pub mod moves;
 pub mod operator;
--- a/crates/sycamore-node/src/main.rs
+++ b/crates/sycamore-node/src/main.rs
@@ -3,6 +3,7 @@
 use bpaf::{construct, long, OptionParser, Parser};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use sycamore_node::edge::Edges;
 use sycamore_node::run;
 
 /// Exit code for settings that can't be used.
@@ -33,7 +34,8 @@
             return ExitCode::from(EXIT_BAD_INPUT);
         }
     };
-    match run::run(settings) {
+    let source = run::Source { settings, path: Some(options.settings) };
+    match run::run(source, Edges::default()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             eprintln!("{report:?}");
--- a/crates/sycamore-node/src/moves/mod.rs
+++ b/crates/sycamore-node/src/moves/mod.rs
@@ -3,11 +3,13 @@
 mod act;
 mod commands;
 mod evidence;
+mod orders;
 mod queries;
 mod rows;
 mod shares;
 mod state;
 
+use crate::edge::OperatorEdge;
 use crate::hub::Hub;
 use crate::peers::Peers;
 use crate::platform::Platform;
@@ -34,6 +36,7 @@
     tasks: &TaskGroup,
     platform: &Rc<Platform>,
     peers: &Rc<Peers>,
+    operators: Option<Rc<dyn OperatorEdge>>,
 ) -> Result<Rc<Moves>, Report<std::io::Error>> {
     let state = Rc::new(State::new(hub.clone(), platform.clone(), peers.clone()));
     tasks.spawn_until_stop(rows::poll(state.clone()));
@@ -41,6 +44,9 @@
     tasks.spawn_until_stop(evidence::collect(state.clone()));
     tasks.spawn_until_stop(evidence::watch_upstream(state.clone()));
     tasks.spawn_until_stop(evidence::receive(state.clone()));
+    if let Some(edge) = operators {
+        tasks.spawn_until_stop(orders::follow(state.clone(), edge));
+    }
     let ticking = state.clone();
     let mut stop = tasks.stop_signal();
     tasks.spawn(async move {
--- a/crates/sycamore-node/src/moves/rows.rs
+++ b/crates/sycamore-node/src/moves/rows.rs
@@ -62,6 +62,14 @@
     true
 }
 
+/// Reads one row.
+pub(super) async fn read_one(state: &State, key: &str) {
+    let Ok(Some(row)) = state.platform.http().get(key).await else { return };
+    if let Ok(parsed) = serde_json::from_value::<MoveRow>(row.value) {
+        take(state, parsed, row.revision.0);
+    }
+}
+
 /// Takes in a row that was read or written, and spreads it where it is news.
 pub(super) fn take(state: &State, row: MoveRow, revision: u64) {
     let Ok(text) = serde_json::to_string(&row) else { return };
--- a/crates/sycamore-node/src/operator/mod.rs
+++ b/crates/sycamore-node/src/operator/mod.rs
@@ -5,6 +5,7 @@
 mod commands;
 mod error;
 mod queries;
+pub mod readiness;
 mod serve;
 
 pub use error::OperatorError;
--- /dev/null
+++ b/crates/sycamore-node/src/operator/readiness.rs
@@ -0,0 +1,69 @@
+//! Answers whether the node is ready, at an address of its own.
+
+use crate::hub::{Hub, Phase};
+use crate::tasks::TaskGroup;
+use bytes::Bytes;
+use error_stack::{Report, ResultExt};
+use http::{Request, Response, StatusCode};
+use monoio::net::TcpListener;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use sycamore_http::conn::{serve, ServeConfig};
+
+/// Pause after a failed accept, such as for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Opens the listener at `addr` and answers at `path` until `tasks` stop.
+///
+/// # Errors
+/// Where the address can't be listened at.
+pub fn start(
+    hub: &Rc<Hub>,
+    tasks: &TaskGroup,
+    addr: SocketAddr,
+    path: &'static str,
+) -> Result<(), Report<std::io::Error>> {
+    let listener = TcpListener::bind(addr).attach_with(|| format!("address {addr}"))?;
+    let hub = hub.clone();
+    let mut stop = tasks.stop_signal();
+    tasks.spawn(async move {
+        let connections = Rc::new(TaskGroup::default());
+        stop.or(accept(&hub, &connections, listener, path)).await;
+        connections.stop();
+        connections.join().await;
+    });
+    Ok(())
+}
+
+async fn accept(
+    hub: &Rc<Hub>,
+    connections: &Rc<TaskGroup>,
+    listener: TcpListener,
+    path: &'static str,
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            monoio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let hub = hub.clone();
+        let mut stop = connections.stop_signal();
+        connections.spawn(async move {
+            let handler = |req: Request<Bytes>| std::future::ready(answer(&hub, &req, path));
+            // A questioner that breaks off asks again.
+            let _ = serve(stream, &ServeConfig::default(), stop.wait(), handler).await;
+        });
+    }
+}
+
+fn answer(hub: &Hub, req: &Request<Bytes>, path: &str) -> Response<Bytes> {
+    let status = match (req.uri().path() == path, hub.phase()) {
+        (false, _) => StatusCode::NOT_FOUND,
+        (true, Phase::Ready) => StatusCode::OK,
+        (true, _) => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let mut resp = Response::new(Bytes::new());
+    *resp.status_mut() = status;
+    resp
+}
--- a/crates/sycamore-node/src/platform/mod.rs
+++ b/crates/sycamore-node/src/platform/mod.rs
@@ -1,7 +1,8 @@
 //! The node's clients of the platform's table and object store.
 
+use std::rc::Rc;
 use sycamore_platform::budget::BudgetSettings;
-use sycamore_platform::{HttpPlatform, HttpSettings};
+use sycamore_platform::{HttpPlatform, HttpSettings, StoreProtocol};
 use sycamore_settings::platform::Platform as Settings;
 
 /// Clients of the platform, shared by the slices.
@@ -10,15 +11,15 @@
 }
 
 impl Platform {
-    /// Clients with `settings`; nothing is connected yet.
-    pub fn new(settings: &Settings) -> Self {
-        let http = HttpPlatform::new(HttpSettings {
+    /// Clients with `settings` that speak `protocol`; nothing is connected yet.
+    pub fn new(settings: &Settings, protocol: Rc<dyn StoreProtocol>) -> Self {
+        let http = HttpSettings {
             objects: settings.objects,
             timeout: settings.timeout,
             budget: BudgetSettings::default(),
             ..HttpSettings::new(settings.table)
-        });
-        Self { http }
+        };
+        Self { http: HttpPlatform::with_protocol(http, protocol) }
     }
 
     /// The client of the table and of the object store.
--- a/crates/sycamore-node/src/run.rs
+++ b/crates/sycamore-node/src/run.rs
@@ -1,6 +1,8 @@
 //! The daemon's life: start every slice, wait for a signal, drain, join.
 
+use crate::edge::Edges;
 use crate::hub::{Hub, Phase};
+use crate::operator::readiness;
 use crate::platform::Platform;
 use crate::tasks::TaskGroup;
 use crate::{calls, config, moves, operator, peers, timeline};
@@ -8,16 +10,18 @@
 use monoio::io::AsyncReadRent;
 use monoio::net::UnixStream;
 use monoio::{LegacyDriver, RuntimeBuilder};
-use slog::info;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::flag;
+use signal_hook::low_level::pipe;
+use slog::{info, warn};
 use std::fmt;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use sycamore_settings::Settings;
 use sycamore_types::event::EventKind;
 
-/// Time that nodes are given to hear of a drain before the listeners close.
-const DRAIN_SPREAD: Duration = Duration::from_millis(500);
-
 /// The daemon could not start.
 #[derive(Debug)]
 pub enum RunError {
@@ -57,30 +61,45 @@
     pub calls: Rc<calls::Calls>,
 }
 
-/// Runs a node with `settings` until it is told to stop.
+/// Settings, and the file to read them from again when the process is told to.
+pub struct Source {
+    /// The settings.
+    pub settings: Settings,
+    /// Their file.
+    pub path: Option<PathBuf>,
+}
+
+/// Runs a node that speaks through `edges` until it is told to stop.
 ///
 /// # Errors
 /// [`RunError`] where the node can't start.
-pub fn run(settings: Settings) -> Result<(), Report<RunError>> {
+pub fn run(source: Source, edges: Edges) -> Result<(), Report<RunError>> {
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
         .enable_timer()
         .build()
         .change_context(RunError::Runtime)?;
-    runtime.block_on(serve(settings))
+    runtime.block_on(serve(source, edges))
 }
 
-async fn serve(settings: Settings) -> Result<(), Report<RunError>> {
-    let mut signals = signal_stream()?;
-    let hub = Hub::new(settings);
+async fn serve(source: Source, edges: Edges) -> Result<(), Report<RunError>> {
+    let mut signals = Signals::catch()?;
+    let hub = Hub::new(source.settings);
     let tasks = TaskGroup::default();
     hub.record(EventKind::Started);
-    let node = start(&hub, &tasks).await?;
+    let node = start(&hub, &tasks, &edges).await?;
     let listener = TaskGroup::default();
+    if let Some(addr) = hub.settings.listen.ready {
+        readiness::start(&hub, &listener, addr, edges.readiness_path)
+            .change_context(RunError::Slice("readiness listener"))?;
+    }
     operator::start(Rc::new(node), &listener)
         .await
         .change_context(RunError::Slice("operators' listener"))?;
     info!(hub.log, "node listens"; "caller" => %hub.settings.listen.caller);
-    wait_for_signal(&mut signals).await;
+    while signals.next().await == Signal::Reload {
+        reload(&hub, source.path.as_deref());
+    }
+    info!(hub.log, "node stops"; "in_flight" => hub.in_flight());
     drain(&hub, &tasks).await;
     listener.stop();
     listener.join().await;
@@ -88,20 +107,21 @@
     Ok(())
 }
 
-async fn start(hub: &Rc<Hub>, tasks: &TaskGroup) -> Result<Node, Report<RunError>> {
-    let platform = Rc::new(Platform::new(&hub.settings.platform));
+async fn start(hub: &Rc<Hub>, tasks: &TaskGroup, edges: &Edges) -> Result<Node, Report<RunError>> {
+    let platform = Rc::new(Platform::new(&hub.settings.platform, edges.store.clone()));
     let peers = peers::start(hub, tasks, &platform)
         .await
         .change_context(RunError::Slice("peer listener"))?;
-    let config = config::start(hub, tasks, &platform, &peers)
+    let config = config::start(hub, tasks, &platform, &peers, edges.operators.clone())
         .await
         .change_context(RunError::Slice("configuration"))?;
-    let moves = moves::start(hub, tasks, &platform, &peers)
+    let moves = moves::start(hub, tasks, &platform, &peers, edges.operators.clone())
         .await
         .change_context(RunError::Slice("moves"))?;
     timeline::start(hub, tasks, &platform).await.change_context(RunError::Slice("time line"))?;
-    let calls =
-        calls::start(hub, tasks).await.change_context(RunError::Slice("callers' listener"))?;
+    let calls = calls::start(hub, tasks, edges)
+        .await
+        .change_context(RunError::Slice("callers' listener"))?;
     Ok(Node { hub: hub.clone(), platform, peers, config, moves, calls })
 }
 
@@ -109,7 +129,7 @@
 async fn drain(hub: &Rc<Hub>, tasks: &TaskGroup) {
     hub.set_phase(Phase::Draining);
     hub.record(EventKind::Draining);
-    monoio::time::sleep(DRAIN_SPREAD).await;
+    monoio::time::sleep(hub.settings.calls.drain_notice).await;
     let limit = hub.settings.calls.drain_timeout;
     let _ = monoio::time::timeout(limit, hub.idle()).await;
     hub.record(EventKind::Stopped);
@@ -118,17 +138,61 @@
     tasks.join().await;
 }
 
-/// A stream that yields a byte for each SIGTERM or SIGINT.
-fn signal_stream() -> Result<UnixStream, Report<RunError>> {
-    let (rx, tx) = std::os::unix::net::UnixStream::pair().change_context(RunError::Signals)?;
-    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-        let tx = tx.try_clone().change_context(RunError::Signals)?;
-        signal_hook::low_level::pipe::register(signal, tx).change_context(RunError::Signals)?;
+/// What a signal asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Signal {
+    Stop,
+    Reload,
+}
+
+/// The signals that the process catches: SIGTERM and SIGINT stop it, SIGHUP has it read its settings
+/// again.
+struct Signals {
+    wakes: UnixStream,
+    stop: Arc<AtomicBool>,
+    reload: Arc<AtomicBool>,
+}
+
+impl Signals {
+    fn catch() -> Result<Self, Report<RunError>> {
+        let (rx, tx) = std::os::unix::net::UnixStream::pair().change_context(RunError::Signals)?;
+        let (stop, reload) = (Arc::<AtomicBool>::default(), Arc::<AtomicBool>::default());
+        for (signal, flag) in [(SIGTERM, &stop), (SIGINT, &stop), (SIGHUP, &reload)] {
+            // Actions run in the order of their registration: the flag is up before the wake-up.
+            flag::register(signal, flag.clone()).change_context(RunError::Signals)?;
+            let tx = tx.try_clone().change_context(RunError::Signals)?;
+            pipe::register(signal, tx).change_context(RunError::Signals)?;
+        }
+        rx.set_nonblocking(true).change_context(RunError::Signals)?;
+        let wakes = UnixStream::from_std(rx).change_context(RunError::Signals)?;
+        Ok(Self { wakes, stop, reload })
+    }
+
+    async fn next(&mut self) -> Signal {
+        loop {
+            let (read, _) = self.wakes.read(vec![0; 1]).await;
+            if read.is_err() || self.stop.load(Ordering::SeqCst) {
+                return Signal::Stop;
+            }
+            if self.reload.swap(false, Ordering::SeqCst) {
+                return Signal::Reload;
+            }
+        }
     }
-    rx.set_nonblocking(true).change_context(RunError::Signals)?;
-    UnixStream::from_std(rx).change_context(RunError::Signals)
 }
 
-async fn wait_for_signal(signals: &mut UnixStream) {
-    let (_, _) = signals.read(vec![0; 1]).await;
+/// Reads the settings again and tells what a restart would change. Settings that can't be used
+/// change nothing.
+fn reload(hub: &Hub, path: Option<&Path>) {
+    let Some(path) = path else {
+        return warn!(hub.log, "settings not read again"; "why" => "they came from no file");
+    };
+    match sycamore_settings::from_file(path) {
+        Ok(settings) if settings == hub.settings => info!(hub.log, "settings read again: the same"),
+        Ok(_) => info!(hub.log, "settings read again: changes take effect at the next start"),
+        Err(report) => {
+            let faults = report.current_context().to_string();
+            warn!(hub.log, "settings not read again"; "why" => faults);
+        }
+    }
 }
--- a/crates/sycamore-node/src/timeline/mod.rs
+++ b/crates/sycamore-node/src/timeline/mod.rs
@@ -33,6 +33,9 @@
     tasks: &TaskGroup,
     platform: &Rc<Platform>,
 ) -> Result<(), Report<std::io::Error>> {
+    if !hub.settings.moves.archive {
+        return Ok(());
+    }
     let (hub, platform) = (hub.clone(), platform.clone());
     let mut stop = tasks.stop_signal();
     tasks.spawn(async move {
--- a/crates/sycamore-platform/src/error.rs
+++ b/crates/sycamore-platform/src/error.rs
@@ -30,6 +30,12 @@
     /// The answer breaks the protocol or a bound; the request may have had its effect.
     #[error("malformed answer from the platform: {0}")]
     Malformed(String),
+    /// The platform no longer knows what changed since the revision asked for.
+    #[error("the platform has dropped the history that was asked for")]
+    HistoryLost,
+    /// The platform does not tell of changes; nothing was sent.
+    #[error("the platform does not tell of changes")]
+    Unsupported,
     /// The request is larger than the client allows; nothing was sent.
     #[error("request has {bytes} bytes, at most {max} are allowed")]
     TooLarge {
@@ -48,6 +54,8 @@
             Error::Throttled { .. }
             | Error::Unreachable
             | Error::Refused { .. }
+            | Error::HistoryLost
+            | Error::Unsupported
             | Error::TooLarge { .. } => false,
         }
     }
--- a/crates/sycamore-platform/src/http/pool.rs
+++ b/crates/sycamore-platform/src/http/pool.rs
@@ -17,7 +17,6 @@
 /// Open connections, and the bound on how many requests are under way at once.
 pub(super) struct Pool {
     address: SocketAddr,
-    timeout: Duration,
     body_bytes: usize,
     permits: Semaphore,
     idle: RefCell<Vec<Connection>>,
@@ -28,7 +27,6 @@
     pub(super) fn new(address: SocketAddr, settings: &HttpSettings, traffic: Rc<Traffic>) -> Self {
         Self {
             address,
-            timeout: settings.timeout,
             body_bytes: settings.body_bytes,
             permits: Semaphore::new(settings.connections.max(1)),
             idle: RefCell::new(Vec::new()),
@@ -36,10 +34,14 @@
         }
     }
 
-    /// Sends `request` within the time allowed, waiting for a free connection included.
-    pub(super) async fn send(&self, request: Request<Full<Bytes>>) -> Result<(StatusCode, Bytes)> {
+    /// Sends `request` within `limit`, waiting for a free connection included.
+    pub(super) async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<(StatusCode, Bytes)> {
         let sent = Cell::new(false);
-        match monoio::time::timeout(self.timeout, self.exchange(request, &sent)).await {
+        match monoio::time::timeout(limit, self.exchange(request, &sent)).await {
             Ok(answer) => answer,
             Err(_) if sent.get() => Err(Report::new(Error::NoAnswer)),
             Err(_) => Err(Report::new(Error::Unreachable)),
--- a/crates/sycamore-platform/src/lib.rs
+++ b/crates/sycamore-platform/src/lib.rs
@@ -16,9 +16,12 @@
 pub mod table;
 
 pub use crate::error::{Error, Result};
-pub use crate::http::{HttpPlatform, HttpSettings};
+pub use crate::http::{
+    escape, unexpected, HttpPlatform, HttpSettings, NativeProtocol, StoreProtocol, StoreRequest,
+};
 pub use crate::objects::{Objects, Put};
 pub use crate::settle::{propose, Proposal, Settled};
 pub use crate::table::{
-    Condition, Conflict, Page, PageQuery, Revision, Row, Table, Transacted, Transaction, Write,
+    Changes, Condition, Conflict, Page, PageQuery, Revision, Row, Table, Transacted, Transaction,
+    Write,
 };
--- a/crates/sycamore-platform/src/table.rs
+++ b/crates/sycamore-platform/src/table.rs
@@ -56,6 +56,9 @@
     pub rows: Vec<Row>,
     /// Whether rows follow after the last one.
     pub more: bool,
+    /// The newest revision of the whole table when the page was read; zero where it is not told.
+    #[serde(default)]
+    pub at: Revision,
 }
 
 /// A row must have a revision for the transaction to take effect.
@@ -111,6 +114,15 @@
     },
 }
 
+/// Rows that changed.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Changes {
+    /// The rows that changed, as they are now, in the order of their changes.
+    pub rows: Vec<Row>,
+    /// Where to go on from.
+    pub at: Revision,
+}
+
 /// The platform's transactional table.
 pub trait Table {
     /// Reads the row under `key`; `None` where there is none.
--- a/crates/sycamore-settings/src/calls.rs
+++ b/crates/sycamore-settings/src/calls.rs
@@ -30,6 +30,12 @@
     /// Time that a drain waits for calls in flight before the node stops all the same.
     #[serde_as(as = "Span")]
     pub drain_timeout: Duration,
+    /// Time for which a node that was told to stop still takes new calls, while callers move on.
+    #[serde_as(as = "Span")]
+    pub drain_notice: Duration,
+    /// Allow the upstream's listener on an address other than loopback.
+    #[serde_as(as = "DisplayFromStr")]
+    pub upstream_beyond_loopback: bool,
     /// Time that a request stays quarantined.
     #[serde_as(as = "Span")]
     pub quarantine: Duration,
@@ -50,6 +56,8 @@
             head_timeout: Duration::from_secs(10),
             body_memory: 16 << 20,
             drain_timeout: Duration::from_secs(60),
+            drain_notice: Duration::from_millis(500),
+            upstream_beyond_loopback: false,
             quarantine: Duration::from_secs(600),
             key_memory: Duration::from_secs(60),
             view_lag: Duration::from_secs(10),
--- a/crates/sycamore-settings/src/check.rs
+++ b/crates/sycamore-settings/src/check.rs
@@ -46,8 +46,9 @@
         ("peer", listen.peer),
         ("operator", listen.operator),
     ];
+    let ready = listen.ready.map(|addr| ("ready", addr));
     let mut seen: BTreeMap<SocketAddr, &str> = BTreeMap::new();
-    for (key, addr) in listeners {
+    for (key, addr) in listeners.into_iter().chain(ready) {
         if addr.port() == 0 {
             add(found, "listen", key, "port 0 can't be found by others");
         }
@@ -63,7 +64,8 @@
         let problem = "is beyond loopback; set beyond_loopback = true in [operator] to allow it";
         add(found, "listen", "operator", problem);
     }
-    if !settings.listen.upstream.ip().is_loopback() {
+    let open = settings.calls.upstream_beyond_loopback;
+    if !open && !settings.listen.upstream.ip().is_loopback() {
         add(found, "listen", "upstream", "must be a loopback address: only the upstream beside it");
     }
     if !operator.token.is_empty() && operator.token.len() < MIN_TOKEN_BYTES {
--- a/crates/sycamore-settings/src/moves.rs
+++ b/crates/sycamore-settings/src/moves.rs
@@ -20,6 +20,9 @@
     /// Events of the time line kept in memory.
     #[serde_as(as = "DisplayFromStr")]
     pub events: u32,
+    /// Keep events in the object store as well.
+    #[serde_as(as = "DisplayFromStr")]
+    pub archive: bool,
 }
 
 impl Default for Moves {
@@ -28,6 +31,7 @@
             unproven_share: Share::from_basis_points(500),
             evidence_interval: Duration::from_millis(500),
             events: 4_096,
+            archive: true,
         }
     }
 }
--- a/crates/sycamore-settings/src/node.rs
+++ b/crates/sycamore-settings/src/node.rs
@@ -1,7 +1,7 @@
 //! `[node]` and `[listen]`: who the node is and where it listens.
 
 use serde::{Deserialize, Serialize};
-use serde_with::{serde_as, DisplayFromStr};
+use serde_with::{serde_as, DisplayFromStr, NoneAsEmptyString};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use sycamore_types::id::{DataCentre, Deployment, InstanceId, Region, ServiceName};
 
@@ -53,6 +53,10 @@
     /// Operators.
     #[serde_as(as = "DisplayFromStr")]
     pub operator: SocketAddr,
+    /// Questions whether the node is ready; none where it is empty, since operators' address
+    /// answers them as well.
+    #[serde_as(as = "NoneAsEmptyString")]
+    pub ready: Option<SocketAddr>,
 }
 
 impl Default for Listen {
@@ -64,6 +68,7 @@
             relay: on(7402),
             peer: on(7403),
             operator: on(7404),
+            ready: None,
         }
     }
 }
--- a/crates/sycamore-types/src/headers.rs
+++ b/crates/sycamore-types/src/headers.rs
@@ -34,5 +34,12 @@
 pub const KEEP: &str = "x-shift-keep";
 /// Among nodes: hash of the caller's name or address.
 pub const CALLER_HASH: &str = "x-shift-caller";
+/// Among nodes: the service of the instance at which the call began.
+pub const ORIGIN: &str = "x-shift-origin";
+/// Among nodes: `1` where the call may run more than once.
+pub const REPEATS: &str = "x-shift-repeats";
+/// Among nodes, on refusals: the time to come back after, in milliseconds; `retry-after` has whole
+/// seconds only.
+pub const RETRY_AFTER_MS: &str = "x-shift-retry-after-ms";
 /// Among nodes: the deployment's name.
 pub const DEPLOYMENT: &str = "x-shift-deployment";
--- a/crates/sycamore-types/src/prelude.rs
+++ b/crates/sycamore-types/src/prelude.rs
@@ -6,7 +6,10 @@
 pub use crate::id::*;
 pub use crate::member::{Endpoints, Incarnation, Member, MemberState, MemberView};
 pub use crate::outcome::{CallOutcome, OutcomeKind, RefusalReason};
-pub use crate::resource::{ConfigHead, Limits, Resource, RetryPolicy, Route, Service};
+pub use crate::resource::{
+    CallerLimits, ConfigHead, Limits, Repeat, Resource, RetryPolicy, Route, RoutePolicy, Service,
+    WeightedService,
+};
 pub use crate::share::{Share, ShareTable, VersionShare};
 pub use crate::snapshot::Snapshot;
 pub use crate::stamp::Stamp;
--- a/crates/sycamore-types/src/snapshot.rs
+++ b/crates/sycamore-types/src/snapshot.rs
@@ -1,7 +1,7 @@
 //! A configuration in force: whole, checked and immutable.
 
 use crate::id::{ConfigVersion, ServiceName};
-use crate::resource::{Route, Service};
+use crate::resource::{CallerLimits, Route, Service};
 use std::collections::BTreeMap;
 
 /// A whole configuration. Every route's service is in `services`.
@@ -11,14 +11,30 @@
     pub version: ConfigVersion,
     /// Services by name.
     pub services: BTreeMap<ServiceName, Service>,
-    /// Routes, longest prefix first.
+    /// Routes, longest prefix first; of equal ones those that name a host first.
     pub routes: Vec<Route>,
+    /// What callers may send.
+    pub callers: CallerLimits,
 }
 
 impl Snapshot {
-    /// The route that `path` takes: the one with the longest prefix that ends at a path segment.
-    pub fn route(&self, path: &str) -> Option<&Route> {
-        self.routes.iter().find(|route| matches_prefix(path, &route.prefix))
+    /// The route that a call for `path` at `host` takes: among those of the host and those of every
+    /// host, the one with the longest prefix that ends at a path segment. A port in `host` and its
+    /// case don't matter (RFC 9110, section 4.2.3).
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let host = without_port(host);
+        let matches = |route: &&Route| {
+            route.host.as_deref().is_none_or(|own| own.eq_ignore_ascii_case(host))
+                && matches_prefix(path, &route.prefix)
+        };
+        self.routes.iter().find(matches)
+    }
+}
+
+fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
     }
 }
 
