feat(calls): calls that may be repeated run side by side on a connection

Cause: pipelined calls were served one after the other, so that a third of ticket-lookup missed its latency objective. Change: a connection runs calls without a body that may be repeated side by side and answers them in order.

--- a/crates/sycamore-config/tests/apply_model.rs
+++ b/crates/sycamore-config/tests/apply_model.rs
@@ -271,6 +271,7 @@
             Resource::Service(service) => {
                 snapshot.services.insert(service.name.clone(), service);
             }
+            Resource::Callers(limits) => snapshot.callers = limits,
             Resource::Route(route) => snapshot.routes.push(route),
         }
     }
--- a/crates/sycamore-node/src/calls/beside.rs
+++ b/crates/sycamore-node/src/calls/beside.rs
@@ -157,7 +157,7 @@
         };
         let calls = self.state.edges.calls.clone();
         calls.for_upstream(&call, &mut head.headers);
-        match send(inbound, msg, &mut stream, head, false, left).await {
+        match send(Some(&mut *inbound), msg, &mut stream, head, false, left).await {
             Ok(answered) => match calls.judge(&msg.head.headers, &answered.head) {
                 UpstreamAnswer::Ran => self.relay(inbound, stream, answered, false).await,
                 UpstreamAnswer::Shed => self.relay(inbound, stream, answered, true).await,
--- a/crates/sycamore-node/src/calls/exchange.rs
+++ b/crates/sycamore-node/src/calls/exchange.rs
@@ -49,9 +49,10 @@
 }
 
 /// Sends `head` and the body of `msg` to `out`, and waits for the answer's head. With `wait`, a body
-/// that is not whole here is sent only once the other side asks for it.
+/// that is not whole here is sent only once the other side asks for it. Without `inbound`, which
+/// only a whole body can do without, it is for others to see that the caller leaves.
 pub(super) async fn send(
-    inbound: &mut Inbound,
+    mut inbound: Option<&mut Inbound>,
     msg: &mut Message,
     out: &mut Stream,
     mut head: RequestHead,
@@ -61,8 +62,12 @@
     let method = head.method.clone();
     let sent = async {
         if msg.is_whole() {
-            send_whole(inbound, msg, out, &head).await.map(|head| (head, true))
-        } else if wait {
+            return send_whole(inbound.as_deref_mut(), msg, out, &head)
+                .await
+                .map(|head| (head, true));
+        }
+        let Some(inbound) = inbound else { return Err(Failure::CallerGone) };
+        if wait {
             head.headers.insert(header::EXPECT, HeaderValue::from_static("100-continue"));
             send_after_continue(inbound, msg, out, &head).await
         } else {
@@ -80,7 +85,7 @@
 }
 
 async fn send_whole(
-    inbound: &mut Inbound,
+    inbound: Option<&mut Inbound>,
     msg: &Message,
     out: &mut Stream,
     head: &RequestHead,
@@ -89,7 +94,10 @@
     encode_request(head, msg.framing, &mut bytes);
     bytes.extend_from_slice(msg.prefix());
     write_all(&mut out.writer, bytes.freeze()).await.map_err(|_| Failure::Broken)?;
-    answer_head(inbound, out).await
+    match inbound {
+        Some(inbound) => answer_head(inbound, out).await,
+        None => out.reader.response_head(&HeadLimits::DEFAULT).await.map_err(|_| Failure::Broken),
+    }
 }
 
 async fn send_after_continue(
--- a/crates/sycamore-node/src/calls/forward.rs
+++ b/crates/sycamore-node/src/calls/forward.rs
@@ -18,7 +18,7 @@
 use sycamore_types::headers;
 use sycamore_types::prelude::*;
 
-/// A call on its way out of this node.
+/// A call on its way out of this node, on the caller's connection.
 pub(super) struct Outgoing<'a> {
     pub(super) inbound: &'a mut Inbound,
     pub(super) msg: &'a mut Message,
@@ -26,6 +26,21 @@
     pub(super) retry: RetryPolicy,
 }
 
+impl Outgoing<'_> {
+    /// Makes attempts until one is answered or the call is given up.
+    pub(super) async fn attempts(&mut self, state: &Rc<State>) -> Forwarded {
+        let call = Call { msg: self.msg, meta: &mut self.meta, retry: &self.retry };
+        attempts(state, call, Some(self.inbound)).await
+    }
+}
+
+/// A call apart from the connection that it came on.
+pub(super) struct Call<'a> {
+    pub(super) msg: &'a mut Message,
+    pub(super) meta: &'a mut CallMeta,
+    pub(super) retry: &'a RetryPolicy,
+}
+
 /// What became of a call that was answered by some node.
 pub(super) enum Forwarded {
     /// An answer to relay.
@@ -69,7 +84,7 @@
 
 /// Relays a call to an upstream's node and its answer back.
 pub(super) async fn forward(state: &Rc<State>, mut out: Outgoing<'_>) -> std::io::Result<()> {
-    match attempts(state, &mut out).await {
+    match out.attempts(state).await {
         Forwarded::Own(answer) => own_answer(state, out.inbound, &answer).await,
         Forwarded::CallerGone => Err(std::io::ErrorKind::ConnectionAborted.into()),
         Forwarded::Answered(reply) => relay(state, out.inbound, &out.meta, *reply).await,
@@ -90,10 +105,16 @@
     respond(inbound, &resp).await
 }
 
-/// Makes attempts until one is answered or the call is given up.
-pub(super) async fn attempts(state: &Rc<State>, out: &mut Outgoing<'_>) -> Forwarded {
+/// Makes attempts until one is answered or the call is given up; without `inbound`, the body must be
+/// whole and it is for others to see that the caller leaves.
+pub(super) async fn attempts(
+    state: &Rc<State>,
+    mut out: Call<'_>,
+    mut inbound: Option<&mut Inbound>,
+) -> Forwarded {
+    let out = &mut out;
     let service = out.meta.service.clone();
-    state.budget(&service, &out.retry, |budget| budget.first_attempt());
+    state.budget(&service, out.retry, |budget| budget.first_attempt());
     let mut tried = Vec::new();
     let mut bans = state.bans.borrow().clone();
     let mut may_have_run: Option<Failed> = None;
@@ -103,7 +124,7 @@
             Some(choice) => {
                 tried.push(choice.instance.clone());
                 state.metrics.attempt(attempt);
-                match try_once(state, out, &choice, attempt).await {
+                match try_once(state, out, inbound.as_deref_mut(), &choice, attempt).await {
                     Attempt::Answered(reply) => return Forwarded::Answered(reply),
                     Attempt::CallerGone => return Forwarded::CallerGone,
                     Attempt::Failed(failed) => {
@@ -118,7 +139,7 @@
         }
         let call = call_state(state, out, attempt, &tried);
         let decision =
-            state.budget(&service, &out.retry, |budget| budget.decide(&call, failed.failure));
+            state.budget(&service, out.retry, |budget| budget.decide(&call, failed.failure));
         match decision {
             RetryDecision::GiveUp => return Forwarded::Own(failed.after(may_have_run).answer),
             RetryDecision::Retry(backoff) => {
@@ -133,7 +154,7 @@
     Forwarded::Own(no_upstream().answer)
 }
 
-fn call_state(state: &State, out: &Outgoing<'_>, attempts: u8, tried: &[InstanceId]) -> CallState {
+fn call_state(state: &State, out: &Call<'_>, attempts: u8, tried: &[InstanceId]) -> CallState {
     let now = state.now();
     let view = state.hub.members.borrow().clone();
     CallState {
@@ -147,7 +168,7 @@
 
 fn choose(
     state: &State,
-    out: &Outgoing<'_>,
+    out: &Call<'_>,
     tried: &[InstanceId],
     bans: &sycamore_call::route::VersionBans,
 ) -> Option<Choice> {
@@ -188,7 +209,8 @@
 
 async fn try_once(
     state: &Rc<State>,
-    out: &mut Outgoing<'_>,
+    out: &mut Call<'_>,
+    inbound: Option<&mut Inbound>,
     choice: &Choice,
     attempt: u8,
 ) -> Attempt {
@@ -209,7 +231,7 @@
     let deployment = &state.hub.settings.node.deployment;
     out.meta.write(state.now(), deployment, Some(&target), attempt, &mut head.headers);
     let left = out.meta.left(state.now());
-    let sent = send(out.inbound, out.msg, &mut stream, head, true, left).await;
+    let sent = send(inbound, out.msg, &mut stream, head, true, left).await;
     match sent {
         Err(Failure::CallerGone) => {
             undecided.end(AttemptEnd::Cancelled);
--- a/crates/sycamore-node/src/calls/keyed.rs
+++ b/crates/sycamore-node/src/calls/keyed.rs
@@ -91,7 +91,8 @@
     let deployment = &state.hub.settings.node.deployment;
     out.meta.write(state.now(), deployment, None, 1, &mut head.headers);
     let left = out.meta.left(state.now());
-    let answered = match send(out.inbound, out.msg, &mut stream, head, true, left).await {
+    let answered = match send(Some(&mut *out.inbound), out.msg, &mut stream, head, true, left).await
+    {
         Ok(answered) => answered,
         Err(Failure::CallerGone) => return Err(std::io::ErrorKind::ConnectionAborted.into()),
         Err(_) => {
@@ -213,7 +214,7 @@
         claim.end = KeyEnd::NotRun;
         return Err(std::io::ErrorKind::InvalidData.into());
     }
-    match forward::attempts(state, &mut out).await {
+    match out.attempts(state).await {
         Forwarded::CallerGone => Err(std::io::ErrorKind::ConnectionAborted.into()),
         Forwarded::Own(answer) => {
             if answer.outcome == Outcome::NotRun {
--- a/crates/sycamore-node/src/calls/message.rs
+++ b/crates/sycamore-node/src/calls/message.rs
@@ -4,7 +4,7 @@
 use super::pool::Stream;
 use crate::edge::RequestWords;
 use bytes::{Bytes, BytesMut};
-use http::{header, Method};
+use http::header;
 use monoio::io::{OwnedReadHalf, OwnedWriteHalf, Splitable};
 use monoio::net::TcpStream;
 use sycamore_http::conn::{write_all, ReadError, Reader};
@@ -44,7 +44,6 @@
         let mut head = self.reader.request_head(limits).await?;
         let framing = request_framing(&head)?;
         self.closes |= wants_close(&head.headers, head.version);
-        self.head_only = head.method == Method::HEAD;
         let continues = framing != Framing::Empty && expects_continue(&head.headers);
         strip_hop_by_hop(&mut head.headers);
         head.headers.remove(header::EXPECT);
--- a/crates/sycamore-node/src/calls/mod.rs
+++ b/crates/sycamore-node/src/calls/mod.rs
@@ -18,6 +18,7 @@
 mod message;
 mod meta;
 mod metrics;
+mod pipeline;
 mod pool;
 mod serve;
 mod slot;
--- a/crates/sycamore-node/src/calls/serve.rs
+++ b/crates/sycamore-node/src/calls/serve.rs
@@ -10,11 +10,12 @@
 use super::memory::{Holding, Role};
 use super::message::{Inbound, Message};
 use super::meta::{self, CallMeta, Depth};
+use super::pipeline;
 use super::state::State;
 use crate::edge::RequestWords;
 use crate::hub::Phase;
 use crate::tasks::Stop;
-use http::{header, StatusCode, Version};
+use http::{header, Method, StatusCode, Version};
 use monoio::io::AsyncWriteRent;
 use monoio::net::TcpStream;
 use monoio::time::timeout;
@@ -48,17 +49,17 @@
     mut stop: Stop,
 ) {
     let mut inbound = Inbound::new(stream, side);
+    if side == Side::Caller {
+        return pipeline::connection(state, &mut inbound, peer, stop).await;
+    }
     loop {
-        let idle_time = match side {
-            Side::Relay => RELAY_IDLE_TIME,
-            Side::Caller | Side::Upstream => state.hub.snapshot.borrow().callers.idle_time,
-        };
-        let begun = stop.or(timeout(idle_time, inbound.reader.wait())).await;
+        let begun = stop.or(timeout(idle_time(state, side), inbound.reader.wait())).await;
         if !matches!(begun, Some(Ok(Ok(())))) {
             return;
         }
-        let _in_flight = state.hub.call_in_flight();
-        if serve_one(state, side, &mut inbound, peer).await.is_err() {
+        let (limits, limit) = head_limits(state, side);
+        let Ok(read) = timeout(limit, inbound.message(&limits)).await else { return };
+        if alone(state, &mut inbound, read, peer).await.is_err() {
             return;
         }
         if inbound.closes {
@@ -67,47 +68,54 @@
     }
 }
 
+/// Longest time that a connection stays idle.
+pub(super) fn idle_time(state: &State, side: Side) -> Duration {
+    match side {
+        Side::Relay => RELAY_IDLE_TIME,
+        Side::Caller | Side::Upstream => state.hub.snapshot.borrow().callers.idle_time,
+    }
+}
+
 /// Closing with unread bytes would reset the connection under the answer.
-async fn linger(inbound: &mut Inbound) {
+pub(super) async fn linger(inbound: &mut Inbound) {
     if inbound.writer.shutdown().await.is_ok() {
         let _ = timeout(LINGER_TIME, inbound.reader.discard(LINGER_BYTES)).await;
     }
 }
 
-/// Reads a request and answers it; an error means that the connection must be closed at once.
-async fn serve_one(
+/// Answers a request that has the connection to itself; an error means that the connection must be
+/// closed at once.
+pub(super) async fn alone(
     state: &Rc<State>,
-    side: Side,
     inbound: &mut Inbound,
+    read: Result<Message, ReadError>,
     peer: SocketAddr,
 ) -> std::io::Result<()> {
-    if state.hub.phase() >= Phase::Draining && side == Side::Caller {
+    let _in_flight = state.hub.call_in_flight();
+    if state.hub.phase() >= Phase::Draining && inbound.side == Side::Caller {
         // The caller moves on to another node.
         inbound.closes = true;
     }
-    let (limits, limit) = head_limits(state, side);
-    inbound.words = RequestWords::default();
-    let mut msg = match timeout(limit, inbound.message(&limits)).await {
-        Err(_) => return Err(std::io::ErrorKind::TimedOut.into()),
-        Ok(Err(err)) => return reject(state, inbound, &err).await,
-        Ok(Ok(msg)) => msg,
+    let mut msg = match read {
+        Err(err) => {
+            inbound.words = RequestWords::default();
+            return reject(state, inbound, &err).await;
+        }
+        Ok(msg) => msg,
     };
+    inbound.head_only = msg.head.method == Method::HEAD;
     inbound.words = state.edges.calls.words(&msg.head);
-    match side {
+    match inbound.side {
         Side::Relay => relayed(state, inbound, &mut msg).await,
         Side::Upstream if state.edges.upstream.is_for_node(&msg.head) => {
             announce::serve(state, inbound, &mut msg).await
         }
-        Side::Upstream => {
-            let depth = Depth::read(&msg.head.headers);
-            called(state, inbound, msg, peer, depth).await
-        }
-        Side::Caller => called(state, inbound, msg, peer, Depth::default()).await,
+        Side::Upstream | Side::Caller => called(state, inbound, msg, peer).await,
     }
 }
 
 /// Limits of a request's head and of the time to send it.
-fn head_limits(state: &State, side: Side) -> (HeadLimits, Duration) {
+pub(super) fn head_limits(state: &State, side: Side) -> (HeadLimits, Duration) {
     let callers = &state.hub.snapshot.borrow().callers;
     let time = callers.head_time.unwrap_or(state.hub.settings.calls.head_timeout);
     let bytes = usize::try_from(callers.head_bytes).unwrap_or(usize::MAX);
@@ -138,10 +146,9 @@
     inbound: &mut Inbound,
     mut msg: Message,
     peer: SocketAddr,
-    depth: Depth,
 ) -> std::io::Result<()> {
-    msg.strip_internal();
-    let (meta, retry) = match identify(state, &msg, &inbound.words, peer, depth) {
+    let words = inbound.words.clone();
+    let (meta, retry) = match begin(state, &mut msg, &words, peer, inbound.side) {
         Ok(identified) => identified,
         Err(answer) => {
             inbound.closes |= !msg.is_read();
@@ -161,11 +168,13 @@
         Ok(Err(err)) => return reject(state, inbound, &err).await,
         Ok(Ok(())) => {}
     }
-    let meta = CallMeta { fingerprint: fingerprint(&msg, &meta.route), ..meta };
-    if let Some(answer) = quarantined(state, &meta) {
-        inbound.closes |= !msg.is_read();
-        return own_answer(state, inbound, &answer).await;
-    }
+    let meta = match settle_identity(state, &msg, meta) {
+        Ok(meta) => meta,
+        Err(answer) => {
+            inbound.closes |= !msg.is_read();
+            return own_answer(state, inbound, &answer).await;
+        }
+    };
     let keyed = !meta.repeats && msg.head.headers.contains_key(headers::IDEMPOTENCY_KEY);
     let out = Outgoing { inbound, msg: &mut msg, meta, retry };
     let served = match keyed {
@@ -176,6 +185,36 @@
     served
 }
 
+/// Finds out what a request that was just read is, and whether it is to be served at all. The
+/// identity of one with a body is settled once its first part is there.
+pub(super) fn begin(
+    state: &State,
+    msg: &mut Message,
+    words: &RequestWords,
+    peer: SocketAddr,
+    side: Side,
+) -> Result<(CallMeta, RetryPolicy), Answer> {
+    let depth = match side {
+        Side::Upstream => Depth::read(&msg.head.headers),
+        Side::Caller | Side::Relay => Depth::default(),
+    };
+    msg.strip_internal();
+    let (meta, retry) = identify(state, msg, words, peer, depth)?;
+    match msg.body_len() {
+        Some(0) => settle_identity(state, msg, meta).map(|meta| (meta, retry)),
+        _ => Ok((meta, retry)),
+    }
+}
+
+/// Recognises a request across its repeats, and refuses one that crashes upstreams.
+fn settle_identity(state: &State, msg: &Message, meta: CallMeta) -> Result<CallMeta, Answer> {
+    let meta = CallMeta { fingerprint: fingerprint(msg, &meta.route), ..meta };
+    match quarantined(state, &meta) {
+        Some(answer) => Err(answer),
+        None => Ok(meta),
+    }
+}
+
 /// Takes memory for the body of `msg`, before any of it is read; a call without one needs none.
 fn hold(state: &State, msg: &Message, role: Role) -> Result<Option<Holding>, Answer> {
     if msg.body_len() == Some(0) {
@@ -236,7 +275,7 @@
 }
 
 /// The host that a request names: exactly one (RFC 9112, section 3.2).
-fn host(msg: &Message) -> Result<&str, Answer> {
+pub(super) fn host(msg: &Message) -> Result<&str, Answer> {
     let malformed = |detail| Answer::rejected(StatusCode::BAD_REQUEST, "malformed", detail);
     let mut hosts = msg.head.headers.get_all(header::HOST).iter();
     match (hosts.next(), hosts.next()) {
--- a/crates/sycamore-node/src/moves/orders.rs
+++ b/crates/sycamore-node/src/moves/orders.rs
@@ -154,9 +154,17 @@
     }
 }
 
-/// The version that most members of the service run besides the ordered one.
+/// The version that serves while the ordered one is proved: what the service's last move ended with,
+/// or the version that most members run besides the ordered one.
 fn version_before(state: &State, order: &ReleaseOrder) -> Option<UpstreamVersion> {
     let view = state.hub.members.borrow().clone();
+    let last = last_settled(state, &order.service).filter(|version| *version != order.to);
+    if let Some(version) = last {
+        let runs = view.serving(&order.service).any(|member| member.version == version);
+        if runs {
+            return Some(version);
+        }
+    }
     let mut counts: BTreeMap<&UpstreamVersion, usize> = BTreeMap::new();
     for member in view.serving(&order.service).filter(|member| member.version != order.to) {
         *counts.entry(&member.version).or_default() += 1;
@@ -164,6 +172,17 @@
     counts.into_iter().max_by_key(|(_, count)| *count).map(|(version, _)| version.clone())
 }
 
+/// The version that the service's last move ended with, or started from where it has not ended.
+fn last_settled(state: &State, service: &ServiceName) -> Option<UpstreamVersion> {
+    let moves = state.moves.borrow();
+    let rows = moves.values().map(|entry| entry.control.row().0);
+    let last = rows.filter(|row| row.spec.service == *service).max_by_key(|row| row.spec.start)?;
+    Some(match &last.outcome {
+        Some(Outcome { kind: OutcomeKind::Done, .. }) => last.spec.to.clone(),
+        Some(Outcome { kind: OutcomeKind::TakenBack, .. }) | None => last.spec.from.clone(),
+    })
+}
+
 /// Writes a row that must not exist; `None` where it does.
 async fn create(state: &State, key: &str, row: &MoveRow) -> sycamore_platform::Result<Option<u64>> {
     let transaction = Transaction {
--- a/crates/sycamore-platform/src/fake/mod.rs
+++ b/crates/sycamore-platform/src/fake/mod.rs
@@ -159,7 +159,7 @@
             .collect();
         let more = rows.len() > query.limit;
         rows.truncate(query.limit);
-        Ok(Page { rows, more })
+        Ok(Page { rows, more, at: Revision::default() })
     }
 
     async fn transact(&self, transaction: &Transaction) -> Result<Transacted> {
