--- a/crates/sycamore-node/src/calls/forward.rs
+++ b/crates/sycamore-node/src/calls/forward.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 use sycamore_call::retry::CallState;
 use sycamore_call::route::AttemptEnd;
-use sycamore_call::{AttemptFailure, Choice, Load, Pick, RetryDecision};
+use sycamore_call::{AttemptFailure, Choice, Load, Pick, RetryBudget, RetryDecision};
 use sycamore_types::headers;
 use sycamore_types::prelude::*;
 
@@ -125,7 +125,15 @@
                 tried.push(choice.instance.clone());
                 state.metrics.attempt(attempt);
                 match try_once(state, out, inbound.as_deref_mut(), &choice, attempt).await {
-                    Attempt::Answered(reply) => return Forwarded::Answered(reply),
+                    Attempt::Answered(reply) => {
+                        match retry_after_error(state, out, reply, attempt, &tried).await {
+                            Some(reply) => return Forwarded::Answered(reply),
+                            None => {
+                                may_have_run = Some(broken(Failure::Broken));
+                                continue;
+                            }
+                        }
+                    }
                     Attempt::CallerGone => return Forwarded::CallerGone,
                     Attempt::Failed(failed) => {
                         learn_ban(state, &mut bans, &service, &choice, failed.failure);
@@ -154,6 +162,34 @@
     Forwarded::Own(no_upstream().answer)
 }
 
+/// Gives an answer back unless it is an upstream's error and the call is to be tried elsewhere; the
+/// answer is dropped then.
+async fn retry_after_error(
+    state: &Rc<State>,
+    out: &mut Call<'_>,
+    reply: Box<Reply>,
+    attempt: u8,
+    tried: &[InstanceId],
+) -> Option<Box<Reply>> {
+    let error = reply.answered.head.status.is_server_error();
+    if !error || !out.meta.repeats || !out.msg.is_whole() {
+        return Some(reply);
+    }
+    let call = call_state(state, out, attempt, tried);
+    let service = out.meta.service.clone();
+    let failure = AttemptFailure::Unknown { crashed: false };
+    let decide = |budget: &mut RetryBudget| budget.decide(&call, failure);
+    if !call.has_room || state.budget(&service, out.retry, decide) == RetryDecision::GiveUp {
+        return Some(reply);
+    }
+    out.meta.depth.is_retry = true;
+    let Reply { stream, answered, instance, address, load } = *reply;
+    let end = AttemptEnd::Answered(load);
+    state.router.borrow_mut().ended(state.now(), &instance, end);
+    keep_after_refusal(state, stream, answered, address).await;
+    None
+}
+
 fn call_state(state: &State, out: &Call<'_>, attempts: u8, tried: &[InstanceId]) -> CallState {
     let now = state.now();
     let view = state.hub.members.borrow().clone();
