feat(route): a call looks farther away by its bytes, and only for a gain

Change: the nearest ring is left only where its drawn instance is loaded beyond a bound that grows with the call's bytes, and only for an instance that is less loaded by a margin that grows as well.

--- a/crates/sycamore-call/src/route/mod.rs
+++ b/crates/sycamore-call/src/route/mod.rs
@@ -28,8 +28,16 @@
     pub eject_time_max: Duration,
     /// Largest part of a service's instances that may be ejected at a time.
     pub eject_part: f64,
-    /// Utilisation of the near instances above which calls spill over to farther ones.
+    /// Utilisation of a near instance from which a small call looks farther away.
     pub spill: f64,
+    /// The same for a call of [`RouterConfig::heavy_bytes`] or more, whose way is dear.
+    pub heavy_spill: f64,
+    /// How much less utilised a farther instance must be for a small call to go there.
+    pub spill_gain: f64,
+    /// The same for a heavy call.
+    pub heavy_gain: f64,
+    /// Body of a heavy call, in bytes.
+    pub heavy_bytes: u64,
     /// Age after which a reported load says nothing.
     pub load_age: Duration,
 }
@@ -42,7 +50,11 @@
             eject_time: Duration::from_secs(2),
             eject_time_max: Duration::from_secs(30),
             eject_part: 0.5,
-            spill: 0.8,
+            spill: 0.9,
+            heavy_spill: 1.4,
+            spill_gain: 0.1,
+            heavy_gain: 0.5,
+            heavy_bytes: 16 << 10,
             load_age: Duration::from_secs(1),
         }
     }
@@ -65,6 +77,8 @@
     pub data_centre: &'a DataCentre,
     /// The region of this node.
     pub region: &'a Region,
+    /// Bytes of the call's body; `None` where it is not known, which counts as heavy.
+    pub bytes: Option<u64>,
 }
 
 /// An instance chosen for an attempt.
@@ -131,8 +145,7 @@
         let (version, share) = version::choose(&mut self.rng, pick, &candidates)?;
         let of_version: Vec<&Member> =
             candidates.into_iter().filter(|member| member.version == version).collect();
-        let near = self.near_enough(now, pick, of_version);
-        let chosen = self.less_loaded(now, &near)?;
+        let chosen = self.by_distance(now, pick, &of_version)?;
         let choice = Choice {
             instance: chosen.instance.clone(),
             version,
@@ -212,35 +225,36 @@
             .collect()
     }
 
-    /// The nearest ring of members that is not too loaded: this data centre, then this region, then
-    /// all.
-    fn near_enough<'a>(
-        &self,
+    /// A member of the nearest ring (this data centre, this region, elsewhere), unless it is so
+    /// loaded, and one farther away so much less, that the way there is worth it.
+    fn by_distance<'a>(
+        &mut self,
         now: Time,
         pick: &Pick<'_>,
-        members: Vec<&'a Member>,
-    ) -> Vec<&'a Member> {
-        let ring = |keep: &dyn Fn(&Member) -> bool| -> Vec<&'a Member> {
-            members.iter().copied().filter(|member| keep(member)).collect()
-        };
-        let near = ring(&|member| member.data_centre == *pick.data_centre);
-        if self.mean_utilisation(now, &near) < self.config.spill {
-            return near;
-        }
-        let region = ring(&|member| member.region == *pick.region);
-        if self.mean_utilisation(now, &region) < self.config.spill {
-            return region;
+        members: &[&'a Member],
+    ) -> Option<&'a Member> {
+        let (spill, gain) = self.spill_for(pick.bytes);
+        let mut chosen: Option<(&'a Member, f64)> = None;
+        for ring in rings(pick, members) {
+            if chosen.is_some_and(|(_, load)| load < spill) {
+                break;
+            }
+            let Some(member) = self.less_loaded(now, &ring) else { continue };
+            let load = self.score(now, &member.instance);
+            if chosen.is_none_or(|(_, near)| load + gain < near) {
+                chosen = Some((member, load));
+            }
         }
-        members
+        chosen.map(|(member, _)| member)
     }
 
-    /// Infinite where there is no member.
-    fn mean_utilisation(&self, now: Time, members: &[&Member]) -> f64 {
-        if members.is_empty() {
-            return f64::INFINITY;
-        }
-        let sum: f64 = members.iter().map(|member| self.score(now, &member.instance)).sum();
-        sum / members.len() as f64
+    /// Utilisation from which a call of `bytes` looks farther away, and what it must gain there.
+    fn spill_for(&self, bytes: Option<u64>) -> (f64, f64) {
+        let config = &self.config;
+        let heavy = config.heavy_bytes.max(1);
+        let weight = bytes.unwrap_or(heavy).min(heavy) as f64 / heavy as f64;
+        let between = |small: f64, large: f64| small + (large - small) * weight;
+        (between(config.spill, config.heavy_spill), between(config.spill_gain, config.heavy_gain))
     }
 
     /// The less loaded of two members, drawn by weight.
@@ -283,3 +297,17 @@
         self.peers.get(instance).map_or(0.0, |peer| peer.utilisation(now, &self.config))
     }
 }
+
+/// Members of this data centre, the others of this region, and those elsewhere.
+fn rings<'a>(pick: &Pick<'_>, members: &[&'a Member]) -> [Vec<&'a Member>; 3] {
+    let mut rings = [Vec::new(), Vec::new(), Vec::new()];
+    for member in members {
+        let distance = match () {
+            () if member.data_centre == *pick.data_centre => 0,
+            () if member.region == *pick.region => 1,
+            () => 2,
+        };
+        rings[distance].push(*member);
+    }
+    rings
+}
--- a/crates/sycamore-node/src/calls/forward.rs
+++ b/crates/sycamore-node/src/calls/forward.rs
@@ -219,6 +219,7 @@
         tried,
         data_centre: &node.data_centre,
         region: &node.region,
+        bytes: out.msg.body_len(),
     };
     state.router.borrow_mut().pick(state.now(), &pick)
 }
