--- a/crates/sycamore-node/src/calls/pipeline.rs
+++ b/crates/sycamore-node/src/calls/pipeline.rs
@@ -58,6 +58,7 @@
     // After a request that closes the connection nothing more is read.
     let mut last_read = false;
     loop {
+        last_read |= stop.is_stopped();
         let event = next(state, inbound, &mut running, last_read, &mut stop).await;
         let served = match event {
             Event::Over => return,
--- a/crates/sycamore-node/src/run.rs
+++ b/crates/sycamore-node/src/run.rs
@@ -19,6 +19,7 @@
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 use sycamore_settings::Settings;
 use sycamore_types::event::EventKind;
 
@@ -86,7 +87,8 @@
     let hub = Hub::new(source.settings);
     let tasks = TaskGroup::default();
     hub.record(EventKind::Started);
-    let node = start(&hub, &tasks, &edges).await?;
+    let calls = TaskGroup::default();
+    let node = start(&hub, &tasks, &calls, &edges).await?;
     let listener = TaskGroup::default();
     if let Some(addr) = hub.settings.listen.ready {
         readiness::start(&hub, &listener, addr, edges.readiness_path)
@@ -100,14 +102,19 @@
         reload(&hub, source.path.as_deref());
     }
     info!(hub.log, "node stops"; "in_flight" => hub.in_flight());
-    drain(&hub, &tasks).await;
+    drain(&hub, &calls, &tasks).await;
     listener.stop();
     listener.join().await;
     info!(hub.log, "node stopped");
     Ok(())
 }
 
-async fn start(hub: &Rc<Hub>, tasks: &TaskGroup, edges: &Edges) -> Result<Node, Report<RunError>> {
+async fn start(
+    hub: &Rc<Hub>,
+    tasks: &TaskGroup,
+    calls: &TaskGroup,
+    edges: &Edges,
+) -> Result<Node, Report<RunError>> {
     let platform = Rc::new(Platform::new(&hub.settings.platform, edges.store.clone()));
     let peers = peers::start(hub, tasks, &platform)
         .await
@@ -119,23 +126,31 @@
         .await
         .change_context(RunError::Slice("moves"))?;
     timeline::start(hub, tasks, &platform).await.change_context(RunError::Slice("time line"))?;
-    let calls = calls::start(hub, tasks, edges)
+    let calls = calls::start(hub, calls, edges)
         .await
         .change_context(RunError::Slice("callers' listener"))?;
     Ok(Node { hub: hub.clone(), platform, peers, config, moves, calls })
 }
 
-/// Announces the drain, lets calls in flight end, then stops and joins every task.
-async fn drain(hub: &Rc<Hub>, tasks: &TaskGroup) {
+/// Longest time that the slices besides calls may take to end.
+const END_TIME: Duration = Duration::from_millis(400);
+
+/// Announces the drain, takes calls for a while still, lets those in flight end, then stops and joins
+/// every task.
+async fn drain(hub: &Rc<Hub>, calls: &TaskGroup, tasks: &TaskGroup) {
     hub.set_phase(Phase::Draining);
     hub.record(EventKind::Draining);
     monoio::time::sleep(hub.settings.calls.drain_notice).await;
-    let limit = hub.settings.calls.drain_timeout;
-    let _ = monoio::time::timeout(limit, hub.idle()).await;
+    calls.stop();
+    if monoio::time::timeout(hub.settings.calls.drain_timeout, calls.join()).await.is_err() {
+        warn!(hub.log, "calls cut"; "in_flight" => hub.in_flight());
+    }
     hub.record(EventKind::Stopped);
     hub.set_phase(Phase::Stopped);
     tasks.stop();
-    tasks.join().await;
+    if monoio::time::timeout(END_TIME, tasks.join()).await.is_err() {
+        warn!(hub.log, "tasks cut"; "tasks" => tasks.live());
+    }
 }
 
 /// What a signal asks for.
--- a/crates/sycamore-node/src/tasks/mod.rs
+++ b/crates/sycamore-node/src/tasks/mod.rs
@@ -34,6 +34,11 @@
         let _ = self.0.wait_for(|stop| *stop).await;
     }
 
+    /// Whether the group has been told to stop.
+    pub fn is_stopped(&self) -> bool {
+        *self.0.borrow()
+    }
+
     /// Runs `future`, or gives `None` where the group is told to stop first.
     pub async fn or<T>(&mut self, future: impl Future<Output = T>) -> Option<T> {
         futures::pin_mut!(future);
