trial(admit): by objective and by kind of work, with half of the time to the deadline for late calls

Cause looked for: in overload inner calls wait behind long calls and are refused, which wastes the run that made them.

--- a/crates/sycamore-call/src/admit/mod.rs
+++ b/crates/sycamore-call/src/admit/mod.rs
@@ -3,6 +3,7 @@
 
 mod limit;
 mod queue;
+mod work;
 
 pub use limit::LimitPolicy;
 
@@ -12,14 +13,14 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 use sycamore_types::prelude::*;
+use work::WorkTimes;
 
-/// Weight of a new sample in the mean service time.
-const SERVICE_WEIGHT: f64 = 0.05;
 /// Factor of the expected wait that must fit into the longest: an estimate that is a little short
 /// would let a call wait in vain.
 const WAIT_MARGIN: f64 = 1.25;
-/// Shortest time after which a refused caller is asked to come back.
-const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Part of the time to the deadline that a call with an objective may take where the objective is
+/// out of reach.
+const LATE_PART: f64 = 0.5;
 /// Longest such time.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
 
@@ -73,6 +74,8 @@
     pub queue_time: Duration,
     /// How the limit follows the upstream.
     pub policy: LimitPolicy,
+    /// Shortest time after which a refused caller is asked to come back.
+    pub min_retry_after: Duration,
 }
 
 impl Default for AdmissionConfig {
@@ -82,6 +85,7 @@
             queue: usize::from(limits.queue),
             queue_time: limits.queue_time,
             policy: LimitPolicy::default(),
+            min_retry_after: Duration::from_secs(1),
         }
     }
 }
@@ -97,6 +101,10 @@
     pub class: Criticality,
     /// When it must have finished.
     pub deadline: Time,
+    /// Until when its answer is worth most; `None` where only the deadline counts.
+    pub objective: Option<Time>,
+    /// What kind of work it is: calls of one kind take about as long as each other.
+    pub work: u64,
 }
 
 /// How a call that ran ended, as far as admission cares.
@@ -156,7 +164,7 @@
     limiter: Limiter,
     running: BTreeMap<u64, (Arrival, Time)>,
     queue: Queue,
-    service: Option<Duration>,
+    times: WorkTimes,
     draining: bool,
 }
 
@@ -170,7 +178,7 @@
             limiter,
             running: BTreeMap::new(),
             queue: Queue::default(),
-            service: None,
+            times: WorkTimes::default(),
             draining: false,
         }
     }
@@ -238,8 +246,7 @@
         if self.has_slot() && self.queue.len() == 0 {
             return self.admit(now, arrival, out);
         }
-        let ahead = self.queue.ahead_of(&arrival);
-        if !self.finishes_in_time(now, &arrival, ahead) {
+        if !self.finishes_in_time(now, &arrival) {
             return out.push(self.refuse(arrival.id, RefusalReason::Overloaded));
         }
         if !self.has_place(arrival.class) {
@@ -248,7 +255,7 @@
                 None => return out.push(self.refuse(arrival.id, RefusalReason::Overloaded)),
             }
         }
-        let expires = (now + self.config.queue_time).min(arrival.deadline);
+        let expires = (now + self.config.queue_time).min(self.latest_start(&arrival));
         self.queue.push(Waiting { arrival, expires });
     }
 
@@ -265,18 +272,32 @@
         self.running.values().filter(|(arrival, _)| arrival.caller == caller).count()
     }
 
-    /// Whether a call with `ahead` others before it can be expected to finish by its deadline.
-    fn finishes_in_time(&self, now: Time, arrival: &Arrival, ahead: usize) -> bool {
-        let Some(service) = self.service else { return true };
-        let wait = self.expected_wait(service, ahead);
+    /// Whether a call can be expected to finish in time behind those that run before it.
+    fn finishes_in_time(&self, now: Time, arrival: &Arrival) -> bool {
+        let Some(service) = self.times.of(arrival.work) else { return true };
+        let wait = self.expected_wait(self.queue.before(arrival));
         wait.mul_f64(WAIT_MARGIN) <= self.config.queue_time
-            && now + wait + service <= arrival.deadline
+            && now + wait + service <= patience(now, arrival)
     }
 
     /// Slots come free at the rate of `limit` calls per service time.
-    fn expected_wait(&self, service: Duration, ahead: usize) -> Duration {
-        let over = self.running.len().saturating_sub(usize::from(self.limit())) + ahead + 1;
-        service.mul_f64(over as f64 / f64::from(self.limit().max(1)))
+    fn expected_wait<'a>(&self, before: impl Iterator<Item = &'a Waiting>) -> Duration {
+        let mean = self.times.mean().unwrap_or_default();
+        let over = self.running.len().saturating_sub(usize::from(self.limit())) + 1;
+        let ahead: Duration =
+            before.map(|waiting| self.times.of(waiting.arrival.work).unwrap_or(mean)).sum();
+        (mean.mul_f64(over as f64) + ahead) / u32::from(self.limit().max(1))
+    }
+
+    /// When a call must start to finish by its deadline.
+    fn latest_start(&self, arrival: &Arrival) -> Time {
+        match arrival.objective {
+            None => arrival.deadline,
+            Some(_) => {
+                let service = self.times.of(arrival.work).unwrap_or_default();
+                Time(arrival.deadline.0.saturating_sub(service.as_micros() as u64))
+            }
+        }
     }
 
     fn has_slot(&self) -> bool {
@@ -289,20 +310,15 @@
     }
 
     fn finish(&mut self, now: Time, id: u64, end: RunEnd) {
-        let Some((_, started)) = self.running.remove(&id) else { return };
+        let Some((arrival, started)) = self.running.remove(&id) else { return };
         let latency = now.since(started);
         if end == RunEnd::Answered {
-            self.learn_service(latency);
+            self.times.learn(arrival.work, latency);
         }
         // The call that just ended was still running when its latency was made.
         self.limiter.sample(latency, self.running.len() + 1, end);
     }
 
-    fn learn_service(&mut self, latency: Duration) {
-        let before = self.service.unwrap_or(latency);
-        self.service = Some(before.mul_f64(1.0 - SERVICE_WEIGHT) + latency.mul_f64(SERVICE_WEIGHT));
-    }
-
     fn drain(&mut self, out: &mut Vec<Decision>) {
         self.draining = true;
         while let Some(waiting) = self.queue.pop() {
@@ -328,12 +344,23 @@
     }
 
     fn can_still_finish(&self, now: Time, arrival: &Arrival) -> bool {
-        now + self.service.unwrap_or_default() <= arrival.deadline
+        now + self.times.of(arrival.work).unwrap_or_default() <= arrival.deadline
     }
 
     fn refuse(&self, id: u64, reason: RefusalReason) -> Decision {
-        let wait = self.expected_wait(self.service.unwrap_or_default(), self.queue.len());
-        let retry_after = wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+        let wait = self.expected_wait(self.queue.all());
+        let retry_after = wait.clamp(self.config.min_retry_after, MAX_RETRY_AFTER);
         Decision::Refuse { id, reason, retry_after }
     }
 }
+
+/// Until when it is worth to let a call wait and run.
+fn patience(now: Time, arrival: &Arrival) -> Time {
+    match arrival.objective {
+        None => arrival.deadline,
+        Some(objective) => {
+            let late = now + arrival.deadline.since(now).mul_f64(LATE_PART);
+            objective.max(late).min(arrival.deadline)
+        }
+    }
+}
--- a/crates/sycamore-call/src/admit/queue.rs
+++ b/crates/sycamore-call/src/admit/queue.rs
@@ -32,15 +32,21 @@
         Some(self.0.swap_remove(at))
     }
 
-    /// Takes the call that runs next: highest class, then earliest deadline.
+    /// Takes the call that runs next: highest class, then earliest objective or else deadline.
     pub(super) fn pop(&mut self) -> Option<Waiting> {
         let next = self.0.iter().min_by_key(|waiting| order(&waiting.arrival))?.arrival.id;
         self.remove(next)
     }
 
     /// Calls that would run before `arrival`.
-    pub(super) fn ahead_of(&self, arrival: &Arrival) -> usize {
-        self.0.iter().filter(|waiting| order(&waiting.arrival) < order(arrival)).count()
+    pub(super) fn before(&self, arrival: &Arrival) -> impl Iterator<Item = &Waiting> {
+        let own = order(arrival);
+        self.0.iter().filter(move |waiting| order(&waiting.arrival) < own)
+    }
+
+    /// All calls that wait.
+    pub(super) fn all(&self) -> impl Iterator<Item = &Waiting> {
+        self.0.iter()
     }
 
     pub(super) fn next_expiry(&self) -> Option<Time> {
@@ -80,5 +86,5 @@
 }
 
 fn order(arrival: &Arrival) -> (Reverse<super::Criticality>, Time, u64) {
-    (Reverse(arrival.class), arrival.deadline, arrival.id)
+    (Reverse(arrival.class), arrival.objective.unwrap_or(arrival.deadline), arrival.id)
 }
--- a/crates/sycamore-call/tests/decisions/admit.rs
+++ b/crates/sycamore-call/tests/decisions/admit.rs
@@ -14,7 +14,8 @@
 }
 
 fn call(id: u64, deadline: u64) -> Arrival {
-    Arrival { id, caller: id, class: Criticality::Normal, deadline: at(deadline) }
+    let class = Criticality::Normal;
+    Arrival { id, caller: id, class, deadline: at(deadline), objective: None, work: 0 }
 }
 
 fn refused(id: u64, decisions: &[Decision]) -> Option<RefusalReason> {
@@ -161,6 +162,8 @@
             class: [Criticality::Sheddable, Criticality::Normal, Criticality::Critical]
                 [usize::from(step.1 % 3)],
             deadline: at(u64::from(step.1) * 8),
+            objective: step.1.is_multiple_of(2).then(|| at(u64::from(step.1) * 4)),
+            work: id % 5,
         }),
         2 => Input::Finish(id, RunEnd::Answered),
         3 => Input::Finish(id, RunEnd::Overloaded),
--- a/crates/sycamore-call/tests/decisions/limit.rs
+++ b/crates/sycamore-call/tests/decisions/limit.rs
@@ -73,7 +73,17 @@
                 let deadline = Time(now) + ms(500);
                 deadlines.insert(id, deadline.0);
                 let class = Criticality::Normal;
-                (now, Input::Arrive(Arrival { id, caller: id % 40, class, deadline }))
+                (
+                    now,
+                    Input::Arrive(Arrival {
+                        id,
+                        caller: id % 40,
+                        class,
+                        deadline,
+                        objective: None,
+                        work: 0,
+                    }),
+                )
             }
         };
         for decision in admission.step(Time(now), input) {
--- a/crates/sycamore-call/tests/decisions/model/attempt.rs
+++ b/crates/sycamore-call/tests/decisions/model/attempt.rs
@@ -123,7 +123,14 @@
 
     fn arrival(id: u64) -> Input {
         let class = Criticality::Normal;
-        Input::Arrive(Arrival { id, caller: id, class, deadline: at(10_000) })
+        Input::Arrive(Arrival {
+            id,
+            caller: id,
+            class,
+            deadline: at(10_000),
+            objective: None,
+            work: 0,
+        })
     }
 
     /// What the caller's node does with the end of an attempt.
--- a/crates/sycamore-call/tests/decisions/route.rs
+++ b/crates/sycamore-call/tests/decisions/route.rs
@@ -33,6 +33,7 @@
             tried: &self.tried,
             data_centre: &centre,
             region: &region,
+            bytes: Some(0),
         };
         self.router.pick(now, &pick).map(|choice| choice.instance)
     }
--- a/crates/sycamore-call/tests/decisions/scenario.rs
+++ b/crates/sycamore-call/tests/decisions/scenario.rs
@@ -41,6 +41,8 @@
                         .get("class")
                         .map_or(Criticality::Normal, |class| Criticality::from_text(&class[0])),
                     deadline: at(number(case, "deadline")),
+                    objective: None,
+                    work: 0,
                 }),
                 "answer" => Input::Finish(number(case, "id"), RunEnd::Answered),
                 "leave" => Input::Cancel(number(case, "id")),
--- a/crates/sycamore-node/src/calls/beside.rs
+++ b/crates/sycamore-node/src/calls/beside.rs
@@ -16,6 +16,7 @@
 use slog::warn;
 use std::pin::pin;
 use std::rc::Rc;
+use std::time::Duration;
 use sycamore_call::admit::RunEnd;
 use sycamore_call::gate::GateRequest;
 use sycamore_call::quarantine::Verdict;
@@ -24,6 +25,9 @@
 use sycamore_types::headers;
 use sycamore_types::prelude::*;
 
+/// Least factor of the time to come back; the mean factor is 1.
+const LEAST_SPREAD: f64 = 0.5;
+
 /// Serves a call that another node relayed, at the upstream beside this one.
 pub(super) async fn serve(
     state: &Rc<State>,
@@ -82,17 +86,24 @@
         caller: meta.caller,
         class: meta.class,
         deadline: meta.deadline,
+        objective: meta.objective,
+        work: meta.work(),
     };
     let slot = match select(pin!(acquire(state, arrival)), pin!(inbound.reader.closed())).await {
         Either::Left((slot, _)) => slot,
         Either::Right(_) => return Ok(None),
     };
-    let slot = slot.map_err(|(reason, after)| Answer::refused(reason, after))?;
+    let slot = slot.map_err(|(reason, after)| Answer::refused(reason, spread(state, after)))?;
     // What was learnt during the wait counts as well.
     let upstream = check(state, meta, target).map_err(refused)?;
     Ok(Some((upstream, slot)))
 }
 
+/// Callers that are refused together should not come back together.
+fn spread(state: &State, after: Duration) -> Duration {
+    after.mul_f64(LEAST_SPREAD + (1.0 - LEAST_SPREAD) * 2.0 * state.draw())
+}
+
 fn check(
     state: &State,
     meta: &CallMeta,
--- a/crates/sycamore-node/src/calls/meta.rs
+++ b/crates/sycamore-node/src/calls/meta.rs
@@ -4,6 +4,7 @@
 
 use crate::edge::native::{class, set, timeout};
 use http::HeaderMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 use sycamore_call::Criticality;
 use sycamore_types::headers;
@@ -47,6 +48,8 @@
     pub(super) origin: ServiceName,
     /// It may run more than once.
     pub(super) repeats: bool,
+    /// Until when its answer is worth most.
+    pub(super) objective: Option<Time>,
 }
 
 /// The version that an attempt is meant for.
@@ -62,6 +65,13 @@
         self.deadline.since(now)
     }
 
+    /// What kind of work the call is: calls of one route take about as long as each other.
+    pub(super) fn work(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        self.route.hash(&mut hasher);
+        hasher.finish()
+    }
+
     /// A number from 0 to 9,999, the same for this call at every node.
     pub(super) fn draw(&self) -> u16 {
         // The remainder is below 10,000.
@@ -85,6 +95,10 @@
         set(fields, headers::CRITICALITY, self.class.as_str());
         set(fields, headers::ORIGIN, self.origin.as_str());
         set(fields, headers::REPEATS, if self.repeats { "1" } else { "0" });
+        if let Some(objective) = self.objective {
+            let left = objective.since(now).as_millis();
+            set(fields, headers::OBJECTIVE_MS, &left.to_string());
+        }
         set(fields, headers::HOPS, &self.depth.to_text());
         let left = u64::try_from(self.left(now).as_millis()).unwrap_or(u64::MAX);
         set(fields, headers::TIMEOUT_MS, &left.to_string());
@@ -124,6 +138,9 @@
             deadline: now + timeout(fields)?,
             origin: ServiceName::new(text(fields, headers::ORIGIN)?).ok()?,
             repeats: text(fields, headers::REPEATS) == Some("1"),
+            objective: text(fields, headers::OBJECTIVE_MS)
+                .and_then(|left| left.parse().ok())
+                .map(|left| now + Duration::from_millis(left)),
         };
         Some((meta, target))
     }
--- a/crates/sycamore-node/src/calls/serve.rs
+++ b/crates/sycamore-node/src/calls/serve.rs
@@ -254,6 +254,8 @@
         return Err(Answer::rejected(status, "body-too-large", "the body is over the limit"));
     }
     let time = words.timeout.map_or(route.timeout, |time| time.min(longest(route)));
+    let waited = words.timeout.map_or(Duration::ZERO, |time| state.waited(&route.name, time));
+    let now = state.now();
     let meta = CallMeta {
         call: state.new_call(),
         service: name.clone(),
@@ -262,7 +264,8 @@
         caller: caller_hash(words, peer),
         class: route.policy.rank.map_or(words.class, Criticality::from_rank),
         depth: Depth { level: depth.level + 1, ..depth },
-        deadline: state.now() + time,
+        deadline: now + time,
+        objective: route.policy.objective.map(|time| now + time.saturating_sub(waited)),
         origin: state.hub.settings.node.service.clone(),
         repeats: match route.policy.repeat {
             Repeat::ByMethod => msg.head.method.is_idempotent(),
--- a/crates/sycamore-node/src/calls/state.rs
+++ b/crates/sycamore-node/src/calls/state.rs
@@ -21,13 +21,15 @@
 use sycamore_call::route::VersionBans;
 use sycamore_call::{
     Admission, AdmissionConfig, CrashLog, CrashLogConfig, Gate, KeyTable, KeyTableConfig,
-    Ownership, RetryBudget, RetryConfig, Router, RouterConfig,
+    LimitPolicy, Ownership, RetryBudget, RetryConfig, Router, RouterConfig,
 };
 use sycamore_types::prelude::*;
 use tokio::sync::Notify;
 
 /// Services with a retry budget of their own at most; the configuration bounds them as well.
 const MAX_BUDGETS: usize = 1_024;
+/// Routes whose callers' patience is known at most.
+const MAX_ROUTES: usize = 4_096;
 /// Idle connections kept to one upstream.
 const UPSTREAM_IDLE: usize = 32;
 /// Longest time that a connection to the upstream stays idle.
@@ -79,6 +81,8 @@
     pub(super) bodies: BodyMemory,
     pub(super) metrics: Metrics,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    /// Longest time that callers of each route wait in all.
+    patience: RefCell<HashMap<RouteName, Duration>>,
     rng: RefCell<SmallRng>,
     next_id: Cell<u64>,
 }
@@ -100,7 +104,11 @@
             router: RefCell::new(Router::new(RouterConfig::default(), rng.random())),
             bans: RefCell::default(),
             gate: RefCell::default(),
-            admission: RefCell::new(Admission::new(AdmissionConfig::default())),
+            admission: RefCell::new(Admission::new(AdmissionConfig {
+                min_retry_after: settings.min_retry_after,
+                policy: limit_policy(settings.limit_policy),
+                ..AdmissionConfig::default()
+            })),
             waiters: Waiters::default(),
             queued: Notify::new(),
             crashes: RefCell::new(CrashLog::new(crashes)),
@@ -118,6 +126,7 @@
             bodies: BodyMemory::new(settings.body_memory, metrics.body_bytes().clone()),
             metrics,
             budgets: RefCell::default(),
+            patience: RefCell::default(),
             rng: RefCell::new(rng),
             next_id: Cell::new(0),
         }))
@@ -133,6 +142,18 @@
         self.next_id.get()
     }
 
+    /// How long the caller of a call of `route` has waited already, where it waits for `left` more:
+    /// a caller that comes again waits less than one that comes first.
+    pub(super) fn waited(&self, route: &RouteName, left: Duration) -> Duration {
+        let mut patience = self.patience.borrow_mut();
+        if patience.len() >= MAX_ROUTES && !patience.contains_key(route) {
+            patience.clear();
+        }
+        let longest = patience.entry(route.clone()).or_default();
+        *longest = left.max(*longest);
+        longest.saturating_sub(left)
+    }
+
     /// An even draw from 0.0 to 1.0.
     pub(super) fn draw(&self) -> f64 {
         self.rng.borrow_mut().random()
@@ -166,3 +187,12 @@
         use_it(budget)
     }
 }
+
+fn limit_policy(policy: sycamore_settings::calls::LimitPolicy) -> LimitPolicy {
+    use sycamore_settings::calls::LimitPolicy as Setting;
+    match policy {
+        Setting::Fixed => LimitPolicy::Fixed,
+        Setting::Aimd => LimitPolicy::Aimd,
+        Setting::Gradient => LimitPolicy::Gradient,
+    }
+}
--- a/crates/sycamore-settings/src/calls.rs
+++ b/crates/sycamore-settings/src/calls.rs
@@ -9,6 +9,19 @@
 /// 32 KiB and a piece, a copy of that on its way out, and the pieces of the relay.
 pub const EXCHANGE_BYTES: u64 = 128 << 10;
 
+/// How the number of calls that run at a time follows the upstream.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LimitPolicy {
+    /// The declared slots, always.
+    Fixed,
+    /// Additive increase while all is well, multiplicative decrease on refusals and timeouts.
+    #[default]
+    Aimd,
+    /// The ratio of the long to the short mean latency scales it.
+    Gradient,
+}
+
 /// Routing, admission and retries.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -36,6 +49,11 @@
     /// Allow the upstream's listener on an address other than loopback.
     #[serde_as(as = "DisplayFromStr")]
     pub upstream_beyond_loopback: bool,
+    /// Shortest time after which a caller that was refused for load is asked to come back.
+    #[serde_as(as = "Span")]
+    pub min_retry_after: Duration,
+    /// How the number of calls that run at a time follows the upstream.
+    pub limit_policy: LimitPolicy,
     /// Time that a request stays quarantined.
     #[serde_as(as = "Span")]
     pub quarantine: Duration,
@@ -58,6 +76,8 @@
             drain_timeout: Duration::from_secs(60),
             drain_notice: Duration::from_millis(500),
             upstream_beyond_loopback: false,
+            min_retry_after: Duration::from_secs(1),
+            limit_policy: LimitPolicy::default(),
             quarantine: Duration::from_secs(600),
             key_memory: Duration::from_secs(60),
             view_lag: Duration::from_secs(10),
--- a/crates/sycamore-types/src/headers.rs
+++ b/crates/sycamore-types/src/headers.rs
@@ -38,6 +38,8 @@
 pub const ORIGIN: &str = "x-shift-origin";
 /// Among nodes: `1` where the call may run more than once.
 pub const REPEATS: &str = "x-shift-repeats";
+/// Among nodes: the time left until the call's answer is worth less, in milliseconds.
+pub const OBJECTIVE_MS: &str = "x-shift-objective-ms";
 /// Among nodes, on refusals: the time to come back after, in milliseconds; `retry-after` has whole
 /// seconds only.
 pub const RETRY_AFTER_MS: &str = "x-shift-retry-after-ms";
