--- a/crates/sycamore-call/src/admit/mod.rs
+++ b/crates/sycamore-call/src/admit/mod.rs
@@ -18,9 +18,9 @@
 /// Factor of the expected wait that must fit into the longest: an estimate that is a little short
 /// would let a call wait in vain.
 const WAIT_MARGIN: f64 = 1.25;
-/// Part of the time to the deadline that a call with an objective may take where the objective is
-/// out of reach.
-const LATE_PART: f64 = 0.5;
+/// Longest wait of a call whose objective is out of reach: while calls queue for longer than this, it
+/// would take a slot from one that can still meet its own.
+const LATE_WAIT: Duration = Duration::from_millis(100);
 /// Longest such time.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
 
@@ -277,7 +277,7 @@
         let Some(service) = self.times.of(arrival.work) else { return true };
         let wait = self.expected_wait(self.queue.before(arrival));
         wait.mul_f64(WAIT_MARGIN) <= self.config.queue_time
-            && now + wait + service <= patience(now, arrival)
+            && is_worth_waiting(now, arrival, wait, service)
     }
 
     /// Slots come free at the rate of `limit` calls per service time.
@@ -354,13 +354,15 @@
     }
 }
 
-/// Until when it is worth to let a call wait and run.
-fn patience(now: Time, arrival: &Arrival) -> Time {
+/// Whether waiting for `wait` and running for `service` is worth it: the objective is met, or the
+/// deadline is and the wait is short.
+fn is_worth_waiting(now: Time, arrival: &Arrival, wait: Duration, service: Duration) -> bool {
+    let end = now + wait + service;
     match arrival.objective {
-        None => arrival.deadline,
+        None => end <= arrival.deadline,
         Some(objective) => {
-            let late = now + arrival.deadline.since(now).mul_f64(LATE_PART);
-            objective.max(late).min(arrival.deadline)
+            let late = wait <= LATE_WAIT && end <= arrival.deadline;
+            end <= objective.min(arrival.deadline) || late
         }
     }
 }
