perf(admit): calls that can meet their objective run first, the others leave the queue

Cause: under overload the queue held calls whose objective had become unreachable while more urgent ones overtook them; they ran late and made the next ones late. Change: of the calls that wait, those that can still meet their objective run first; a call waits no longer than that and 100 ms; the expected wait counts half as much again, since others will overtake.

--- a/crates/sycamore-call/src/admit/mod.rs
+++ b/crates/sycamore-call/src/admit/mod.rs
@@ -18,6 +18,8 @@
 /// Factor of the expected wait that must fit into the longest: an estimate that is a little short
 /// would let a call wait in vain.
 const WAIT_MARGIN: f64 = 1.25;
+/// Factor of the expected wait of a call with an objective: more urgent calls will overtake it.
+const OVERTAKEN: f64 = 1.5;
 /// Longest wait of a call whose objective is out of reach: while calls queue for longer than this, it
 /// would take a slot from one that can still meet its own.
 const LATE_WAIT: Duration = Duration::from_millis(100);
@@ -255,7 +257,7 @@
                 None => return out.push(self.refuse(arrival.id, RefusalReason::Overloaded)),
             }
         }
-        let expires = (now + self.config.queue_time).min(self.latest_start(&arrival));
+        let expires = (now + self.config.queue_time).min(self.latest_start(now, &arrival));
         self.queue.push(Waiting { arrival, expires });
     }
 
@@ -277,7 +279,7 @@
         let Some(service) = self.times.of(arrival.work) else { return true };
         let wait = self.expected_wait(self.queue.before(arrival));
         wait.mul_f64(WAIT_MARGIN) <= self.config.queue_time
-            && is_worth_waiting(now, arrival, wait, service)
+            && is_worth_waiting(now, arrival, wait.mul_f64(OVERTAKEN), service)
     }
 
     /// Slots come free at the rate of `limit` calls per service time.
@@ -289,15 +291,12 @@
         (mean.mul_f64(over as f64) + ahead) / u32::from(self.limit().max(1))
     }
 
-    /// When a call must start to finish by its deadline.
-    fn latest_start(&self, arrival: &Arrival) -> Time {
-        match arrival.objective {
-            None => arrival.deadline,
-            Some(_) => {
-                let service = self.times.of(arrival.work).unwrap_or_default();
-                Time(arrival.deadline.0.saturating_sub(service.as_micros() as u64))
-            }
-        }
+    /// Until when a call may wait: while it can meet its objective, and a little longer.
+    fn latest_start(&self, now: Time, arrival: &Arrival) -> Time {
+        let Some(objective) = arrival.objective else { return arrival.deadline };
+        let service = self.times.of(arrival.work).unwrap_or_default();
+        let in_time = before(objective, service).max(now + LATE_WAIT);
+        in_time.min(before(arrival.deadline, service))
     }
 
     fn has_slot(&self) -> bool {
@@ -334,7 +333,7 @@
 
     fn admit_waiting(&mut self, now: Time, out: &mut Vec<Decision>) {
         while self.has_slot() {
-            let Some(waiting) = self.queue.pop() else { return };
+            let Some(waiting) = self.queue.pop_at(now, &self.times) else { return };
             if self.can_still_finish(now, &waiting.arrival) {
                 self.admit(now, waiting.arrival, out);
             } else {
@@ -366,3 +365,8 @@
         }
     }
 }
+
+/// The time that is `span` before `at`.
+fn before(at: Time, span: Duration) -> Time {
+    Time(at.0.saturating_sub(u64::try_from(span.as_micros()).unwrap_or(u64::MAX)))
+}
--- a/crates/sycamore-call/src/admit/queue.rs
+++ b/crates/sycamore-call/src/admit/queue.rs
@@ -1,5 +1,6 @@
 //! The short queue before an upstream.
 
+use super::work::WorkTimes;
 use super::Arrival;
 use std::cmp::Reverse;
 use sycamore_types::prelude::*;
@@ -32,7 +33,21 @@
         Some(self.0.swap_remove(at))
     }
 
-    /// Takes the call that runs next: highest class, then earliest objective or else deadline.
+    /// Takes the call that runs next at `now`: of those that can meet their objective, or else of all,
+    /// the first in order.
+    pub(super) fn pop_at(&mut self, now: Time, times: &WorkTimes) -> Option<Waiting> {
+        let reachable = |waiting: &&Waiting| {
+            let service = times.of(waiting.arrival.work).unwrap_or_default();
+            waiting.arrival.objective.is_none_or(|objective| now + service <= objective)
+        };
+        let first = self.0.iter().filter(reachable).min_by_key(|w| order(&w.arrival));
+        match first.map(|waiting| waiting.arrival.id) {
+            Some(id) => self.remove(id),
+            None => self.pop(),
+        }
+    }
+
+    /// Takes the call that is first in order: highest class, then earliest objective or else deadline.
     pub(super) fn pop(&mut self) -> Option<Waiting> {
         let next = self.0.iter().min_by_key(|waiting| order(&waiting.arrival))?.arrival.id;
         self.remove(next)
