--- a/crates/sycamore-call/src/route/mod.rs
+++ b/crates/sycamore-call/src/route/mod.rs
@@ -2,6 +2,7 @@
 //! two random choices (Mitzenmacher, "The Power of Two Choices", 2001).
 
 mod peer;
+mod unproven;
 mod version;
 
 pub use version::VersionBans;
@@ -143,9 +144,16 @@
     pub fn pick(&mut self, now: Time, pick: &Pick<'_>) -> Option<Choice> {
         let candidates = self.candidates(now, pick);
         let (version, share) = version::choose(&mut self.rng, pick, &candidates)?;
-        let of_version: Vec<&Member> =
-            candidates.into_iter().filter(|member| member.version == version).collect();
-        let chosen = self.by_distance(now, pick, &of_version)?;
+        let (of_version, others): (Vec<&Member>, Vec<&Member>) =
+            candidates.into_iter().partition(|member| member.version == version);
+        let concentrated = match unproven::is_unproven(pick, &version) {
+            true => self.concentrated(now, &of_version, &others),
+            false => None,
+        };
+        let chosen = match concentrated {
+            Some(member) => member,
+            None => self.by_distance(now, pick, &of_version)?,
+        };
         let choice = Choice {
             instance: chosen.instance.clone(),
             version,
--- a/crates/sycamore-http/src/conn/client.rs
+++ b/crates/sycamore-http/src/conn/client.rs
@@ -3,7 +3,7 @@
 use super::error::ReadError;
 use super::reader::{write_all, Reader};
 use crate::wire::{
-    encode_request, response_framing, wants_close, BodyDecoder, Framing, HeadLimits,
+    encode_request, response_framing, wants_close, BodyDecoder, Framing, HeadError, HeadLimits,
 };
 use bytes::{Bytes, BytesMut};
 use error_stack::{Report, ResultExt};
@@ -151,6 +151,9 @@
 
         let resp = conn.reader.response_head(&self.config.head).await?;
         let framing = response_framing(&resp, &head.method)?;
+        if framing == Framing::UntilClose {
+            return Err(HeadError::Unframed.into());
+        }
         let body = conn.reader.body(BodyDecoder::new(framing), self.config.body_bytes).await?;
         let keep = !wants_close(&resp.headers, resp.version) && !conn.reader.has_unread();
         Ok((Response::from_parts(resp, body), keep))
--- a/crates/sycamore-http/src/wire/error.rs
+++ b/crates/sycamore-http/src/wire/error.rs
@@ -24,6 +24,8 @@
     BadLength,
     /// The transfer coding is not `chunked` alone.
     Coding,
+    /// A response gives no length where a whole message is asked for.
+    Unframed,
     /// A response switches to another protocol.
     Upgrade,
 }
@@ -53,6 +55,7 @@
             HeadError::ManyLengths => "more than one content-length is given",
             HeadError::BadLength => "content-length is not a decimal number",
             HeadError::Coding => "transfer-encoding is not chunked",
+            HeadError::Unframed => "response gives no length",
             HeadError::Upgrade => "response switches protocols",
         })
     }
--- a/crates/sycamore-moves/src/ramp/fit.rs
+++ b/crates/sycamore-moves/src/ramp/fit.rs
@@ -9,6 +9,10 @@
 /// Shortest time from start to deadline that a schedule fits into.
 pub const MIN_WINDOW: Duration = Duration::from_secs(5);
 
+/// A window below this leaves no time for the usual steps: evidence of some hundred calls a second
+/// takes seconds for each.
+const SHORT_WINDOW: Duration = Duration::from_secs(60);
+
 /// How a schedule is cut.
 #[derive(Debug, Clone)]
 pub struct FitOptions {
@@ -28,6 +32,27 @@
     pub hold_part: f64,
 }
 
+impl FitOptions {
+    /// Options for a window from start to deadline: the usual ones, or few and short steps where
+    /// there are seconds only.
+    pub fn for_window(window: Duration) -> Self {
+        if window >= SHORT_WINDOW {
+            return Self::default();
+        }
+        let points = Share::from_basis_points;
+        Self {
+            steps: vec![
+                (points(800), 0.4, points(1_000)),
+                (points(2_500), 0.3, points(600)),
+                (points(5_000), 0.3, points(400)),
+            ],
+            watch_margin: points(200),
+            watch_part: 0.15,
+            ..Self::default()
+        }
+    }
+}
+
 impl Default for FitOptions {
     fn default() -> Self {
         let points = Share::from_basis_points;
--- a/crates/sycamore-node/src/moves/orders.rs
+++ b/crates/sycamore-node/src/moves/orders.rs
@@ -131,7 +131,7 @@
     };
     let plan = PlanId::new(PLAN).expect("constant identifier");
     let row = MoveRow {
-        schedule: fit(&spec, now, &FitOptions::default()),
+        schedule: fit(&spec, now, &FitOptions::for_window(left)),
         plan: plan.clone(),
         spec,
         outcome: None,
