--- /dev/null
+++ b/crates/sycamore-call/tests/decisions/load/mod.rs
@@ -0,0 +1,7 @@
+//! Loads that the decisions answer, each under the name of its pattern, on faked time.
+
+mod demand_above_slots;
+mod heavy_calls_across_data_centres;
+mod inner_calls_behind_long_ones;
+mod line;
+mod unproven_version_under_load;
--- /dev/null
+++ b/crates/sycamore-call/tests/decisions/load/unproven_version_under_load.rs
@@ -0,0 +1,45 @@
+//! A version that fails under load only: its small share must load some instance as those of the
+//! settled version are loaded, or the fault shows once it has most of the traffic.
+
+use crate::common::{at, centre, member, region, service, shares, view};
+use std::collections::BTreeMap;
+use sycamore_call::route::{AttemptEnd, VersionBans};
+use sycamore_call::{Load, Pick, Router, RouterConfig};
+
+#[test]
+fn a_small_share_loads_one_instance_as_the_settled_version_is_loaded() {
+    let old = ["o1", "o2", "o3", "o4"].map(|name| member(name, "1", "a"));
+    let new = ["n1", "n2", "n3", "n4"].map(|name| member(name, "2", "a"));
+    let view = view(old.iter().chain(&new).cloned());
+    let mut router = Router::new(RouterConfig::default(), 3);
+    router.update(at(0), &view);
+    let half = Load { running: 5, limit: 10, queued: 0 };
+    for member in &old {
+        router.ended(at(1), &member.instance, AttemptEnd::Answered(half));
+    }
+    let (service, centre, region) = (service(), centre("a"), region());
+    let (shares, bans) = (shares(9_000, 1_000), VersionBans::default());
+    let pick = Pick {
+        service: &service,
+        view: &view,
+        shares: &shares,
+        bans: &bans,
+        tried: &[],
+        data_centre: &centre,
+        region: &region,
+        bytes: Some(0),
+    };
+    let mut under_way: BTreeMap<String, u32> = BTreeMap::new();
+    // As many calls as keep about five of the new version's under way.
+    for _ in 0..50 {
+        let choice = router.pick(at(2), &pick).unwrap();
+        if choice.version.as_str() == "2" {
+            *under_way.entry(choice.instance.to_string()).or_default() += 1;
+        }
+    }
+    let all: u32 = under_way.values().sum();
+    let first = under_way.get("n1").copied().unwrap_or_default();
+    assert!(all >= 3, "{under_way:?}");
+    assert!(2 * first >= all, "the first instance has most of them: {under_way:?}");
+    assert!(first <= 6, "and is loaded no more than the settled ones: {under_way:?}");
+}
--- a/crates/sycamore-call/tests/decisions/main.rs
+++ b/crates/sycamore-call/tests/decisions/main.rs
@@ -2,11 +2,13 @@
 #![allow(clippy::unwrap_used)]
 
 mod admit;
+mod announce;
 mod common;
 mod false_rate;
 mod gate;
 mod key;
 mod limit;
+mod load;
 mod model;
 mod quarantine;
 mod retry;
--- a/crates/sycamore-node/tests/calls/main.rs
+++ b/crates/sycamore-node/tests/calls/main.rs
@@ -6,6 +6,7 @@
 mod crash;
 mod key;
 mod path;
+mod pipeline;
 mod refuse;
 mod upstream;
 mod world;
--- a/crates/sycamore-node/tests/calls/wrong.rs
+++ b/crates/sycamore-node/tests/calls/wrong.rs
@@ -85,3 +85,19 @@
         world.stop().await;
     });
 }
+
+#[test]
+fn a_call_that_ran_and_failed_is_never_said_not_to_have_run() {
+    run(async {
+        let world = World::start(&Options::default()).await;
+        let resp = world.call(get("/counter/fail"), "").await;
+        assert!(resp.status().is_server_error());
+        assert_ne!(resp.status(), StatusCode::SERVICE_UNAVAILABLE);
+        assert_ne!(field(&resp, headers::OUTCOME), "not-run");
+        assert_eq!(world.runs("fail"), 2, "an error is tried elsewhere once");
+        let resp = world.call(post("/counter/fail"), "x").await;
+        assert_eq!(resp.status(), StatusCode::INTERNAL_SERVER_ERROR);
+        assert_eq!(world.runs("fail"), 3, "a non-idempotent call is not");
+        world.stop().await;
+    });
+}
--- a/crates/sycamore-types/tests/types.rs
+++ b/crates/sycamore-types/tests/types.rs
@@ -43,3 +43,31 @@
         Fingerprint(id).to_string().parse() == Ok(Fingerprint(id))
     }
 }
+
+#[test]
+fn a_route_is_chosen_by_host_and_longest_prefix() {
+    let route = |host: Option<&str>, prefix: &str| Route {
+        name: RouteName::new("r").expect("valid"),
+        host: host.map(str::to_owned),
+        prefix: prefix.to_owned(),
+        service: ServiceName::new("s").expect("valid"),
+        split: Vec::new(),
+        timeout: std::time::Duration::from_secs(1),
+        policy: RoutePolicy::default(),
+    };
+    let routes = vec![
+        route(Some("a.example"), "/x/y/"),
+        route(Some("b.example"), "/x/"),
+        route(None, "/x/"),
+    ];
+    let snapshot = Snapshot { routes, ..Default::default() };
+    let found = |host: &str, path: &str| {
+        snapshot.route(host, path).map(|route| (route.host.clone(), route.prefix.clone()))
+    };
+    let own = |host: &str, prefix: &str| Some((Some(host.to_owned()), prefix.to_owned()));
+    assert_eq!(found("a.example", "/x/y/1"), own("a.example", "/x/y/"));
+    assert_eq!(found("A.Example:8080", "/x/y/1"), own("a.example", "/x/y/"));
+    assert_eq!(found("b.example", "/x/y/1"), own("b.example", "/x/"));
+    assert_eq!(found("c.example", "/x/1"), Some((None, "/x/".to_owned())));
+    assert_eq!(found("c.example", "/z"), None);
+}
