--- a/crates/sycamore-node/src/calls/answer.rs
+++ b/crates/sycamore-node/src/calls/answer.rs
@@ -50,7 +50,7 @@
 
 impl Answer {
     /// A refusal: the request has not run.
-    pub(super) fn refused(reason: RefusalReason, retry_after: Duration) -> Self {
+    pub fn refused(reason: RefusalReason, retry_after: Duration) -> Self {
         Self {
             status: refusal_status(reason),
             outcome: Outcome::NotRun,
--- a/crates/sycamore-node/tests/calls/body.rs
+++ b/crates/sycamore-node/tests/calls/body.rs
@@ -105,7 +105,7 @@
     let head = format!(
         "POST /counter/echo HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n\
          expect: 100-continue\r\n{}: {}\r\n{}: counter;counter;1.0.0;10000\r\n{}: {}\r\n\
-         {}: {}\r\n{}: a\r\n{}: 5000\r\n{}: 1\r\n\r\n",
+         {}: {}\r\n{}: a\r\n{}: 5000\r\n{}: 1\r\n{}: counter\r\n\r\n",
         headers::DEPLOYMENT,
         Settings::default().node.deployment,
         headers::ROUTE,
@@ -116,6 +116,7 @@
         headers::CALLER_HASH,
         headers::TIMEOUT_MS,
         headers::HOPS,
+        headers::ORIGIN,
     );
     stream.write_all(head.into_bytes()).await.0.unwrap();
     let said = answer(&mut stream).await;
