--- a/crates/sycamore-call/src/admit/mod.rs
+++ b/crates/sycamore-call/src/admit/mod.rs
@@ -22,7 +22,7 @@
 const OVERTAKEN: f64 = 1.5;
 /// Longest wait of a call whose objective is out of reach: while calls queue for longer than this, it
 /// would take a slot from one that can still meet its own.
-const LATE_WAIT: Duration = Duration::from_millis(100);
+const LATE_WAIT: Duration = Duration::from_millis(25);
 /// Longest such time.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
 
