feat(admit): refused callers are told their turn in a line of those turned away

Cause: callers that were refused came back within 150 ms, into the same full queue, and spent their retries. Change: the time to come back counts those turned away before, who come back as well, at the pace at which slots free.

--- a/crates/sycamore-call/src/admit/mod.rs
+++ b/crates/sycamore-call/src/admit/mod.rs
@@ -3,6 +3,7 @@
 
 mod limit;
 mod queue;
+mod turned_away;
 mod work;
 
 pub use limit::LimitPolicy;
@@ -13,6 +14,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 use sycamore_types::prelude::*;
+use turned_away::TurnedAway;
 use work::WorkTimes;
 
 /// Factor of the expected wait that must fit into the longest: an estimate that is a little short
@@ -167,6 +169,7 @@
     running: BTreeMap<u64, (Arrival, Time)>,
     queue: Queue,
     times: WorkTimes,
+    turned_away: TurnedAway,
     draining: bool,
 }
 
@@ -181,6 +184,7 @@
             running: BTreeMap::new(),
             queue: Queue::default(),
             times: WorkTimes::default(),
+            turned_away: TurnedAway::default(),
             draining: false,
         }
     }
@@ -197,7 +201,7 @@
             Input::Finish(id, end) => self.finish(now, id, end),
             Input::Cancel(id) => drop(self.queue.remove(id)),
             Input::Tick => {}
-            Input::Drain => self.drain(&mut out),
+            Input::Drain => self.drain(now, &mut out),
         }
         self.expire(now, &mut out);
         self.admit_waiting(now, &mut out);
@@ -237,24 +241,24 @@
 
     fn arrive(&mut self, now: Time, arrival: Arrival, out: &mut Vec<Decision>) {
         if self.draining {
-            return out.push(self.refuse(arrival.id, RefusalReason::Draining));
+            return out.push(self.refuse(now, arrival.id, RefusalReason::Draining));
         }
         if arrival.deadline <= now {
-            return out.push(self.refuse(arrival.id, RefusalReason::Deadline));
+            return out.push(self.refuse(now, arrival.id, RefusalReason::Deadline));
         }
         if self.slots == 0 {
-            return out.push(self.refuse(arrival.id, RefusalReason::NoUpstream));
+            return out.push(self.refuse(now, arrival.id, RefusalReason::NoUpstream));
         }
         if self.has_slot() && self.queue.len() == 0 {
             return self.admit(now, arrival, out);
         }
         if !self.finishes_in_time(now, &arrival) {
-            return out.push(self.refuse(arrival.id, RefusalReason::Overloaded));
+            return out.push(self.refuse(now, arrival.id, RefusalReason::Overloaded));
         }
         if !self.has_place(arrival.class) {
             match self.queue.evict_for(&arrival, &self.running_by(arrival.caller)) {
-                Some(id) => out.push(self.refuse(id, RefusalReason::Overloaded)),
-                None => return out.push(self.refuse(arrival.id, RefusalReason::Overloaded)),
+                Some(id) => out.push(self.refuse(now, id, RefusalReason::Overloaded)),
+                None => return out.push(self.refuse(now, arrival.id, RefusalReason::Overloaded)),
             }
         }
         let expires = (now + self.config.queue_time).min(self.latest_start(now, &arrival));
@@ -318,16 +322,16 @@
         self.limiter.sample(latency, self.running.len() + 1, end);
     }
 
-    fn drain(&mut self, out: &mut Vec<Decision>) {
+    fn drain(&mut self, now: Time, out: &mut Vec<Decision>) {
         self.draining = true;
         while let Some(waiting) = self.queue.pop() {
-            out.push(self.refuse(waiting.arrival.id, RefusalReason::Draining));
+            out.push(self.refuse(now, waiting.arrival.id, RefusalReason::Draining));
         }
     }
 
     fn expire(&mut self, now: Time, out: &mut Vec<Decision>) {
         while let Some(id) = self.queue.take_expired(now) {
-            out.push(self.refuse(id, RefusalReason::Overloaded));
+            out.push(self.refuse(now, id, RefusalReason::Overloaded));
         }
     }
 
@@ -337,7 +341,7 @@
             if self.can_still_finish(now, &waiting.arrival) {
                 self.admit(now, waiting.arrival, out);
             } else {
-                out.push(self.refuse(waiting.arrival.id, RefusalReason::Overloaded));
+                out.push(self.refuse(now, waiting.arrival.id, RefusalReason::Overloaded));
             }
         }
     }
@@ -346,8 +350,12 @@
         now + self.times.of(arrival.work).unwrap_or_default() <= arrival.deadline
     }
 
-    fn refuse(&self, id: u64, reason: RefusalReason) -> Decision {
-        let wait = self.expected_wait(self.queue.all());
+    fn refuse(&mut self, now: Time, id: u64, reason: RefusalReason) -> Decision {
+        let mut wait = self.expected_wait(self.queue.all());
+        if reason == RefusalReason::Overloaded {
+            let slot_time = self.times.mean().unwrap_or_default() / u32::from(self.limit().max(1));
+            wait += self.turned_away.turn(now, slot_time);
+        }
         let retry_after = wait.clamp(self.config.min_retry_after, MAX_RETRY_AFTER);
         Decision::Refuse { id, reason, retry_after }
     }
--- a/crates/sycamore-node/src/calls/beside.rs
+++ b/crates/sycamore-node/src/calls/beside.rs
@@ -26,7 +26,7 @@
 use sycamore_types::prelude::*;
 
 /// Least factor of the time to come back; the mean factor is 1.
-const LEAST_SPREAD: f64 = 0.5;
+const LEAST_SPREAD: f64 = 0.75;
 
 /// Serves a call that another node relayed, at the upstream beside this one.
 pub(super) async fn serve(
