--- a/crates/sycamore-node/src/calls/beside.rs
+++ b/crates/sycamore-node/src/calls/beside.rs
@@ -112,7 +112,7 @@
     if meta.service != state.hub.settings.node.service {
         return Err(RefusalReason::NotReady);
     }
-    if state.hub.phase() >= Phase::Draining {
+    if state.hub.phase() >= Phase::Closing {
         return Err(RefusalReason::Draining);
     }
     let upstream = state.upstream().ok_or(RefusalReason::NoUpstream)?;
--- a/crates/sycamore-node/src/hub/mod.rs
+++ b/crates/sycamore-node/src/hub/mod.rs
@@ -30,8 +30,11 @@
     Starting,
     /// It serves.
     Ready,
-    /// It lets calls in flight end and takes no new ones for its upstream.
+    /// It was told to stop: it says that it is not ready, and serves while callers move on. Its
+    /// upstream may live on and gets calls for as long.
     Draining,
+    /// It lets calls in flight end and takes no new ones.
+    Closing,
     /// Its tasks end.
     Stopped,
 }
--- a/crates/sycamore-node/src/peers/driver.rs
+++ b/crates/sycamore-node/src/peers/driver.rs
@@ -236,11 +236,11 @@
 fn local_state(hub: &Hub) -> LocalState {
     let upstream = hub.upstream.borrow();
     match (hub.phase(), &*upstream) {
-        (Phase::Draining | Phase::Stopped, _) => LocalState::Draining,
+        (Phase::Closing | Phase::Stopped, _) => LocalState::Draining,
         (_, Some(upstream)) if upstream.draining => LocalState::Draining,
-        (Phase::Ready, Some(upstream)) => {
+        (Phase::Ready | Phase::Draining, Some(upstream)) => {
             LocalState::Serving { version: upstream.version.clone(), slots: upstream.slots }
         }
-        (Phase::Starting, _) | (Phase::Ready, None) => LocalState::Joining,
+        (Phase::Starting, _) | (Phase::Ready | Phase::Draining, None) => LocalState::Joining,
     }
 }
--- a/crates/sycamore-node/src/run.rs
+++ b/crates/sycamore-node/src/run.rs
@@ -132,6 +132,8 @@
     Ok(Node { hub: hub.clone(), platform, peers, config, moves, calls })
 }
 
+/// Time that other nodes are given to hear that this one takes no more calls for its upstream.
+const CLOSING_SPREAD: Duration = Duration::from_millis(200);
 /// Longest time that the slices besides calls may take to end.
 const END_TIME: Duration = Duration::from_millis(400);
 
@@ -141,6 +143,8 @@
     hub.set_phase(Phase::Draining);
     hub.record(EventKind::Draining);
     monoio::time::sleep(hub.settings.calls.drain_notice).await;
+    hub.set_phase(Phase::Closing);
+    monoio::time::sleep(CLOSING_SPREAD).await;
     calls.stop();
     if monoio::time::timeout(hub.settings.calls.drain_timeout, calls.join()).await.is_err() {
         warn!(hub.log, "calls cut"; "in_flight" => hub.in_flight());
