feat(log): lines about calls, on standard output, bounded and never blocking; trace

Cause: a failed request left no line; lines were written to standard error by the loop itself. Change: a thread writes the lines from a bounded queue that drops and counts; refusals, failed attempts, bad runs and answers are told with the request's id, the load, the configuration's version and the retries saved, each within a budget a second; 'sycamoreshift trace ID FILE...' merges them. The line of those turned away is bounded by a second: 7.5 s had been told. Tests: a flood before a reader that stopped; a trace over two files; a thundering return. The drain test sets the phase in which a node takes nothing new, which is a later one now.

--- a/crates/sycamore-call/src/admit/turned_away.rs
+++ b/crates/sycamore-call/src/admit/turned_away.rs
@@ -4,6 +4,9 @@
 use std::time::Duration;
 use sycamore_types::prelude::*;
 
+/// Longest time until a turn: callers of seconds leave rather than wait for longer.
+const MAX_TURN: Duration = Duration::from_secs(1);
+
 /// A line of callers that wait elsewhere; it moves at the pace at which slots come free.
 #[derive(Debug, Clone, Default)]
 pub(super) struct TurnedAway {
@@ -17,7 +20,8 @@
         let passed = now.since(self.at).as_secs_f64();
         let pace = slot_time.as_secs_f64();
         let served = if pace > 0.0 { passed / pace } else { self.callers };
-        self.callers = (self.callers - served).max(0.0) + 1.0;
+        let most = if pace > 0.0 { MAX_TURN.as_secs_f64() / pace } else { f64::INFINITY };
+        self.callers = ((self.callers - served).max(0.0) + 1.0).min(most);
         self.at = now;
         slot_time.mul_f64(self.callers)
     }
--- a/crates/sycamore-call/src/retry/mod.rs
+++ b/crates/sycamore-call/src/retry/mod.rs
@@ -110,6 +110,11 @@
         self.config = config;
     }
 
+    /// Retries saved up.
+    pub fn saved(&self) -> f64 {
+        self.saved
+    }
+
     /// Counts the first attempt of a call.
     pub fn first_attempt(&mut self) {
         let earned = f64::from(self.config.budget_percent) / 100.0;
--- a/crates/sycamore-call/tests/decisions/load/mod.rs
+++ b/crates/sycamore-call/tests/decisions/load/mod.rs
@@ -4,4 +4,5 @@
 mod heavy_calls_across_data_centres;
 mod inner_calls_behind_long_ones;
 mod line;
+mod thundering_return;
 mod unproven_version_under_load;
--- a/crates/sycamore-cli/src/args/mod.rs
+++ b/crates/sycamore-cli/src/args/mod.rs
@@ -87,6 +87,20 @@
     /// Show the events of all nodes given, in one order
     #[bpaf(command("timeline"))]
     Timeline(#[bpaf(external(timeline))] Timeline),
+    /// Show what logs say of one request, in one order, without a node
+    #[bpaf(command("trace"))]
+    Trace(#[bpaf(external(trace))] Trace),
+}
+
+/// A request to look for in logs.
+#[derive(Debug, Clone, Bpaf)]
+pub struct Trace {
+    /// The request's identifier
+    #[bpaf(positional("ID"))]
+    pub id: String,
+    /// Files with the logs of one or more nodes
+    #[bpaf(positional("FILE"), some("at least one log file must be given"))]
+    pub files: Vec<PathBuf>,
 }
 
 /// What to check.
--- a/crates/sycamore-cli/src/main.rs
+++ b/crates/sycamore-cli/src/main.rs
@@ -67,6 +67,7 @@
         Command::Moves { plan } => queries::moves(&client, plan.as_ref(), output).await,
         Command::Report { plan } => queries::report(&client, plan.as_ref(), output).await,
         Command::Nodes => queries::nodes(&client, output).await,
+        Command::Trace(trace) => queries::trace::run(&trace, output),
         Command::Timeline(timeline) => queries::timeline::run(&client, &timeline, output).await,
     }
 }
--- a/crates/sycamore-cli/src/queries/mod.rs
+++ b/crates/sycamore-cli/src/queries/mod.rs
@@ -1,6 +1,7 @@
 //! Queries: what only tells.
 
 pub mod timeline;
+pub mod trace;
 
 use crate::client::Client;
 use crate::error::CliError;
--- a/crates/sycamore-cli/tests/program.rs
+++ b/crates/sycamore-cli/tests/program.rs
@@ -114,3 +114,30 @@
         }
     }
 }
+
+#[test]
+fn a_trace_merges_the_lines_about_a_request_in_the_order_of_their_times() {
+    let dir = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let file = |name: &str, text: &str| {
+        let path = dir.join(name);
+        std::fs::write(&path, text).expect("a file is written");
+        path.display().to_string()
+    };
+    let entry = file(
+        "entry.log",
+        "level=WARN msg=\"call refused\" time_ms=20 instance=a request=9c41\n\
+         level=INFO msg=started time_ms=1 instance=a\n",
+    );
+    let beside = file(
+        "beside.log",
+        "level=WARN msg=\"call refused\" time_ms=15 instance=b request=9c41\n\
+         level=WARN msg=\"call refused\" time_ms=16 instance=b request=9c41f\n",
+    );
+    let shown = run(&["trace", "9c41", &entry, &beside]);
+    let lines: Vec<String> =
+        String::from_utf8_lossy(&shown.stdout).lines().map(str::to_owned).collect();
+    assert_eq!(lines.len(), 2, "{lines:?}");
+    assert!(lines[0].contains("instance=b") && lines[1].contains("instance=a"), "{lines:?}");
+    assert_eq!(code(&["trace", "unknown", &entry]), Some(4));
+    assert_eq!(code(&["trace", "9c41", "no-such-file.log"]), Some(2));
+}
--- a/crates/sycamore-node/src/calls/beside.rs
+++ b/crates/sycamore-node/src/calls/beside.rs
@@ -4,6 +4,7 @@
 use super::crash;
 use super::exchange::{relay_answer, send, whole_body, Answered, Failure, Relayed};
 use super::forward::{own_answer, MAX_REFUSAL_BYTES, REFUSAL_TIME};
+use super::journal;
 use super::message::{strip_internal, Inbound, Message};
 use super::meta::{text, CallMeta, Target};
 use super::pool::Stream;
@@ -25,7 +26,7 @@
 use sycamore_types::headers;
 use sycamore_types::prelude::*;
 
-/// Least factor of the time to come back; the mean factor is 1.
+/// Least factor of the time to come back; the largest is 1.
 const LEAST_SPREAD: f64 = 0.75;
 
 /// Serves a call that another node relayed, at the upstream beside this one.
@@ -47,7 +48,7 @@
         let answer = Answer::refused(RefusalReason::NoUpstream, RETRY_AFTER);
         return refuse(state, inbound, msg, answer).await;
     };
-    let run = Run::new(state, slot, meta, &upstream);
+    let run = Run::new(state, slot, meta, &upstream, inbound.words.id.clone());
     run.exchange(inbound, msg, stream).await
 }
 
@@ -60,6 +61,7 @@
 ) -> std::io::Result<()> {
     inbound.closes |= !msg.is_read() && !msg.waits();
     state.metrics.answered(answer.outcome.as_str(), &answer.reason);
+    journal::own_answer(state, inbound.words.id.as_ref(), &answer);
     let mut resp = answer.to_response();
     add_load(state, resp.headers_mut());
     super::answer::respond(inbound, &resp).await
@@ -101,7 +103,7 @@
 
 /// Callers that are refused together should not come back together.
 fn spread(state: &State, after: Duration) -> Duration {
-    after.mul_f64(LEAST_SPREAD + (1.0 - LEAST_SPREAD) * 2.0 * state.draw())
+    after.mul_f64(LEAST_SPREAD + (1.0 - LEAST_SPREAD) * state.draw())
 }
 
 fn check(
@@ -137,6 +139,8 @@
     slot: Slot,
     meta: &'a CallMeta,
     upstream: &'a AnnouncedUpstream,
+    /// The caller's identifier of the call.
+    id: Option<HeaderValue>,
     started: Time,
 }
 
@@ -146,9 +150,10 @@
         slot: Slot,
         meta: &'a CallMeta,
         upstream: &'a AnnouncedUpstream,
+        id: Option<HeaderValue>,
     ) -> Self {
         state.running.borrow_mut().insert(slot.id(), meta.fingerprint);
-        Self { state, slot, meta, upstream, started: state.now() }
+        Self { state, slot, meta, upstream, id, started: state.now() }
     }
 
     async fn exchange(
@@ -177,7 +182,8 @@
                 }
                 UpstreamAnswer::Foreign(why) => {
                     drop(stream);
-                    warn!(self.state.hub.log, "answer rejected"; "why" => why, "call" => %self.meta.call);
+                    warn!(self.state.hub.log, "answer rejected"; "why" => why,
+                        "request" => journal::id_text(self.id.as_ref()));
                     self.fail(inbound, msg, Failure::Broken).await
                 }
             },
@@ -302,6 +308,8 @@
 
     fn report(&self, kind: OutcomeKind) {
         let now = self.state.now();
+        let took = now.since(self.started);
+        journal::run_ended(self.state, self.id.as_ref(), self.meta, kind, took);
         self.state.hub.report_outcome(CallOutcome {
             service: self.meta.service.clone(),
             version: self.upstream.version.clone(),
--- a/crates/sycamore-node/src/calls/forward.rs
+++ b/crates/sycamore-node/src/calls/forward.rs
@@ -3,6 +3,7 @@
 use super::answer::{respond, Answer, RETRY_AFTER};
 use super::exchange::{relay_answer, send, Answered, Failure, Relayed};
 use super::failed::{broken, end_of, failure_in, is_reroute, no_upstream, Failed};
+use super::journal;
 use super::listen::Side;
 use super::message::{strip_internal, Inbound, Message};
 use super::meta::{text, CallMeta, Target};
@@ -98,6 +99,7 @@
     answer: &Answer,
 ) -> std::io::Result<()> {
     state.metrics.answered(answer.outcome.as_str(), &answer.reason);
+    journal::own_answer(state, inbound.words.id.as_ref(), answer);
     let resp = match inbound.side {
         Side::Relay => answer.to_response(),
         Side::Caller | Side::Upstream => state.edges.calls.answer(answer, &inbound.words),
@@ -137,6 +139,7 @@
                     Attempt::CallerGone => return Forwarded::CallerGone,
                     Attempt::Failed(failed) => {
                         learn_ban(state, &mut bans, &service, &choice, failed.failure);
+                        note_failure(state, out, &choice, failed.failure);
                         failed
                     }
                 }
@@ -190,6 +193,12 @@
     None
 }
 
+fn note_failure(state: &State, out: &Call<'_>, choice: &Choice, failure: AttemptFailure) {
+    let id = state.edges.calls.words(&out.msg.head).id;
+    let saved = state.budget(&out.meta.service, out.retry, |budget| budget.saved());
+    journal::attempt_failed(state, id.as_ref(), out.meta, choice, failure, saved);
+}
+
 fn call_state(state: &State, out: &Call<'_>, attempts: u8, tried: &[InstanceId]) -> CallState {
     let now = state.now();
     let view = state.hub.members.borrow().clone();
@@ -350,6 +359,7 @@
 ) -> std::io::Result<()> {
     let Reply { mut stream, answered, instance, address, load } = reply;
     let left = meta.left(state.now());
+    let status = answered.head.status.as_u16();
     let edit = |head: &mut sycamore_http::ResponseHead| strip_internal(&mut head.headers);
     let mut undecided = Undecided { state, instance: &instance, ended: false };
     let relayed = relay_answer(inbound, &mut stream, answered, left, edit).await;
@@ -365,6 +375,8 @@
     match relayed {
         Relayed::Reusable | Relayed::Whole => {
             state.metrics.answered("answered", "");
+            let id = inbound.words.id.as_ref();
+            journal::answered(state, id, meta, &instance, status, load);
             Ok(())
         }
         Relayed::Failed(_) => {
--- a/crates/sycamore-node/src/calls/meta.rs
+++ b/crates/sycamore-node/src/calls/meta.rs
@@ -46,6 +46,8 @@
     pub(super) deadline: Time,
     /// The service of the instance at which the call began.
     pub(super) origin: ServiceName,
+    /// When this node took it in.
+    pub(super) began: Time,
     /// It may run more than once.
     pub(super) repeats: bool,
     /// Until when its answer is worth most.
@@ -137,6 +139,7 @@
             depth: Depth::read(fields),
             deadline: now + timeout(fields)?,
             origin: ServiceName::new(text(fields, headers::ORIGIN)?).ok()?,
+            began: now,
             repeats: text(fields, headers::REPEATS) == Some("1"),
             objective: text(fields, headers::OBJECTIVE_MS)
                 .and_then(|left| left.parse().ok())
--- a/crates/sycamore-node/src/calls/mod.rs
+++ b/crates/sycamore-node/src/calls/mod.rs
@@ -12,6 +12,7 @@
 mod failed;
 mod forward;
 mod introduce;
+mod journal;
 mod keyed;
 mod listen;
 mod memory;
--- a/crates/sycamore-node/src/calls/serve.rs
+++ b/crates/sycamore-node/src/calls/serve.rs
@@ -265,6 +265,7 @@
         class: route.policy.rank.map_or(words.class, Criticality::from_rank),
         depth: Depth { level: depth.level + 1, ..depth },
         deadline: now + time,
+        began: now,
         objective: route.policy.objective.map(|time| now + time.saturating_sub(waited)),
         origin: state.hub.settings.node.service.clone(),
         repeats: match route.policy.repeat {
--- a/crates/sycamore-node/src/calls/state.rs
+++ b/crates/sycamore-node/src/calls/state.rs
@@ -1,6 +1,7 @@
 //! What the tasks of the slice share.
 
 use super::introduce::KnownBy;
+use super::journal::Journal;
 use super::memory::BodyMemory;
 use super::metrics::Metrics;
 use super::pool::Pool;
@@ -80,6 +81,7 @@
     pub(super) relays: Pool,
     pub(super) bodies: BodyMemory,
     pub(super) metrics: Metrics,
+    pub(super) journal: Journal,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     /// Longest time that callers of each route wait in all.
     patience: RefCell<HashMap<RouteName, Duration>>,
@@ -125,6 +127,7 @@
             relays: Pool::new(RELAY_IDLE, RELAY_IDLE_TIME),
             bodies: BodyMemory::new(settings.body_memory, metrics.body_bytes().clone()),
             metrics,
+            journal: Journal::new(&hub.settings.log, now),
             budgets: RefCell::default(),
             patience: RefCell::default(),
             rng: RefCell::new(rng),
--- a/crates/sycamore-node/src/hub/mod.rs
+++ b/crates/sycamore-node/src/hub/mod.rs
@@ -2,7 +2,7 @@
 
 mod clock;
 mod facts;
-mod log;
+pub mod log;
 
 pub use clock::Clock;
 pub use facts::Facts;
@@ -97,7 +97,7 @@
         let clock = Clock::start();
         let (outcomes, outcomes_rx) = mpsc::channel(OUTCOME_QUEUE);
         let incarnation = Incarnation(clock.wall().0);
-        let log = log::logger(&settings);
+        let log = log::logger(&settings, std::io::stdout());
         let recorder = Recorder::new(&settings, incarnation);
         Rc::new(Self {
             incarnation,
--- a/crates/sycamore-node/tests/calls/cancel.rs
+++ b/crates/sycamore-node/tests/calls/cancel.rs
@@ -83,7 +83,7 @@
         let first = world.call(post("/counter/wait"), "whole");
         let drain = async {
             until(|| world.runs("wait") == 1).await;
-            hub.set_phase(sycamore_node::hub::Phase::Draining);
+            hub.set_phase(sycamore_node::hub::Phase::Closing);
             let resp = world.try_call(0, post("/counter/echo"), "x").await.unwrap();
             assert_eq!(field(&resp, headers::OUTCOME), "not-run");
             assert!(hub.idle().now_or_never().is_none(), "the drain waits for it");
--- a/crates/sycamore-node/tests/calls/world.rs
+++ b/crates/sycamore-node/tests/calls/world.rs
@@ -166,6 +166,7 @@
         calls: options.calls.clone(),
         log: sycamore_settings::operator::Log {
             level: sycamore_settings::operator::LogLevel::Error,
+            ..Default::default()
         },
         ..Settings::default()
     };
--- a/crates/sycamore-settings/src/operator.rs
+++ b/crates/sycamore-settings/src/operator.rs
@@ -1,8 +1,10 @@
 //! `[operator]` and `[log]`: the operators' listener and the log.
 
+use crate::unit::Span;
 use serde::{Deserialize, Serialize};
 use serde_with::{serde_as, DisplayFromStr};
 use std::fmt;
+use std::time::Duration;
 
 /// Shortest accepted operator token, in bytes.
 pub const MIN_TOKEN_BYTES: usize = 16;
@@ -95,9 +97,34 @@
 }
 
 /// What is logged.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Log {
     /// The least severe events that are logged.
     pub level: LogLevel,
+    /// Lines a second about calls that fail, are refused or are slow; further ones are counted only.
+    #[serde_as(as = "DisplayFromStr")]
+    pub failures_per_s: u32,
+    /// Lines a second about calls that go well.
+    #[serde_as(as = "DisplayFromStr")]
+    pub successes_per_s: u32,
+    /// Time from which a call that goes well counts as slow.
+    #[serde_as(as = "Span")]
+    pub slow: Duration,
+    /// Lines that wait for a reader of the log; further ones are dropped and counted.
+    #[serde_as(as = "DisplayFromStr")]
+    pub queue: u32,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self {
+            level: LogLevel::default(),
+            failures_per_s: 100,
+            successes_per_s: 5,
+            slow: Duration::from_secs(1),
+            queue: 4_096,
+        }
+    }
 }
