perf(route): calls stay near longer

Change: a call looks farther away from a utilisation of 1.0 (heavy: 1.8) and for a gain of 0.2 (0.8); heavy is 4 KiB.

--- a/crates/sycamore-call/src/route/mod.rs
+++ b/crates/sycamore-call/src/route/mod.rs
@@ -51,11 +51,11 @@
             eject_time: Duration::from_secs(2),
             eject_time_max: Duration::from_secs(30),
             eject_part: 0.5,
-            spill: 0.9,
-            heavy_spill: 1.4,
-            spill_gain: 0.1,
-            heavy_gain: 0.5,
-            heavy_bytes: 16 << 10,
+            spill: 1.0,
+            heavy_spill: 1.8,
+            spill_gain: 0.2,
+            heavy_gain: 0.8,
+            heavy_bytes: 4 << 10,
             load_age: Duration::from_secs(1),
         }
     }
