perf(retry): a call refused for load goes to another upstream with room, freely, twice

Change: a refusal by a node that has sent nothing on costs neither budget nor attempt, twice a call and only towards an upstream known to have room.

--- a/crates/sycamore-call/src/retry/mod.rs
+++ b/crates/sycamore-call/src/retry/mod.rs
@@ -20,6 +20,9 @@
     pub attempts: u8,
     /// Retries allowed for each 100 first attempts.
     pub budget_percent: u8,
+    /// Refusals for load after which a call goes to another upstream that is known to have room, without
+    /// using the budget or an attempt: it has reached no upstream yet.
+    pub free_reroutes: u8,
     /// Longest backoff before the first retry; each further one doubles it.
     pub backoff: Duration,
     /// Longest backoff.
@@ -37,6 +40,7 @@
         Self {
             attempts: policy.attempts,
             budget_percent: policy.budget_percent,
+            free_reroutes: 0,
             backoff: Duration::from_millis(5),
             backoff_max: Duration::from_millis(100),
         }
@@ -72,6 +76,8 @@
 pub struct CallState {
     /// Attempts made, the failed one included.
     pub attempts: u8,
+    /// Of these, those that were refused for load before.
+    pub rerouted: u8,
     /// Running it twice does no harm.
     pub idempotent: bool,
     /// The attempt is itself a retry of a node above.
@@ -123,7 +129,11 @@
 
     /// Decides what follows a failed attempt.
     pub fn decide(&mut self, call: &CallState, failure: AttemptFailure) -> RetryDecision {
-        if call.attempts >= self.config.attempts || call.is_retry {
+        if self.is_free(call, failure) {
+            return RetryDecision::Retry(Duration::ZERO);
+        }
+        let attempts = call.attempts.saturating_sub(call.rerouted);
+        if attempts >= self.config.attempts || call.is_retry {
             return RetryDecision::GiveUp;
         }
         match failure {
@@ -134,6 +144,12 @@
         }
     }
 
+    fn is_free(&self, call: &CallState, failure: AttemptFailure) -> bool {
+        failure == AttemptFailure::NotRun(RefusalReason::Overloaded)
+            && call.has_room
+            && call.rerouted < self.config.free_reroutes
+    }
+
     fn after_refusal(&mut self, call: &CallState, reason: RefusalReason) -> RetryDecision {
         match reason {
             // These concern one upstream, which the router now leaves out: going elsewhere costs
@@ -143,9 +159,10 @@
             | RefusalReason::Draining
             | RefusalReason::NotReady => RetryDecision::Retry(Duration::ZERO),
             RefusalReason::NoUpstream if call.has_room => RetryDecision::Retry(Duration::ZERO),
-            RefusalReason::Overloaded if call.has_room => self.spend(call),
+            RefusalReason::Overloaded | RefusalReason::Shed if call.has_room => self.spend(call),
             RefusalReason::NoUpstream
             | RefusalReason::Overloaded
+            | RefusalReason::Shed
             | RefusalReason::Deadline
             | RefusalReason::Quarantined
             | RefusalReason::HopLimit
--- a/crates/sycamore-call/tests/decisions/load/thundering_return.rs
+++ b/crates/sycamore-call/tests/decisions/load/thundering_return.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 use sycamore_call::admit::{Input, RunEnd};
 use sycamore_call::{Admission, AdmissionConfig, Arrival, Criticality, Decision, LimitPolicy};
-use sycamore_types::prelude::*;
 
 const SLOTS: u64 = 10;
 
--- a/crates/sycamore-call/tests/decisions/model/attempt.rs
+++ b/crates/sycamore-call/tests/decisions/model/attempt.rs
@@ -138,6 +138,7 @@
         let mut budget = RetryBudget::new(RetryConfig::default(), 1);
         let call = CallState {
             attempts: state.attempts,
+            rerouted: 0,
             idempotent: self.idempotent || self.mutant == Mutant::AllIdempotent,
             is_retry: false,
             has_room: state.tried.contains(&false),
--- a/crates/sycamore-call/tests/decisions/retry.rs
+++ b/crates/sycamore-call/tests/decisions/retry.rs
@@ -7,6 +7,7 @@
 
 const CALL: CallState = CallState {
     attempts: 1,
+    rerouted: 0,
     idempotent: false,
     is_retry: false,
     has_room: true,
@@ -67,7 +68,7 @@
 #[test]
 fn attempts_and_deadline_bound_retries() {
     let draining = AttemptFailure::NotRun(RefusalReason::Draining);
-    assert!(!retries(CallState { attempts: 3, ..CALL }, draining));
+    assert!(!retries(CallState { attempts: 3, rerouted: 0, ..CALL }, draining));
     let late = CallState { left: ms(0), ..CALL };
     assert!(!retries(late, AttemptFailure::NotRun(RefusalReason::Overloaded)));
 }
@@ -89,7 +90,7 @@
     let mut waits = Vec::new();
     for seed in 0..200 {
         let mut budget = RetryBudget::new(RetryConfig::default(), seed);
-        let call = CallState { attempts: 2, ..CALL };
+        let call = CallState { attempts: 2, rerouted: 0, ..CALL };
         match budget.decide(&call, AttemptFailure::NotRun(RefusalReason::Overloaded)) {
             RetryDecision::Retry(wait) => waits.push(wait),
             RetryDecision::GiveUp => panic!("a budget starts with one retry"),
@@ -98,3 +99,23 @@
     assert!(waits.iter().all(|wait| *wait <= ms(10)));
     assert!(waits.iter().any(|wait| *wait < ms(2)) && waits.iter().any(|wait| *wait > ms(8)));
 }
+
+#[test]
+fn a_refusal_for_load_goes_elsewhere_freely_a_few_times_where_there_is_room() {
+    let config = RetryConfig { free_reroutes: 2, attempts: 1, ..RetryConfig::default() };
+    let mut budget = RetryBudget::new(config, 3);
+    let refused = AttemptFailure::NotRun(RefusalReason::Overloaded);
+    let mut decide = |rerouted, has_room| {
+        let call = CallState { attempts: rerouted + 1, rerouted, has_room, ..CALL };
+        budget.decide(&call, refused)
+    };
+    for rerouted in [0, 1] {
+        assert_eq!(decide(rerouted, true), RetryDecision::Retry(ms(0)));
+        assert_eq!(decide(rerouted, false), RetryDecision::GiveUp);
+    }
+    assert_eq!(decide(2, true), RetryDecision::GiveUp, "no more than two");
+    assert_eq!(budget.saved(), 1.0, "the budget is not used");
+    let call = CallState { attempts: 1, rerouted: 0, has_room: true, ..CALL };
+    let shed = AttemptFailure::NotRun(RefusalReason::Shed);
+    assert_eq!(budget.decide(&call, shed), RetryDecision::GiveUp, "it reached an upstream");
+}
--- a/crates/sycamore-node/src/calls/answer.rs
+++ b/crates/sycamore-node/src/calls/answer.rs
@@ -112,6 +112,7 @@
         RefusalReason::Quarantined => StatusCode::TOO_MANY_REQUESTS,
         RefusalReason::InProgress => StatusCode::CONFLICT,
         RefusalReason::Overloaded
+        | RefusalReason::Shed
         | RefusalReason::Deadline
         | RefusalReason::Draining
         | RefusalReason::BadVersion
@@ -125,6 +126,7 @@
 fn refusal_detail(reason: RefusalReason) -> &'static str {
     match reason {
         RefusalReason::Overloaded => "no slot comes free in time",
+        RefusalReason::Shed => "the upstream turned it away",
         RefusalReason::Deadline => "the deadline has passed",
         RefusalReason::Draining => "the upstream is leaving",
         RefusalReason::BadVersion => "the version was found bad",
--- a/crates/sycamore-node/src/calls/failed.rs
+++ b/crates/sycamore-node/src/calls/failed.rs
@@ -108,6 +108,7 @@
 fn refusal_reason(text: &str) -> RefusalReason {
     [
         RefusalReason::Overloaded,
+        RefusalReason::Shed,
         RefusalReason::Deadline,
         RefusalReason::Draining,
         RefusalReason::BadVersion,
--- a/crates/sycamore-node/src/calls/forward.rs
+++ b/crates/sycamore-node/src/calls/forward.rs
@@ -120,6 +120,7 @@
     let mut tried = Vec::new();
     let mut bans = state.bans.borrow().clone();
     let mut may_have_run: Option<Failed> = None;
+    let mut rerouted = 0;
     for attempt in 1..=u8::MAX {
         let failed = match choose(state, out, &tried, &bans) {
             None => no_upstream(),
@@ -148,7 +149,7 @@
         if out.msg.is_spent() {
             return Forwarded::Own(failed.after(may_have_run).answer);
         }
-        let call = call_state(state, out, attempt, &tried);
+        let call = CallState { rerouted, ..call_state(state, out, attempt, &tried) };
         let decision =
             state.budget(&service, out.retry, |budget| budget.decide(&call, failed.failure));
         match decision {
@@ -157,6 +158,8 @@
                 if !backoff.is_zero() {
                     monoio::time::sleep(backoff).await;
                 }
+                let overloaded = AttemptFailure::NotRun(RefusalReason::Overloaded);
+                rerouted += u8::from(failed.failure == overloaded);
                 out.meta.depth.is_retry |= !is_reroute(failed.failure);
                 may_have_run = Some(failed.after(may_have_run));
             }
@@ -204,6 +207,7 @@
     let view = state.hub.members.borrow().clone();
     CallState {
         attempts,
+        rerouted: 0,
         idempotent: out.meta.repeats && out.msg.is_whole(),
         is_retry: out.meta.depth.is_retry && attempts == 1,
         has_room: state.router.borrow().has_room(now, &out.meta.service, &view, tried),
--- a/crates/sycamore-node/src/calls/state.rs
+++ b/crates/sycamore-node/src/calls/state.rs
@@ -181,7 +181,8 @@
         if budgets.len() >= MAX_BUDGETS && !budgets.contains_key(service) {
             budgets.clear();
         }
-        let config = RetryConfig::from(policy);
+        let free_reroutes = self.hub.settings.calls.free_reroutes;
+        let config = RetryConfig { free_reroutes, ..RetryConfig::from(policy) };
         let seed = self.rng.borrow_mut().random();
         let budget = budgets
             .entry(service.clone())
--- a/crates/sycamore-settings/src/calls.rs
+++ b/crates/sycamore-settings/src/calls.rs
@@ -52,6 +52,10 @@
     /// Shortest time after which a caller that was refused for load is asked to come back.
     #[serde_as(as = "Span")]
     pub min_retry_after: Duration,
+    /// Refusals for load after which a call goes to another upstream that is known to have room,
+    /// without using the retry budget.
+    #[serde_as(as = "DisplayFromStr")]
+    pub free_reroutes: u8,
     /// How the number of calls that run at a time follows the upstream.
     pub limit_policy: LimitPolicy,
     /// Time that a request stays quarantined.
@@ -77,6 +81,7 @@
             drain_notice: Duration::from_millis(500),
             upstream_beyond_loopback: false,
             min_retry_after: Duration::from_secs(1),
+            free_reroutes: 0,
             limit_policy: LimitPolicy::default(),
             quarantine: Duration::from_secs(600),
             key_memory: Duration::from_secs(60),
--- a/crates/sycamore-types/src/outcome.rs
+++ b/crates/sycamore-types/src/outcome.rs
@@ -11,6 +11,8 @@
 pub enum RefusalReason {
     /// No slot came free, or could not in time.
     Overloaded,
+    /// The upstream itself turned it away.
+    Shed,
     /// The deadline had passed, or could not be met.
     Deadline,
     /// The upstream or its node is leaving.
@@ -36,6 +38,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             RefusalReason::Overloaded => "overloaded",
+            RefusalReason::Shed => "shed",
             RefusalReason::Deadline => "deadline",
             RefusalReason::Draining => "draining",
             RefusalReason::BadVersion => "bad-version",
