--- a/crates/sycamore-node/src/calls/pipeline.rs
+++ b/crates/sycamore-node/src/calls/pipeline.rs
@@ -40,7 +40,7 @@
     /// The first of the calls under way has its answer.
     Ended(Box<Ended>),
     /// A request was read, or can't be.
-    Read(Result<Message, ReadError>),
+    Read(Box<Result<Message, ReadError>>),
     /// The caller is gone, stays idle or takes too long, or the node stops.
     Over,
 }
@@ -63,7 +63,10 @@
         let served = match event {
             Event::Over => return,
             Event::Ended(ended) => answer(state, inbound, *ended).await,
-            Event::Read(Ok(msg)) if runs_beside(state, &msg) => {
+            Event::Read(read)
+                if read.as_ref().as_ref().is_ok_and(|msg| runs_beside(state, msg)) =>
+            {
+                let Ok(msg) = *read else { continue };
                 last_read = inbound.closes || state.hub.phase() >= Phase::Draining;
                 inbound.closes = false;
                 running.push_back(begin(state, inbound, msg, peer, last_read));
@@ -75,7 +78,7 @@
                     Err(err) => Err(err),
                     Ok(()) => {
                         inbound.closes |= closes;
-                        serve::alone(state, inbound, read, peer).await
+                        serve::alone(state, inbound, *read, peer).await
                     }
                 }
             }
@@ -115,7 +118,7 @@
         Either::Left((None, _)) | Either::Right((None | Some(Err(ReadError::Closed)), _)) => {
             Event::Over
         }
-        Either::Right((Some(read), _)) => Event::Read(read),
+        Either::Right((Some(read), _)) => Event::Read(Box::new(read)),
     }
 }
 
@@ -128,7 +131,7 @@
     }
     let (limits, limit) = serve::head_limits(state, inbound.side);
     match timeout(limit, inbound.message(&limits)).await {
-        Ok(read) => Event::Read(read),
+        Ok(read) => Event::Read(Box::new(read)),
         Err(_) => Event::Over,
     }
 }
--- a/crates/sycamore-node/src/config/follow.rs
+++ b/crates/sycamore-node/src/config/follow.rs
@@ -79,9 +79,6 @@
             let page = platform.list(PageQuery { prefix, ..PageQuery::default() }).await?;
             self.forget_orders(&page.rows);
             page.rows.iter().for_each(|row| self.take(row));
-            if !page.rows.iter().any(|row| self.is_config(row)) {
-                self.driver.read_head(None);
-            }
             self.at = Some(page.at);
             return Ok(());
         };
@@ -102,10 +99,6 @@
         }
     }
 
-    fn is_config(&self, row: &Row) -> bool {
-        matches!(self.edge.read(&row.key, &row.value), OperatorRow::Config(_))
-    }
-
     fn take(&self, row: &Row) {
         match self.edge.read(&row.key, &row.value) {
             OperatorRow::Config(Ok((version, resources))) => self.take_config(version, resources),
