--- a/crates/sycamore-node/src/calls/beside.rs
+++ b/crates/sycamore-node/src/calls/beside.rs
@@ -173,8 +173,9 @@
         };
         let calls = self.state.edges.calls.clone();
         calls.for_upstream(&call, &mut head.headers);
+        let history = stream.history;
         match send(Some(&mut *inbound), msg, &mut stream, head, false, left).await {
-            Ok(answered) => match calls.judge(&msg.head.headers, &answered.head) {
+            Ok(answered) => match calls.judge(&msg.head.headers, &answered.head, history) {
                 UpstreamAnswer::Ran => self.relay(inbound, stream, answered, false).await,
                 UpstreamAnswer::Shed => self.relay(inbound, stream, answered, true).await,
                 UpstreamAnswer::NotRun(reason) => {
--- a/crates/sycamore-node/src/calls/message.rs
+++ b/crates/sycamore-node/src/calls/message.rs
@@ -34,7 +34,7 @@
 
 impl Inbound {
     pub(super) fn new(stream: TcpStream, side: Side) -> Self {
-        let Stream { reader, writer } = Stream::from_split(stream.into_split());
+        let Stream { reader, writer, .. } = Stream::from_split(stream.into_split());
         let words = RequestWords::default();
         Self { reader, writer, closes: false, head_only: false, side, words }
     }
--- a/crates/sycamore-node/src/calls/pool.rs
+++ b/crates/sycamore-node/src/calls/pool.rs
@@ -1,5 +1,6 @@
 //! Connections to upstreams and nodes, with idle ones kept for reuse.
 
+use crate::edge::History;
 use futures::FutureExt;
 use monoio::io::{OwnedReadHalf, OwnedWriteHalf, Splitable};
 use monoio::net::TcpStream;
@@ -19,13 +20,15 @@
 pub(super) struct Stream {
     pub(super) reader: Reader<OwnedReadHalf<TcpStream>>,
     pub(super) writer: OwnedWriteHalf<TcpStream>,
+    /// What it has carried before.
+    pub(super) history: History,
 }
 
 impl Stream {
     pub(super) fn from_split(
         halves: (OwnedReadHalf<TcpStream>, OwnedWriteHalf<TcpStream>),
     ) -> Self {
-        Self { reader: Reader::new(halves.0), writer: halves.1 }
+        Self { reader: Reader::new(halves.0), writer: halves.1, history: History::Fresh }
     }
 
     /// Whether the peer has closed it, or sent what nobody asked for.
@@ -61,7 +64,8 @@
     }
 
     /// Keeps a connection whose last exchange was whole on both sides.
-    pub(super) fn put(&self, address: SocketAddr, stream: Stream) {
+    pub(super) fn put(&self, address: SocketAddr, mut stream: Stream) {
+        stream.history = History::Reused;
         let mut idle = self.idle.borrow_mut();
         if idle.len() >= MAX_ADDRESSES && !idle.contains_key(&address) {
             return;
--- a/crates/sycamore-node/src/edge/mod.rs
+++ b/crates/sycamore-node/src/edge/mod.rs
@@ -70,6 +70,15 @@
     pub hops: &'a str,
 }
 
+/// What a connection carried before a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum History {
+    /// Nothing: its first answer can only belong to the request.
+    Fresh,
+    /// Other requests: a late second answer to one of them may come first.
+    Reused,
+}
+
 /// What an upstream's answer means.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UpstreamAnswer {
@@ -91,8 +100,9 @@
     /// Writes what an upstream must know of a call into the fields of its request.
     fn for_upstream(&self, call: &UpstreamCall<'_>, fields: &mut HeaderMap);
 
-    /// Says what an upstream's answer to the request with the fields `sent` means.
-    fn judge(&self, sent: &HeaderMap, answer: &ResponseHead) -> UpstreamAnswer;
+    /// Says what an upstream's answer to the request with the fields `sent` means, on a connection
+    /// with this `history`.
+    fn judge(&self, sent: &HeaderMap, answer: &ResponseHead, history: History) -> UpstreamAnswer;
 
     /// The node's own answer as a caller reads it, to the request with `words`.
     fn answer(&self, answer: &Answer, words: &RequestWords) -> Response<Bytes>;
--- a/crates/sycamore-node/src/edge/native.rs
+++ b/crates/sycamore-node/src/edge/native.rs
@@ -1,8 +1,8 @@
 //! The protocol of `docs/INTERFACES.md`.
 
 use super::{
-    Announcement, CallEdge, Process, RequestWords, UpstreamAnswer, UpstreamCall, UpstreamEdge,
-    UpstreamMessage,
+    Announcement, CallEdge, History, Process, RequestWords, UpstreamAnswer, UpstreamCall,
+    UpstreamEdge, UpstreamMessage,
 };
 use crate::calls::Answer;
 use bytes::Bytes;
@@ -42,7 +42,7 @@
         set(fields, headers::TIMEOUT_MS, &left.to_string());
     }
 
-    fn judge(&self, _: &HeaderMap, answer: &ResponseHead) -> UpstreamAnswer {
+    fn judge(&self, _: &HeaderMap, answer: &ResponseHead, _: History) -> UpstreamAnswer {
         let is_shed = answer.status == StatusCode::SERVICE_UNAVAILABLE
             && text(&answer.headers, headers::OUTCOME) == Some("not-run")
             && answer.headers.contains_key(header::RETRY_AFTER);
