fix(key): a keyed call that may have lain unread for longer than its key is kept is not run

Cause: traced with a story of each doubled call, which measure calls prints now. The node that thawed took it for new, since a request carries no time of its own. Ruled out: the owner being the frozen node (a pause of its own puts every key in doubt). Now a node knows the longest time that a request may have lain unread (since its last tick, and since a pause for as long as requests may lie behind others), the age travels among nodes, and the owner answers "unknown" where it is over half of the memory. Callers repeat within the other half. Test on the real processes, and of the rule alone.

--- a/crates/sycamore-bench/src/load/answer.rs
+++ b/crates/sycamore-bench/src/load/answer.rs
@@ -40,6 +40,8 @@
     pub kind: usize,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// Address of the last attempt; `None` where there was none to try.
+    pub addr: Option<std::net::SocketAddr>,
     /// It was sent when, in microseconds since the Unix epoch.
     pub sent_us: u64,
     /// Time to the last byte of the answer.
--- a/crates/sycamore-bench/src/load/mod.rs
+++ b/crates/sycamore-bench/src/load/mod.rs
@@ -7,7 +7,7 @@
 mod tally;
 
 pub use answer::{Ended, Record};
-pub use call::Caller;
+pub use call::{Call, Caller};
 pub use generate::{run, run_until, Options, Pick, Target};
 pub use kind::{photos, CallKind, KeyUse};
 pub use tally::{Latencies, Tally};
--- a/crates/sycamore-bench/src/load/tally.rs
+++ b/crates/sycamore-bench/src/load/tally.rs
@@ -130,6 +130,30 @@
         }
     }
 
+    /// The story of each call that ran more than once and must not: what was sent where, and the runs.
+    pub fn doubled(&self, ledger: &Ledger) -> Vec<String> {
+        let runs = ledger.runs();
+        let by_token = self.by_token();
+        let kept = by_token.iter().filter(|(_, records)| !records[0].idempotent);
+        kept.filter_map(|(token, records)| {
+            let runs = runs.get(token).filter(|runs| runs.len() > 1)?;
+            let first = runs[0].at_us;
+            let ms = |us: u64| (us as f64 - first as f64) / 1_000.0;
+            let mut story = format!("{token} ran twice, ms from its first run:");
+            for record in records {
+                let (sent, took) = (ms(record.sent_us), record.latency.as_secs_f64() * 1_000.0);
+                let addr = record.addr.map_or_else(String::new, |addr| addr.to_string());
+                let ended = record.ended;
+                story += &format!(" sent {sent:.1} to {addr}, {ended:?} after {took:.1};");
+            }
+            for run in runs {
+                story += &format!(" run {:.1} on {};", ms(run.at_us), run.instance);
+            }
+            Some(story)
+        })
+        .collect()
+    }
+
     fn by_token(&self) -> HashMap<&str, Vec<&Record>> {
         let mut by_token: HashMap<&str, Vec<&Record>> = HashMap::new();
         for record in &self.records {
--- a/crates/sycamore-bench/src/measure/calls.rs
+++ b/crates/sycamore-bench/src/measure/calls.rs
@@ -100,7 +100,9 @@
     eprintln!("through nodes: {through}");
     eprintln!("probes through nodes: {probed}");
     eprintln!("probes past nodes: {direct}");
-    let violations = through.violations(&fleet.witness().ledger().await);
+    let ledger = fleet.witness().ledger().await;
+    through.doubled(&ledger).iter().for_each(|story| eprintln!("{story}"));
+    let violations = through.violations(&ledger);
     print(&outcome(&options, fleet.names().len(), &through, &direct, &probed, violations));
     fleet.stop().await;
     Ok(())
--- a/crates/sycamore-call/src/key/mod.rs
+++ b/crates/sycamore-call/src/key/mod.rs
@@ -6,9 +6,11 @@
 
 mod owner;
 mod table;
+mod unread;
 
 pub use owner::{owner_of, Members, Ownership, OwnershipConfig, Standing};
 pub use table::{KeyDecision, KeyEnd, KeyTable, KeyTableConfig, Released};
+pub use unread::Unread;
 
 use sycamore_types::prelude::*;
 
--- a/crates/sycamore-call/tests/decisions/main.rs
+++ b/crates/sycamore-call/tests/decisions/main.rs
@@ -14,3 +14,4 @@
 mod retry;
 mod route;
 mod scenario;
+mod unread;
--- a/crates/sycamore-node/src/calls/keyed.rs
+++ b/crates/sycamore-node/src/calls/keyed.rs
@@ -114,7 +114,7 @@
 
 /// Runs a call whose key this node owns, or gives what is known of an earlier run.
 async fn keep_key(state: &Rc<State>, out: Outgoing<'_>, key: KeyHash) -> std::io::Result<()> {
-    let known = match claim(state, key, out.meta.fingerprint.0).await {
+    let known = match claim(state, key, &out.meta).await {
         Ok(claim) => return run(state, out, claim).await,
         Err(known) => known,
     };
@@ -139,15 +139,19 @@
 }
 
 /// Claims `key` for a run, or gives what is known of an earlier one.
-async fn claim(
-    state: &Rc<State>,
+async fn claim<'a>(
+    state: &'a Rc<State>,
     key: KeyHash,
-    request: u64,
-) -> Result<Claim<'_>, KeyDecision<Stored>> {
-    let now = state.now();
+    meta: &CallMeta,
+) -> Result<Claim<'a>, KeyDecision<Stored>> {
+    let (now, request) = (state.now(), meta.fingerprint.0);
     if let Some(known) = state.keys.borrow().peek(now, key, request) {
         return Err(known);
     }
+    if meta.age(now) > state.hub.settings.calls.key_memory / 2 {
+        // An earlier run may be forgotten by now.
+        return Err(KeyDecision::Unknown);
+    }
     let standing = state.ownership.borrow().standing(now, key);
     let earlier = match standing {
         Standing::Owner => Vec::new(),
--- a/crates/sycamore-node/src/calls/meta.rs
+++ b/crates/sycamore-node/src/calls/meta.rs
@@ -48,6 +48,8 @@
     pub(super) origin: ServiceName,
     /// When this node took it in.
     pub(super) began: Time,
+    /// Longest time that it may have been under way before that.
+    pub(super) unread: Duration,
     /// It may run more than once.
     pub(super) repeats: bool,
     /// Until when its answer is worth most.
@@ -67,6 +69,11 @@
         self.deadline.since(now)
     }
 
+    /// Longest time that the call may have been under way at `now`.
+    pub(super) fn age(&self, now: Time) -> Duration {
+        self.unread.saturating_add(now.since(self.began))
+    }
+
     /// What kind of work the call is: calls of one route take about as long as each other.
     pub(super) fn work(&self) -> u64 {
         let mut hasher = DefaultHasher::new();
@@ -101,6 +108,7 @@
             let left = objective.since(now).as_millis();
             set(fields, headers::OBJECTIVE_MS, &left.to_string());
         }
+        set(fields, headers::AGE_MS, &self.age(now).as_millis().to_string());
         set(fields, headers::HOPS, &self.depth.to_text());
         let left = u64::try_from(self.left(now).as_millis()).unwrap_or(u64::MAX);
         set(fields, headers::TIMEOUT_MS, &left.to_string());
@@ -116,7 +124,12 @@
     }
 
     /// Reads what another node wrote; `None` where a part is missing or malformed.
-    pub(super) fn read(now: Time, fields: &HeaderMap) -> Option<(Self, Option<Target>)> {
+    /// It may have lain here for `unread` before it was read.
+    pub(super) fn read(
+        now: Time,
+        unread: Duration,
+        fields: &HeaderMap,
+    ) -> Option<(Self, Option<Target>)> {
         let mut parts = text(fields, headers::ROUTE)?.splitn(4, ';');
         let route = RouteName::new(parts.next()?).ok()?;
         let service = ServiceName::new(parts.next()?).ok()?;
@@ -140,6 +153,11 @@
             deadline: now + timeout(fields)?,
             origin: ServiceName::new(text(fields, headers::ORIGIN)?).ok()?,
             began: now,
+            // A node that doesn't say may have held it for as long as can be.
+            unread: text(fields, headers::AGE_MS)
+                .and_then(|age| age.parse().ok())
+                .map_or(Duration::MAX, Duration::from_millis)
+                .saturating_add(unread),
             repeats: text(fields, headers::REPEATS) == Some("1"),
             objective: text(fields, headers::OBJECTIVE_MS)
                 .and_then(|left| left.parse().ok())
--- a/crates/sycamore-node/src/calls/serve.rs
+++ b/crates/sycamore-node/src/calls/serve.rs
@@ -266,6 +266,7 @@
         depth: Depth { level: depth.level + 1, ..depth },
         deadline: now + time,
         began: now,
+        unread: state.unread.borrow().longest(now),
         objective: route.policy.objective.map(|time| now + time.saturating_sub(waited)),
         origin: state.hub.settings.node.service.clone(),
         repeats: match route.policy.repeat {
@@ -350,7 +351,9 @@
     if keyed::is_release(&msg.head) {
         return respond(inbound, &keyed::release(state, &msg.head)).await;
     }
-    let Some((meta, target)) = CallMeta::read(state.now(), &msg.head.headers) else {
+    let now = state.now();
+    let unread = state.unread.borrow().longest(now);
+    let Some((meta, target)) = CallMeta::read(now, unread, &msg.head.headers) else {
         inbound.closes = true;
         let answer = Answer::rejected(StatusCode::BAD_REQUEST, "malformed", "no call of a node");
         return own_answer(state, inbound, &answer).await;
--- a/crates/sycamore-node/src/calls/watch.rs
+++ b/crates/sycamore-node/src/calls/watch.rs
@@ -50,6 +50,7 @@
     loop {
         monoio::time::sleep(TICK).await;
         state.ownership.borrow_mut().tick(state.now());
+        state.unread.borrow_mut().tick(state.now());
         state.upstreams.sweep();
         state.relays.sweep();
         announce::check_silence(&state);
--- a/crates/sycamore-settings/src/calls.rs
+++ b/crates/sycamore-settings/src/calls.rs
@@ -62,7 +62,9 @@
     #[serde_as(as = "Span")]
     pub quarantine: Duration,
     /// Time that an idempotency key is remembered after its call; a new owner of a key answers
-    /// "unknown" for as long and [`Calls::view_lag`] where the old one can't be asked.
+    /// "unknown" for as long and [`Calls::view_lag`] where the old one can't be asked. So is a call
+    /// answered that may have been under way for longer than half of it: callers repeat a call
+    /// within the other half.
     #[serde_as(as = "Span")]
     pub key_memory: Duration,
     /// Longest time for which nodes may differ about who is a member.
--- a/crates/sycamore-types/src/headers.rs
+++ b/crates/sycamore-types/src/headers.rs
@@ -40,6 +40,8 @@
 pub const REPEATS: &str = "x-shift-repeats";
 /// Among nodes: the time left until the call's answer is worth less, in milliseconds.
 pub const OBJECTIVE_MS: &str = "x-shift-objective-ms";
+/// Among nodes: longest time that the call may have been under way, in milliseconds.
+pub const AGE_MS: &str = "x-shift-age-ms";
 /// Among nodes, on refusals: the time to come back after, in milliseconds; `retry-after` has whole
 /// seconds only.
 pub const RETRY_AFTER_MS: &str = "x-shift-retry-after-ms";
