fix(member): a node whose facts differ from another's compares them at once

Cause: a configuration's head is pushed to four members by each node that learns it and rides on four datagrams of the failure detector. A push misses a node with a chance of about one in fifty; whole tables are compared only after two seconds without news, or ten. Ruled out: the platform's outage of 2.2 s (others lost it as well and had the version), fetching (it starts at the head, which the log lacks). Now pings and their answers carry the digests of members and of facts apart; where facts differ for 100 ms, facts alone are compared, 300 ms apart and up to ten seconds where that brings nothing.

--- a/crates/sycamore-member/src/machine/exchange.rs
+++ b/crates/sycamore-member/src/machine/exchange.rs
@@ -1,7 +1,7 @@
 //! Comparing tables with another node: buckets whose digests differ are exchanged.
 
 use super::{Action, Membership, Now};
-use crate::message::{ExchangeReply, ExchangeRequest, Item, ItemKey};
+use crate::message::{Digest, ExchangeReply, ExchangeRequest, Item, ItemKey, Scope};
 use crate::table::{supersedes, BUCKETS};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -12,6 +12,39 @@
 const MAX_EXCHANGES: usize = 2;
 /// An exchange whose end was not told is taken for failed after this time.
 const EXCHANGE_LIMIT: Duration = Duration::from_secs(10);
+/// Time for which facts may differ before they are compared: what is being pushed arrives sooner.
+const FACT_PATIENCE: Duration = Duration::from_millis(100);
+/// Least time between two comparisons of facts. Each that brings nothing doubles it, up to the time
+/// between comparisons of tables: clocks that differ make facts expire at different moments.
+const FACT_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Comparing facts alone.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub(crate) struct FactExchange {
+    /// Since when another node's facts have differed, and which node's.
+    mismatch: Option<(Time, InstanceId)>,
+    /// Earliest time of the next comparison.
+    next: Time,
+    /// Comparisons one after the other that brought nothing.
+    idle: u32,
+}
+
+impl FactExchange {
+    /// The node to compare with, where it is time to.
+    fn due(&mut self, now: Time) -> Option<InstanceId> {
+        let (since, _) = self.mismatch.as_ref()?;
+        if now < self.next || now.since(*since) < FACT_PATIENCE {
+            return None;
+        }
+        self.mismatch.take().map(|(_, peer)| peer)
+    }
+
+    fn started(&mut self, now: Time, longest: Duration) {
+        let factor = 1_u32.checked_shl(self.idle).unwrap_or(u32::MAX);
+        self.next = now + FACT_INTERVAL.saturating_mul(factor).min(longest);
+        self.idle = self.idle.saturating_add(1);
+    }
+}
 
 impl Membership {
     /// Answers another node's request.
@@ -29,12 +62,13 @@
             return reply;
         }
         let mut left = self.options.exchange_bytes;
+        let own = self.table.buckets(request.scope);
         let first_bucket = request.first as usize % BUCKETS;
         for bucket in (0..BUCKETS).map(|step| (first_bucket + step) % BUCKETS) {
-            if request.buckets.get(bucket) == self.table.buckets().get(bucket) {
+            if request.buckets.get(bucket) == own.get(bucket) {
                 continue;
             }
-            let items = self.table.bucket_items(bucket);
+            let items = self.table.bucket_items(bucket, request.scope);
             let size: usize = items.iter().map(Item::size).sum();
             let first = reply.differing.is_empty();
             if size > left && !first {
@@ -71,8 +105,16 @@
     }
 
     /// Notes whether another node's table has the digest that this one has.
-    pub(super) fn compare(&mut self, now: Now, peer: &InstanceId, digest: u64) {
-        if digest == self.table.digest() {
+    pub(super) fn compare(&mut self, now: Now, peer: &InstanceId, digest: Digest) {
+        let own = self.table.digest();
+        if digest.facts == own.facts {
+            self.facts.mismatch = None;
+            self.facts.idle = 0;
+        } else if self.synced {
+            let since = self.facts.mismatch.take().map_or(now.mono, |(since, _)| since);
+            self.facts.mismatch = Some((since, peer.clone()));
+        }
+        if digest == own {
             self.mismatch = None;
             self.mismatch_peer = None;
             return;
@@ -83,7 +125,8 @@
 
     /// Starts an exchange where tables have differed for long enough.
     pub(super) fn start_exchange(&mut self, now: Now, actions: &mut Vec<Action>) {
-        self.exchanging.retain(|_, since| now.mono.since(*since) < EXCHANGE_LIMIT);
+        self.exchanging.retain(|_, (since, _)| now.mono.since(*since) < EXCHANGE_LIMIT);
+        self.compare_facts(now, actions);
         if now.mono < self.next_exchange {
             return;
         }
@@ -106,6 +149,20 @@
         }
     }
 
+    /// Compares facts with a node whose facts differ.
+    fn compare_facts(&mut self, now: Now, actions: &mut Vec<Action>) {
+        if self.exchanging.len() >= MAX_EXCHANGES {
+            return;
+        }
+        let Some(peer) = self.facts.due(now.mono) else { return };
+        if self.exchanging.contains_key(&peer) {
+            return;
+        }
+        let Some(to) = self.table.member(&peer).map(|member| member.endpoints.peer) else { return };
+        self.facts.started(now.mono, self.options.exchange_interval);
+        self.request(now, peer, to, 0, Scope::Facts, actions);
+    }
+
     fn exchange_with_any(&mut self, now: Now, actions: &mut Vec<Action>) {
         let live = |m: &&Member| m.state != MemberState::Dead && m.instance != self.me.instance;
         let mut peers: Vec<Member> = self.table.members().filter(live).cloned().collect();
@@ -130,9 +187,21 @@
         let interval =
             if self.synced { self.options.exchange_interval } else { self.options.probe_interval };
         self.next_exchange = now.mono + interval + self.random.up_to(interval);
-        self.exchanging.insert(peer.clone(), now.mono);
-        let buckets = self.table.buckets().to_vec();
-        let request = ExchangeRequest { buckets, first, items: Vec::new() };
+        self.request(now, peer, to, first, Scope::All, actions);
+    }
+
+    fn request(
+        &mut self,
+        now: Now,
+        peer: InstanceId,
+        to: SocketAddr,
+        first: u32,
+        scope: Scope,
+        actions: &mut Vec<Action>,
+    ) {
+        self.exchanging.insert(peer.clone(), (now.mono, scope));
+        let buckets = self.table.buckets(scope);
+        let request = ExchangeRequest { buckets, first, items: Vec::new(), scope };
         actions.push(Action::Exchange { peer, to, request });
     }
 
@@ -144,18 +213,21 @@
         reply: Option<ExchangeReply>,
         actions: &mut Vec<Action>,
     ) {
-        if self.exchanging.remove(peer).is_none() {
-            return;
-        }
+        let Some((_, scope)) = self.exchanging.remove(peer) else { return };
         let Some(reply) = reply else { return };
-        let offers = self.offers(&reply);
+        let offers = self.offers(&reply, scope);
+        let before = self.table.digest().facts;
         self.catch_up(now, reply.items, actions);
+        if self.table.digest().facts != before {
+            self.facts.idle = 0;
+        }
         let Some(to) = self.table.member(peer).map(|member| member.endpoints.peer) else { return };
         if !offers.is_empty() {
             let request = ExchangeRequest { items: offers, ..ExchangeRequest::default() };
             actions.push(Action::Exchange { peer: peer.clone(), to, request });
         }
         match reply.next {
+            _ if scope == Scope::Facts => {}
             Some(first) if !self.synced => self.exchange(now, peer.clone(), to, first, actions),
             Some(_) => {}
             None => self.synced = true,
@@ -163,13 +235,13 @@
     }
 
     /// Items of the differing buckets of which this node knows more than `reply` says.
-    fn offers(&self, reply: &ExchangeReply) -> Vec<Item> {
+    fn offers(&self, reply: &ExchangeReply, scope: Scope) -> Vec<Item> {
         let theirs: BTreeMap<ItemKey, &Item> =
             reply.items.iter().map(|item| (item.key(), item)).collect();
         let mut left = self.options.exchange_bytes;
         let mut offers = Vec::new();
         for bucket in &reply.differing {
-            for item in self.table.bucket_items(*bucket as usize) {
+            for item in self.table.bucket_items(*bucket as usize, scope) {
                 let more = theirs.get(&item.key()).is_none_or(|their| tells_more(&item, their));
                 let rest = left.checked_sub(item.size());
                 if let (true, Some(rest)) = (more, rest) {
--- a/crates/sycamore-member/src/machine/mod.rs
+++ b/crates/sycamore-member/src/machine/mod.rs
@@ -8,11 +8,12 @@
 mod suspect;
 
 use crate::detect::{Detector, Reach};
-use crate::message::{ExchangeReply, ExchangeRequest, Item, Packet};
+use crate::message::{ExchangeReply, ExchangeRequest, Item, Packet, Scope};
 use crate::options::Options;
 use crate::random::Random;
 use crate::spread::{ByteBudget, News};
 use crate::table::{Joined, Table};
+use exchange::FactExchange;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use sycamore_types::prelude::*;
@@ -117,7 +118,8 @@
     next_expiry: Time,
     mismatch: Option<Time>,
     mismatch_peer: Option<InstanceId>,
-    exchanging: BTreeMap<InstanceId, Time>,
+    facts: FactExchange,
+    exchanging: BTreeMap<InstanceId, (Time, Scope)>,
     synced: bool,
 }
 
@@ -141,6 +143,7 @@
             next_expiry: now.mono,
             mismatch: None,
             mismatch_peer: None,
+            facts: FactExchange::default(),
             exchanging: BTreeMap::new(),
             synced: false,
             me,
--- a/crates/sycamore-member/src/message.rs
+++ b/crates/sycamore-member/src/message.rs
@@ -98,6 +98,37 @@
     }
 }
 
+/// What a table holds in short: equal tables have equal digests.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub struct Digest {
+    /// Of the members.
+    pub members: u32,
+    /// Of the facts.
+    pub facts: u32,
+}
+
+impl From<u64> for Digest {
+    fn from(bits: u64) -> Self {
+        Self { members: (bits >> 32) as u32, facts: bits as u32 }
+    }
+}
+
+impl From<Digest> for u64 {
+    fn from(digest: Digest) -> Self {
+        u64::from(digest.members) << 32 | u64::from(digest.facts)
+    }
+}
+
+/// What a comparison of tables is about.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub enum Scope {
+    /// Members and facts.
+    #[default]
+    All,
+    /// Facts only: few, and each matters to every node at once.
+    Facts,
+}
+
 /// What a datagram is for.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Body {
@@ -106,14 +137,14 @@
         /// Chosen by the asking node, repeated in the answer.
         seq: u32,
         /// Digest of the sender's table.
-        digest: u64,
+        digest: Digest,
     },
     /// Answers a [`Body::Ping`], or a [`Body::PingRequest`] whose target answered.
     Ack {
         /// The ping's number.
         seq: u32,
         /// Digest of the sender's table.
-        digest: u64,
+        digest: Digest,
     },
     /// Asks the receiver to ping `target` and to tell the result.
     PingRequest {
@@ -151,6 +182,8 @@
     pub first: u32,
     /// Items offered.
     pub items: Vec<Item>,
+    /// What is compared.
+    pub scope: Scope,
 }
 
 /// Answers an [`ExchangeRequest`].
--- a/crates/sycamore-member/src/table/digest.rs
+++ b/crates/sycamore-member/src/table/digest.rs
@@ -57,6 +57,6 @@
 }
 
 /// The digest of all buckets together.
-pub(super) fn digest_of(buckets: &[u32]) -> u64 {
-    hash(&buckets)
+pub(super) fn digest_of(buckets: &[u32]) -> u32 {
+    hash(&buckets) as u32
 }
--- a/crates/sycamore-member/src/table/mod.rs
+++ b/crates/sycamore-member/src/table/mod.rs
@@ -5,7 +5,7 @@
 
 pub use order::supersedes;
 
-use crate::message::{Brief, Item, ItemKey};
+use crate::message::{Brief, Digest, Item, ItemKey, Scope};
 use digest::item_digest;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -34,7 +34,8 @@
 pub struct Table {
     members: BTreeMap<InstanceId, Known>,
     facts: BTreeMap<FactKey, Fact>,
-    buckets: Vec<u32>,
+    members_buckets: Vec<u32>,
+    facts_buckets: Vec<u32>,
     max_members: usize,
     max_facts: usize,
     refused: u64,
@@ -53,7 +54,8 @@
         Self {
             members: BTreeMap::new(),
             facts: BTreeMap::new(),
-            buckets: vec![0; BUCKETS],
+            members_buckets: vec![0; BUCKETS],
+            facts_buckets: vec![0; BUCKETS],
             max_members,
             max_facts,
             refused: 0,
@@ -107,20 +109,29 @@
         self.refused
     }
 
-    /// The digest of each bucket. Dead members don't count: a node that has forgotten one agrees
-    /// with a node that still remembers it.
-    pub fn buckets(&self) -> &[u32] {
-        &self.buckets
+    /// The digest of each bucket of `scope`. Dead members don't count: a node that has forgotten one
+    /// agrees with a node that still remembers it.
+    pub fn buckets(&self, scope: Scope) -> Vec<u32> {
+        match scope {
+            Scope::Facts => self.facts_buckets.clone(),
+            Scope::All => {
+                let both = self.members_buckets.iter().zip(&self.facts_buckets);
+                both.map(|(members, facts)| members ^ facts).collect()
+            }
+        }
     }
 
     /// The digest of the whole table.
-    pub fn digest(&self) -> u64 {
-        digest::digest_of(&self.buckets)
+    pub fn digest(&self) -> Digest {
+        Digest {
+            members: digest::digest_of(&self.members_buckets),
+            facts: digest::digest_of(&self.facts_buckets),
+        }
     }
 
-    /// All items of `bucket`, dead members included.
-    pub fn bucket_items(&self, bucket: usize) -> Vec<Item> {
-        let members = self.members().cloned().map(Item::Member);
+    /// All items of `bucket` in `scope`, dead members included.
+    pub fn bucket_items(&self, bucket: usize, scope: Scope) -> Vec<Item> {
+        let members = self.members().filter(|_| scope == Scope::All).cloned().map(Item::Member);
         let facts = self.facts().cloned().map(Item::Fact);
         members.chain(facts).filter(|item| digest::bucket_of(&item.key()) == bucket).collect()
     }
@@ -225,7 +236,11 @@
         if dead {
             return;
         }
-        if let Some(bucket) = self.buckets.get_mut(digest::bucket_of(&item.key())) {
+        let buckets = match item {
+            Item::Fact(_) => &mut self.facts_buckets,
+            Item::Member(_) | Item::Brief(_) => &mut self.members_buckets,
+        };
+        if let Some(bucket) = buckets.get_mut(digest::bucket_of(&item.key())) {
             *bucket ^= item_digest(item);
         }
     }
--- a/crates/sycamore-member/tests/table.rs
+++ b/crates/sycamore-member/tests/table.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use sycamore_member::message::Item;
+use sycamore_member::message::Scope;
 use sycamore_member::table::{Joined, Table, MAX_AHEAD_MS, MAX_FACT_LIFE};
 use sycamore_types::prelude::*;
 
@@ -99,7 +100,7 @@
 
 fn content(table: &Table) -> (Vec<Member>, Vec<Fact>, Vec<u32>) {
     let members = table.members().cloned().collect();
-    (members, table.facts().cloned().collect(), table.buckets().to_vec())
+    (members, table.facts().cloned().collect(), table.buckets(Scope::All))
 }
 
 quickcheck! {
--- a/crates/sycamore-peer/src/codec/exchange.rs
+++ b/crates/sycamore-peer/src/codec/exchange.rs
@@ -5,7 +5,7 @@
 use crate::limits::{MAX_BUCKETS, MAX_EXCHANGE_ITEMS};
 use crate::proto;
 use crate::Result;
-use sycamore_member::message::{ExchangeReply, ExchangeRequest};
+use sycamore_member::message::{ExchangeReply, ExchangeRequest, Scope};
 
 /// An exchange request as it goes on the wire.
 pub fn request_to_wire(req: &ExchangeRequest) -> proto::ExchangeRequest {
@@ -13,6 +13,7 @@
         buckets: req.buckets.clone(),
         first: req.first,
         items: req.items.iter().map(item_to_wire).collect(),
+        facts_only: req.scope == Scope::Facts,
     }
 }
 
@@ -28,6 +29,7 @@
         buckets: wire.buckets,
         first: wire.first,
         items: items_from_wire(wire.items, MAX_EXCHANGE_ITEMS)?,
+        scope: if wire.facts_only { Scope::Facts } else { Scope::All },
     })
 }
 
--- a/crates/sycamore-peer/src/codec/packet.rs
+++ b/crates/sycamore-peer/src/codec/packet.rs
@@ -61,8 +61,12 @@
 
 fn body_to_wire(body: &Body) -> Wire {
     match body {
-        Body::Ping { seq, digest } => Wire::Ping(proto::Probe { seq: *seq, digest: *digest }),
-        Body::Ack { seq, digest } => Wire::Ack(proto::Probe { seq: *seq, digest: *digest }),
+        Body::Ping { seq, digest } => {
+            Wire::Ping(proto::Probe { seq: *seq, digest: (*digest).into() })
+        }
+        Body::Ack { seq, digest } => {
+            Wire::Ack(proto::Probe { seq: *seq, digest: (*digest).into() })
+        }
         Body::PingRequest { seq, target } => {
             Wire::PingRequest(proto::PingRequest { seq: *seq, target: target.to_string() })
         }
@@ -73,8 +77,8 @@
 
 fn body_from_wire(wire: Option<Wire>) -> Result<Body> {
     Ok(match wire.ok_or_else(|| malformed("body missing"))? {
-        Wire::Ping(probe) => Body::Ping { seq: probe.seq, digest: probe.digest },
-        Wire::Ack(probe) => Body::Ack { seq: probe.seq, digest: probe.digest },
+        Wire::Ping(probe) => Body::Ping { seq: probe.seq, digest: probe.digest.into() },
+        Wire::Ack(probe) => Body::Ack { seq: probe.seq, digest: probe.digest.into() },
         Wire::PingRequest(req) => {
             Body::PingRequest { seq: req.seq, target: id(&req.target, "target")? }
         }
--- a/crates/sycamore-peer/src/proto/sycamore.peer.v1.rs
+++ b/crates/sycamore-peer/src/proto/sycamore.peer.v1.rs
@@ -43,7 +43,7 @@
     /// Chosen by the asking instance, repeated in the answer.
     #[prost(uint32, tag = "1")]
     pub seq: u32,
-    /// Digest of the sender's whole table.
+    /// Digests of the sender's members (upper half) and facts (lower half).
     #[prost(fixed64, tag = "2")]
     pub digest: u64,
 }
@@ -220,6 +220,9 @@
     /// Items that the caller offers.
     #[prost(message, repeated, tag = "3")]
     pub items: ::prost::alloc::vec::Vec<Item>,
+    /// Compares facts only.
+    #[prost(bool, tag = "4")]
+    pub facts_only: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ExchangeReply {
--- a/crates/sycamore-peer/tests/codec.rs
+++ b/crates/sycamore-peer/tests/codec.rs
@@ -3,7 +3,9 @@
 
 use quickcheck::{quickcheck, Arbitrary, Gen};
 use std::net::SocketAddr;
-use sycamore_member::message::{Body, Brief, ExchangeReply, ExchangeRequest, Item, Packet};
+use sycamore_member::message::{
+    Body, Brief, Digest, ExchangeReply, ExchangeRequest, Item, Packet, Scope,
+};
 use sycamore_peer::codec::{
     decode_packet, deployment_tag, encode_packet, item_from_wire, item_to_wire, reply_from_wire,
     reply_to_wire, request_from_wire, request_to_wire,
@@ -102,7 +104,7 @@
 
 impl Arbitrary for AnyPacket {
     fn arbitrary(g: &mut Gen) -> Self {
-        let (seq, digest) = (u32::arbitrary(g), u64::arbitrary(g));
+        let (seq, digest) = (u32::arbitrary(g), Digest::from(u64::arbitrary(g)));
         let body = match u8::arbitrary(g) % 5 {
             0 => Body::Ping { seq, digest },
             1 => Body::Ack { seq, digest },
@@ -132,9 +134,11 @@
         item_from_wire(item_to_wire(&item.0)).unwrap() == item.0
     }
 
-    fn exchanges_come_back_the_same(buckets: Vec<u32>, items: Vec<AnyItem>) -> bool {
+    fn exchanges_come_back_the_same(first: bool, buckets: Vec<u32>, items: Vec<AnyItem>) -> bool {
         let items: Vec<Item> = items.into_iter().map(|item| item.0).collect();
-        let req = ExchangeRequest { buckets: buckets.clone(), first: 3, items: items.clone() };
+        let scope = if first { Scope::Facts } else { Scope::All };
+        let req =
+            ExchangeRequest { buckets: buckets.clone(), first: 3, items: items.clone(), scope };
         let reply = ExchangeReply { differing: buckets, items, next: Some(4) };
         request_from_wire(request_to_wire(&req)).unwrap() == req
             && reply_from_wire(reply_to_wire(&reply)).unwrap() == reply
--- a/crates/sycamore-peer/tests/transport.rs
+++ b/crates/sycamore-peer/tests/transport.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use sycamore_member::message::{Body, ExchangeReply, ExchangeRequest, Packet};
+use sycamore_member::message::{Body, Digest, ExchangeReply, ExchangeRequest, Packet};
 use sycamore_peer::limits::{MAX_FETCH_BYTES, MAX_FETCH_HASHES, MAX_PACKET_BYTES};
 use sycamore_peer::{
     serve, Counters, Datagrams, Error, Evidence, Inbox, Peers, PeersOptions, Received, Server,
@@ -193,7 +193,7 @@
         };
         let ((a, sent), (b, received), (other, _)) = (bind("klupa"), bind("klupa"), bind("x"));
         let to = b.local_addr().unwrap();
-        let body = Body::Ping { seq: 1, digest: 2 };
+        let body = Body::Ping { seq: 1, digest: Digest::from(2) };
         let packet = Packet { from: "a".parse().unwrap(), body, items: Vec::new() };
         let garbage = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
         garbage.send_to(b"\xff\xff\xff", to).unwrap();
@@ -223,7 +223,7 @@
         let before = total();
         peers.head(node.address).await.unwrap();
         println!("call on a new connection: {cold} B; on an open one: {} B", total() - before);
-        let body = Body::Ping { seq: 70_000, digest: u64::MAX };
+        let body = Body::Ping { seq: 70_000, digest: Digest::from(u64::MAX) };
         let at = Stamp { wall: WallTime(1_796_344_110_107), logical: 300 };
         let packet = Packet { from: "counter-0017".parse().unwrap(), body, items: Vec::new() };
         let len = sycamore_peer::codec::encode_packet(&packet, at, 1).unwrap().len();
