feat(metrics): histograms of calls, store requests by result, states of dependencies and of the upstream

Cause: the metrics page had counts only: neither how long calls of a route take, wait and run, nor how the platform answers, whether a dependency is there, or how many lines the log left out. Lines that find the log's queue full are counted, and every one of them is told of in a line. What is lost and regained goes through one place for the platform and the upstream. The metrics that began with sycamore_ begin with sycamoreshift_ as the others do. Ruled out: counting drops from the log's own report, which a metric can't read.

--- a/crates/sycamore-bench/src/measure/converge/bytes.rs
+++ b/crates/sycamore-bench/src/measure/converge/bytes.rs
@@ -19,9 +19,9 @@
         let pages = join_all(names.iter().map(|name| fleet.metrics(name))).await;
         let mut bytes = Self::default();
         for page in pages.into_iter().flatten() {
-            let out = page.0.get("sycamore_peer_bytes_total{direction=\"out\"}");
+            let out = page.0.get("sycamoreshift_peer_bytes_total{direction=\"out\"}");
             bytes.peers += out.copied().unwrap_or_default();
-            bytes.platform += page.sum("sycamore_platform_bytes_total");
+            bytes.platform += page.sum("sycamoreshift_platform_bytes_total");
         }
         bytes
     }
--- a/crates/sycamore-bench/src/measure/members/mod.rs
+++ b/crates/sycamore-bench/src/measure/members/mod.rs
@@ -139,8 +139,9 @@
 /// The members that `instance` knows, and how many of them are suspect.
 async fn known(fleet: &Fleet, instance: &str) -> Option<(usize, usize)> {
     let metrics = fleet.metrics(instance).await.ok()?;
-    let suspects = metrics.0.get("sycamore_members{state=\"suspect\"}").copied().unwrap_or(0.0);
-    Some((metrics.sum("sycamore_members") as usize, suspects as usize))
+    let suspects =
+        metrics.0.get("sycamoreshift_members{state=\"suspect\"}").copied().unwrap_or(0.0);
+    Some((metrics.sum("sycamoreshift_members") as usize, suspects as usize))
 }
 
 struct Reading {
@@ -151,7 +152,7 @@
 async fn read(fleet: &Fleet) -> Result<Vec<Reading>> {
     let read = |name: String| async move {
         let metrics = fleet.metrics(&name).await?;
-        let bytes = metrics.sum("sycamore_peer_bytes_total");
+        let bytes = metrics.sum("sycamoreshift_peer_bytes_total");
         Ok(Reading { bytes, usage: fleet.node_usage(&name)? })
     };
     join_all(fleet.running().into_iter().map(read)).await.into_iter().collect()
--- a/crates/sycamore-call/src/key/unread.rs
+++ b/crates/sycamore-call/src/key/unread.rs
@@ -40,8 +40,8 @@
 
     /// Longest time that a request read at `now` may have waited in the process's sockets.
     pub fn longest(&self, now: Time) -> Duration {
-        let since_tick = now.since(self.ticked);
-        let paused = self.pause.map_or(Duration::ZERO, |(pause, _)| pause);
-        since_tick.max(paused)
+        let under_way = Some(now.since(self.ticked)).filter(|gap| *gap >= PAUSE);
+        let over = self.pause.map(|(pause, _)| pause);
+        under_way.max(over).unwrap_or_default()
     }
 }
--- a/crates/sycamore-call/src/retry/mod.rs
+++ b/crates/sycamore-call/src/retry/mod.rs
@@ -60,6 +60,15 @@
 }
 
 impl AttemptFailure {
+    /// The failure as metrics name it.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRun(reason) => reason.as_str(),
+            Self::Unknown { crashed: true } => "crashed",
+            Self::Unknown { crashed: false } => "unknown",
+        }
+    }
+
     /// What a call that is given up after this failure is answered with, given the failure of an
     /// `earlier` attempt: what may have run outweighs every later refusal.
     #[must_use]
--- a/crates/sycamore-node/src/calls/announce.rs
+++ b/crates/sycamore-node/src/calls/announce.rs
@@ -3,9 +3,10 @@
 use super::answer::{respond, Answer};
 use super::forward::own_answer;
 use super::message::{Inbound, Message};
+use super::metrics::UpstreamState;
 use super::state::State;
 use crate::edge::{Announcement, Process, UpstreamMessage};
-use crate::hub::AnnouncedUpstream;
+use crate::hub::{AnnouncedUpstream, Dependency};
 use http::StatusCode;
 use slog::{info, warn};
 use std::rc::Rc;
@@ -67,6 +68,7 @@
 fn take(state: &State, said: Announcement) {
     let now = state.now();
     state.heard.set(now);
+    state.hub.dependencies.reached(&state.hub.log, now, Dependency::Upstream);
     let changed = state.hub.upstream.send_if_modified(|known| {
         let same = known.as_ref().filter(|known| {
             known.address == said.address
@@ -125,7 +127,19 @@
     if silent >= SILENCE {
         let lost = state.hub.upstream.send_if_modified(|known| known.take().is_some());
         if lost {
-            warn!(state.hub.log, "upstream lost"; "silent_ms" => silent.as_millis());
+            let why = format!("silent for {} ms", silent.as_millis());
+            let hub = &state.hub;
+            hub.dependencies.lost(&hub.log, state.now(), Dependency::Upstream, &why);
         }
     }
 }
+
+/// Tells metrics what the upstream is doing.
+pub(super) fn count_state(state: &State) {
+    state.metrics.upstream(match state.upstream() {
+        None => UpstreamState::Absent,
+        Some(upstream) if upstream.draining => UpstreamState::Leaving,
+        Some(upstream) if state.now() < upstream.warm_at => UpstreamState::Cold,
+        Some(_) => UpstreamState::Warm,
+    });
+}
--- a/crates/sycamore-node/src/calls/beside.rs
+++ b/crates/sycamore-node/src/calls/beside.rs
@@ -310,6 +310,7 @@
     fn report(&self, kind: OutcomeKind) {
         let now = self.state.now();
         let took = now.since(self.started);
+        self.state.metrics.ran(kind, took);
         journal::run_ended(self.state, self.id.as_ref(), self.meta, kind, took);
         self.state.hub.report_outcome(CallOutcome {
             service: self.meta.service.clone(),
@@ -317,7 +318,7 @@
             route: self.meta.route.clone(),
             caller: self.meta.caller,
             kind,
-            latency: now.since(self.started),
+            latency: took,
             cold: now < self.upstream.warm_at,
         });
     }
--- a/crates/sycamore-node/src/calls/forward.rs
+++ b/crates/sycamore-node/src/calls/forward.rs
@@ -199,6 +199,7 @@
 fn note_failure(state: &State, out: &Call<'_>, choice: &Choice, failure: AttemptFailure) {
     let id = state.edges.calls.words(&out.msg.head).id;
     let saved = state.budget(&out.meta.service, out.retry, |budget| budget.saved());
+    state.metrics.failed(&out.meta.service, failure.as_str(), saved);
     journal::attempt_failed(state, id.as_ref(), out.meta, choice, failure, saved);
 }
 
@@ -379,6 +380,7 @@
     match relayed {
         Relayed::Reusable | Relayed::Whole => {
             state.metrics.answered("answered", "");
+            state.metrics.took(&meta.route, state.now().since(meta.began));
             let id = inbound.words.id.as_ref();
             journal::answered(state, id, meta, &instance, status, load);
             Ok(())
--- a/crates/sycamore-node/src/calls/journal.rs
+++ b/crates/sycamore-node/src/calls/journal.rs
@@ -38,11 +38,12 @@
     }
 
     /// Whether a line may be written; gives the number of lines left out before it.
-    fn admits(&self, now: Time, bucket: &RefCell<TokenBucket>) -> Option<u64> {
-        if bucket.borrow_mut().take(now).is_ok() {
+    fn admits(&self, state: &State, bucket: &RefCell<TokenBucket>) -> Option<u64> {
+        if bucket.borrow_mut().take(state.now()).is_ok() {
             return Some(self.left_out.take());
         }
         self.left_out.set(self.left_out.get() + 1);
+        state.metrics.left_out();
         None
     }
 }
@@ -55,7 +56,7 @@
 /// The node answers a call itself.
 pub(super) fn own_answer(state: &State, id: Option<&HeaderValue>, answer: &Answer) {
     let journal = &state.journal;
-    let Some(left_out) = journal.admits(state.now(), &journal.failures) else { return };
+    let Some(left_out) = journal.admits(state, &journal.failures) else { return };
     let load = state.admission.borrow().load();
     let line = match answer.outcome {
         Outcome::NotRun => "call refused",
@@ -81,7 +82,7 @@
     retries_saved: f64,
 ) {
     let journal = &state.journal;
-    let Some(left_out) = journal.admits(state.now(), &journal.failures) else { return };
+    let Some(left_out) = journal.admits(state, &journal.failures) else { return };
     warn!(state.hub.log, "attempt failed";
         "request" => id_text(id),
         "route" => %meta.route,
@@ -107,7 +108,7 @@
     let took = state.now().since(meta.began);
     let bad = status >= 500 || took >= journal.slow;
     let bucket = if bad { &journal.failures } else { &journal.successes };
-    let Some(left_out) = journal.admits(state.now(), bucket) else { return };
+    let Some(left_out) = journal.admits(state, bucket) else { return };
     info!(state.hub.log, "call answered";
         "request" => id_text(id),
         "route" => %meta.route,
@@ -132,11 +133,11 @@
         return;
     }
     let journal = &state.journal;
-    let Some(left_out) = journal.admits(state.now(), &journal.failures) else { return };
+    let Some(left_out) = journal.admits(state, &journal.failures) else { return };
     warn!(state.hub.log, "run ended";
         "request" => id_text(id),
         "route" => %meta.route,
-        "end" => format!("{kind:?}"),
+        "end" => kind.as_str(),
         "took_ms" => took.as_millis(),
         "left_ms" => meta.left(state.now()).as_millis(),
         "beside" => state.admission.borrow().load().to_string(),
--- a/crates/sycamore-node/src/calls/slot.rs
+++ b/crates/sycamore-node/src/calls/slot.rs
@@ -64,12 +64,13 @@
 /// Waits until the upstream has a slot for `arrival`.
 pub(super) async fn acquire(state: &Rc<State>, arrival: Arrival) -> Result<Slot, Refused> {
     let (tx, rx) = oneshot::channel();
-    let id = arrival.id;
+    let (id, began) = (arrival.id, state.now());
     state.waiters.0.borrow_mut().insert(id, tx);
     let mut wait = Wait { state: state.clone(), id, rx };
     step(state, Input::Arrive(arrival));
     let decided = (&mut wait.rx).await.unwrap_or(Err((RefusalReason::Draining, Duration::ZERO)));
     drop(wait);
+    state.metrics.waited(state.now().since(began));
     decided.map(|()| Slot { state: state.clone(), id, end: RunEnd::Aborted })
 }
 
--- a/crates/sycamore-node/src/calls/watch.rs
+++ b/crates/sycamore-node/src/calls/watch.rs
@@ -54,6 +54,7 @@
         state.upstreams.sweep();
         state.relays.sweep();
         announce::check_silence(&state);
+        announce::count_state(&state);
     }
 }
 
--- a/crates/sycamore-node/src/config/driver.rs
+++ b/crates/sycamore-node/src/config/driver.rs
@@ -161,7 +161,7 @@
         match action {
             Action::Fetch { head, source, hashes } => self.fetch(Fetch { head, source, hashes }),
             Action::Apply(snapshot) => {
-                self.metrics.applied(snapshot.version);
+                self.metrics.applied(snapshot.version, self.hub.clock.wall());
                 self.hub.publish_snapshot(snapshot);
             }
             Action::Reject { head, reason } => self.reject(head, &reason),
--- a/crates/sycamore-node/src/config/follow.rs
+++ b/crates/sycamore-node/src/config/follow.rs
@@ -4,12 +4,13 @@
 
 use super::driver::Driver;
 use crate::edge::{OperatorEdge, OperatorRow};
+use crate::hub::Dependency;
 use crate::tasks::TaskGroup;
 use slog::{info, warn};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use sycamore_config::{Bundle, Encoded};
 use sycamore_platform::backoff::{Backoff, BackoffSettings};
 use sycamore_platform::{Error, PageQuery, Result, Revision, Row, Table};
@@ -28,7 +29,7 @@
 async fn run(driver: Rc<Driver>, edge: Rc<dyn OperatorEdge>) {
     let settings = BackoffSettings { cap: LONGEST_PAUSE, ..BackoffSettings::default() };
     let mut backoff = Backoff::new(settings.clone(), rand::random());
-    let mut watch = Watch { driver: &driver, edge: &*edge, at: None, lost_since: None };
+    let mut watch = Watch { driver: &driver, edge: &*edge, at: None };
     loop {
         if !is_watcher(&driver) {
             watch.at = None;
@@ -37,7 +38,7 @@
         }
         match watch.step().await {
             Ok(()) => {
-                watch.regained();
+                watch.reached();
                 backoff = Backoff::new(settings.clone(), rand::random());
             }
             Err(report) => {
@@ -67,7 +68,6 @@
     edge: &'a dyn OperatorEdge,
     /// Revision up to which changes are known.
     at: Option<Revision>,
-    lost_since: Option<Instant>,
 }
 
 impl Watch<'_> {
@@ -160,16 +160,14 @@
             "revision" => row.revision.0, "why" => why);
     }
 
-    fn failed(&mut self, error: &Error) {
-        if self.lost_since.is_none() {
-            self.lost_since = Some(Instant::now());
-            warn!(self.driver.hub.log, "platform lost"; "error" => %error);
-        }
+    fn failed(&self, error: &Error) {
+        let hub = &self.driver.hub;
+        hub.dependencies.lost(&hub.log, hub.clock.now(), Dependency::Platform, &error.to_string());
     }
 
-    fn regained(&mut self) {
-        if let Some(since) = self.lost_since.take() {
-            info!(self.driver.hub.log, "platform regained"; "away_ms" => since.elapsed().as_millis());
-        }
+    fn reached(&self) {
+        let hub = &self.driver.hub;
+        hub.dependencies.reached(&hub.log, hub.clock.now(), Dependency::Platform);
+        self.driver.metrics.followed(hub.clock.wall());
     }
 }
--- a/crates/sycamore-node/src/config/metrics.rs
+++ b/crates/sycamore-node/src/config/metrics.rs
@@ -1,12 +1,15 @@
 //! Metrics of configurations and of the platform.
 
-use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, Result};
+use crate::hub::{raise, Meter};
+use prometheus::{Gauge, IntCounter, IntCounterVec, IntGauge, Registry, Result};
 use sycamore_platform::http::Traffic;
 use sycamore_types::prelude::*;
 
 /// Metrics of configurations and of the platform.
 pub(super) struct Metrics {
     version: IntGauge,
+    applied_at: Gauge,
+    followed_at: Gauge,
     rejected: IntCounter,
     fetches: IntCounterVec,
     requests: IntCounterVec,
@@ -16,44 +19,48 @@
 impl Metrics {
     /// Registers the metrics.
     pub(super) fn register(registry: &Registry) -> Result<Self> {
-        let counters = |name: &str, help: &str, label: &str| {
-            IntCounterVec::new(Opts::new(name, help), &[label])
-        };
-        let metrics = Self {
-            version: IntGauge::new("sycamore_config_version", "Configuration in force.")?,
-            rejected: IntCounter::new(
-                "sycamore_config_rejected_total",
-                "Configurations that were rejected.",
+        let meter = Meter::new(registry);
+        Ok(Self {
+            version: meter.gauge("config_version", "Configuration in force")?,
+            applied_at: meter.level(
+                "config_applied_timestamp_seconds",
+                "When the configuration came into force, in seconds since the Unix epoch",
             )?,
-            fetches: counters(
-                "sycamore_config_fetches_total",
-                "Fetches of configuration objects.",
-                "result",
+            followed_at: meter.level(
+                "config_followed_timestamp_seconds",
+                "When this node last heard from the platform that nothing newer is there",
             )?,
-            requests: counters(
-                "sycamore_platform_requests_total",
-                "Requests to the platform.",
-                "kind",
+            rejected: meter
+                .counter("config_rejected_total", "Configurations that were rejected")?,
+            fetches: meter.counters(
+                "config_fetches_total",
+                "Fetches of configuration objects",
+                &["result"],
             )?,
-            bytes: counters(
-                "sycamore_platform_bytes_total",
-                "Bytes to and from the platform, headers included.",
-                "direction",
+            requests: meter.counters(
+                "platform_requests_total",
+                "Requests to the platform",
+                &["kind"],
             )?,
-        };
-        registry.register(Box::new(metrics.version.clone()))?;
-        registry.register(Box::new(metrics.rejected.clone()))?;
-        registry.register(Box::new(metrics.fetches.clone()))?;
-        registry.register(Box::new(metrics.requests.clone()))?;
-        registry.register(Box::new(metrics.bytes.clone()))?;
-        Ok(metrics)
+            bytes: meter.counters(
+                "platform_bytes_total",
+                "Bytes to and from the platform, headers included",
+                &["direction"],
+            )?,
+        })
     }
 
     /// A configuration came into force.
-    pub(super) fn applied(&self, version: ConfigVersion) {
+    pub(super) fn applied(&self, version: ConfigVersion, at: WallTime) {
+        self.applied_at.set(seconds(at));
         self.version.set(i64::try_from(version.0).unwrap_or(i64::MAX));
     }
 
+    /// The platform told at `at` what is new, or that nothing is.
+    pub(super) fn followed(&self, at: WallTime) {
+        self.followed_at.set(seconds(at));
+    }
+
     /// A configuration was rejected.
     pub(super) fn rejected(&self) {
         self.rejected.inc();
@@ -90,7 +97,6 @@
     }
 }
 
-/// Raises `counter` to `total`.
-fn raise(counter: &IntCounter, total: u64) {
-    counter.inc_by(total.saturating_sub(counter.get()));
+fn seconds(at: WallTime) -> f64 {
+    at.0 as f64 / 1_000.0
 }
--- a/crates/sycamore-node/src/hub/mod.rs
+++ b/crates/sycamore-node/src/hub/mod.rs
@@ -1,11 +1,15 @@
 //! What the slices of a node share.
 
 mod clock;
+mod dependency;
 mod facts;
 pub mod log;
+mod meter;
 
 pub use clock::Clock;
+pub use dependency::{Dependencies, Dependency};
 pub use facts::Facts;
+pub use meter::{raise, Meter};
 
 use crate::edge::ReleaseOrder;
 use crate::timeline::Recorder;
@@ -82,6 +86,8 @@
     pub orders: watch::Sender<Arc<BTreeMap<String, (ReleaseOrder, u64)>>>,
     /// Facts that spread.
     pub facts: Facts,
+    /// What the node depends on, and whether it has it.
+    pub dependencies: Dependencies,
     phase: watch::Sender<Phase>,
     timeline: RefCell<Recorder>,
     outcomes: mpsc::Sender<CallOutcome>,
@@ -97,19 +103,25 @@
         let clock = Clock::start();
         let (outcomes, outcomes_rx) = mpsc::channel(OUTCOME_QUEUE);
         let incarnation = Incarnation(clock.wall().0);
-        let log = log::logger(&settings, std::io::stdout());
+        let registry = Registry::new();
+        let dependencies = Dependencies::new(Meter::new(&registry));
+        let dependencies = dependencies.expect("a new registry has no other names");
+        let (log, drops) = log::logger(&settings, std::io::stdout());
+        let registered = registry.register(Box::new(drops));
+        registered.expect("a new registry has no other names");
         let recorder = Recorder::new(&settings, incarnation);
         Rc::new(Self {
             incarnation,
             clock,
             log,
-            registry: Registry::new(),
+            registry,
             snapshot: watch::Sender::new(Arc::default()),
             members: watch::Sender::new(Arc::default()),
             shares: watch::Sender::new(Arc::default()),
             upstream: watch::Sender::new(None),
             orders: watch::Sender::new(Arc::default()),
             facts: Facts::default(),
+            dependencies,
             phase: watch::Sender::new(Phase::Starting),
             timeline: RefCell::new(recorder),
             outcomes,
--- a/crates/sycamore-node/src/peers/metrics.rs
+++ b/crates/sycamore-node/src/peers/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of membership and of traffic between nodes.
 
-use prometheus::{IntCounter, IntCounterVec, IntGaugeVec, Opts, Registry, Result};
+use crate::hub::{raise, Meter};
+use prometheus::{IntCounter, IntCounterVec, IntGaugeVec, Registry, Result};
 use sycamore_peer::Counters;
 use sycamore_types::prelude::*;
 
@@ -23,34 +24,28 @@
 impl Metrics {
     /// Registers the metrics.
     pub(super) fn register(registry: &Registry) -> Result<Self> {
-        let metrics = Self {
-            bytes: IntCounterVec::new(
-                Opts::new("sycamore_peer_bytes_total", "Control bytes between nodes."),
+        let meter = Meter::new(registry);
+        Ok(Self {
+            bytes: meter.counters(
+                "peer_bytes_total",
+                "Control bytes between nodes",
                 &["direction"],
             )?,
-            connections: IntCounterVec::new(
-                Opts::new("sycamore_peer_connections_total", "Connections between nodes."),
+            connections: meter.counters(
+                "peer_connections_total",
+                "Connections between nodes",
                 &["kind"],
             )?,
-            refused: IntCounter::new(
-                "sycamore_peer_messages_refused_total",
-                "Messages that were malformed, oversized or of another deployment.",
+            refused: meter.counter(
+                "peer_messages_refused_total",
+                "Messages that were malformed, oversized or of another deployment",
             )?,
-            dropped: IntCounter::new(
-                "sycamore_peer_messages_dropped_total",
-                "Messages not sent because a queue was full.",
+            dropped: meter.counter(
+                "peer_messages_dropped_total",
+                "Messages not sent because a queue was full",
             )?,
-            members: IntGaugeVec::new(
-                Opts::new("sycamore_members", "Members known by state."),
-                &["state"],
-            )?,
-        };
-        registry.register(Box::new(metrics.bytes.clone()))?;
-        registry.register(Box::new(metrics.connections.clone()))?;
-        registry.register(Box::new(metrics.refused.clone()))?;
-        registry.register(Box::new(metrics.dropped.clone()))?;
-        registry.register(Box::new(metrics.members.clone()))?;
-        Ok(metrics)
+            members: meter.gauges("members", "Members known by state", &["state"])?,
+        })
     }
 
     /// Takes over the counts of the sockets.
@@ -77,8 +72,3 @@
         self.dropped.inc();
     }
 }
-
-/// Raises `counter` to `total`.
-fn raise(counter: &IntCounter, total: u64) {
-    counter.inc_by(total.saturating_sub(counter.get()));
-}
--- a/crates/sycamore-node/src/run.rs
+++ b/crates/sycamore-node/src/run.rs
@@ -115,7 +115,9 @@
     calls: &TaskGroup,
     edges: &Edges,
 ) -> Result<Node, Report<RunError>> {
-    let platform = Rc::new(Platform::new(&hub.settings.platform, edges.store.clone()));
+    let platform = Platform::new(&hub.settings.platform, edges.store.clone(), &hub.registry)
+        .change_context(RunError::Slice("platform"))?;
+    let platform = Rc::new(platform);
     let peers = peers::start(hub, tasks, &platform)
         .await
         .change_context(RunError::Slice("peer listener"))?;
--- a/crates/sycamore-node/tests/calls/main.rs
+++ b/crates/sycamore-node/tests/calls/main.rs
@@ -5,6 +5,7 @@
 mod cancel;
 mod crash;
 mod key;
+mod metrics;
 mod path;
 mod pipeline;
 mod refuse;
--- a/crates/sycamore-node/tests/hub.rs
+++ b/crates/sycamore-node/tests/hub.rs
@@ -1,6 +1,7 @@
 //! What the slices share: phases, calls in flight and facts.
 
-use sycamore_node::hub::{Hub, Phase};
+use std::time::Duration;
+use sycamore_node::hub::{Dependency, Hub, Phase};
 use sycamore_settings::Settings;
 use sycamore_types::prelude::*;
 
@@ -105,3 +106,25 @@
     let ahead = hub.stamp().wall.since(hub.clock.wall());
     assert!(ahead < std::time::Duration::from_secs(60), "{ahead:?}");
 }
+
+#[test]
+fn a_dependency_is_lost_once_and_told_how_long_it_was_away() {
+    let hub = Hub::new(Settings::default());
+    let (log, at) = (&hub.log, |s: u64| Time(s * 1_000_000));
+    let up = |hub: &Hub| {
+        let families = hub.registry.gather();
+        let family = families.iter().find(|f| f.get_name() == "sycamoreshift_dependency_up");
+        let metric = &family.unwrap().get_metric()[0];
+        metric.get_gauge().get_value()
+    };
+    assert_eq!(up(&hub), 0.0);
+    hub.dependencies.reached(log, at(1), Dependency::Platform);
+    assert_eq!(up(&hub), 1.0);
+    hub.dependencies.lost(log, at(2), Dependency::Platform, "no answer");
+    hub.dependencies.lost(log, at(3), Dependency::Platform, "no answer");
+    assert_eq!(up(&hub), 0.0);
+    assert_eq!(hub.dependencies.away(at(5), Dependency::Platform), Some(Duration::from_secs(3)));
+    assert_eq!(hub.dependencies.away(at(5), Dependency::Upstream), None);
+    hub.dependencies.reached(log, at(6), Dependency::Platform);
+    assert_eq!(hub.dependencies.away(at(7), Dependency::Platform), None);
+}
--- a/crates/sycamore-platform/src/http/mod.rs
+++ b/crates/sycamore-platform/src/http/mod.rs
@@ -73,6 +73,7 @@
     traffic: Rc<Traffic>,
     started: Instant,
     body_bytes: usize,
+    observer: Option<Observer>,
 }
 
 /// Which bucket a request draws from.
@@ -82,6 +83,31 @@
     Write,
 }
 
+/// What a request was.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestKind {
+    /// It read.
+    Read,
+    /// It wrote.
+    Write,
+    /// It waited for changes.
+    Watch,
+}
+
+/// How a request that was sent ended: a status, or no whole answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ended {
+    /// What it was.
+    pub kind: RequestKind,
+    /// The answer's status; `None` where no whole answer came.
+    pub status: Option<StatusCode>,
+    /// Time to its end, connecting included.
+    pub took: Duration,
+}
+
+/// Is told of each request that was sent.
+pub type Observer = Rc<dyn Fn(Ended)>;
+
 impl HttpPlatform {
     /// A client by the protocol of `docs/INTERFACES.md` that has no connection yet.
     pub fn new(settings: HttpSettings) -> Self {
@@ -97,7 +123,24 @@
         let budget = Budget::new(settings.budget, settings.nodes, Time::default());
         let (started, body_bytes) = (Instant::now(), settings.body_bytes);
         let budget = RefCell::new(budget);
-        Self { protocol, table, objects, watches, timeout, budget, traffic, started, body_bytes }
+        let observer = None;
+        Self {
+            protocol,
+            table,
+            objects,
+            watches,
+            timeout,
+            budget,
+            traffic,
+            started,
+            body_bytes,
+            observer,
+        }
+    }
+
+    /// The same client, which tells `observer` of each request that it sent.
+    pub fn observed_by(self, observer: Observer) -> Self {
+        Self { observer: Some(observer), ..self }
     }
 
     /// Divides the fleet's budget among `nodes` from now on.
@@ -129,20 +172,30 @@
     async fn send(
         &self,
         pool: &Pool,
-        cost: Cost,
+        kind: RequestKind,
         request: StoreRequest,
         limit: Duration,
     ) -> Result<(StatusCode, Bytes)> {
         let request = self.encode(request)?;
-        self.spend(cost)?;
-        match cost {
-            Cost::Read => self.traffic.reads.add(1),
-            Cost::Write => self.traffic.writes.add(1),
+        match kind {
+            RequestKind::Read | RequestKind::Watch => {
+                self.spend(Cost::Read)?;
+                self.traffic.reads.add(1);
+            }
+            RequestKind::Write => {
+                self.spend(Cost::Write)?;
+                self.traffic.writes.add(1);
+            }
         }
+        let began = Instant::now();
         let answer = pool.send(request, limit).await;
         if answer.is_err() {
             self.traffic.failures.add(1);
         }
+        if let Some(observer) = &self.observer {
+            let status = answer.as_ref().ok().map(|(status, _)| *status);
+            observer(Ended { kind, status, took: began.elapsed() });
+        }
         answer
     }
 
@@ -163,11 +216,11 @@
     }
 
     async fn read(&self, pool: &Pool, request: StoreRequest) -> Result<(StatusCode, Bytes)> {
-        self.send(pool, Cost::Read, request, self.timeout).await
+        self.send(pool, RequestKind::Read, request, self.timeout).await
     }
 
     async fn write(&self, pool: &Pool, request: StoreRequest) -> Result<(StatusCode, Bytes)> {
-        self.send(pool, Cost::Write, request, self.timeout).await
+        self.send(pool, RequestKind::Write, request, self.timeout).await
     }
 
     /// Waits, for as long as `wait`, for rows under `prefix` that change after revision `after`. It
@@ -180,7 +233,7 @@
         let request = self.protocol.changes(prefix, after, wait);
         let request = request.ok_or_else(|| Report::new(Error::Unsupported))?;
         let limit = wait + self.timeout;
-        let (status, body) = self.send(&self.watches, Cost::Read, request, limit).await?;
+        let (status, body) = self.send(&self.watches, RequestKind::Watch, request, limit).await?;
         self.protocol.changed(prefix, status, &body)
     }
 }
--- a/crates/sycamore-types/src/outcome.rs
+++ b/crates/sycamore-types/src/outcome.rs
@@ -78,6 +78,21 @@
     Shed,
 }
 
+impl OutcomeKind {
+    /// The outcome as metrics and logs name it.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Ok => "ok",
+            Self::Rejected => "rejected",
+            Self::Failed => "failed",
+            Self::Broken => "broken",
+            Self::TimedOut => "timed-out",
+            Self::Cancelled => "cancelled",
+            Self::Shed => "shed",
+        }
+    }
+}
+
 /// One call that reached the upstream beside this node.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CallOutcome {
