--- a/crates/sycamore-http/src/conn/mod.rs
+++ b/crates/sycamore-http/src/conn/mod.rs
@@ -7,8 +7,10 @@
 mod error;
 mod reader;
 mod server;
+mod silence;
 
 pub use client::{Client, ClientConfig, ClientError};
 pub use error::ReadError;
 pub use reader::{relay_body, write_all, Reader};
 pub use server::{serve, Connection, ServeConfig, ServeError};
+pub use silence::Silence;
--- a/crates/sycamore-node/src/calls/listen.rs
+++ b/crates/sycamore-node/src/calls/listen.rs
@@ -10,6 +10,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
+use sycamore_http::conn::Silence;
 
 /// Pause after a failed accept, such as for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -72,7 +73,9 @@
     peer: SocketAddr,
     guard: OpenGuard,
 ) {
-    if stream.set_nodelay(true).is_err() {
+    // A node that is gone without a word must not leave its calls running.
+    let watched = side != Side::Relay || Silence::default().watch(&stream).is_ok();
+    if stream.set_nodelay(true).is_err() || !watched {
         return;
     }
     let state = state.clone();
--- a/crates/sycamore-node/tests/calls/main.rs
+++ b/crates/sycamore-node/tests/calls/main.rs
@@ -9,6 +9,7 @@
 mod path;
 mod pipeline;
 mod refuse;
+mod silence;
 mod upstream;
 mod world;
 mod wrong;
--- a/crates/sycamore-node/tests/hub.rs
+++ b/crates/sycamore-node/tests/hub.rs
@@ -113,7 +113,7 @@
     let (log, at) = (&hub.log, |s: u64| Time(s * 1_000_000));
     let up = |hub: &Hub| {
         let families = hub.registry.gather();
-        let family = families.iter().find(|f| f.get_name() == "sycamoreshift_dependency_up");
+        let family = families.iter().find(|f| f.name() == "sycamoreshift_dependency_up");
         let metric = &family.unwrap().get_metric()[0];
         metric.get_gauge().get_value()
     };
--- a/crates/sycamore-platform/src/http/connection.rs
+++ b/crates/sycamore-platform/src/http/connection.rs
@@ -17,19 +17,11 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Duration;
+use sycamore_http::conn::Silence;
 
 /// Bytes that a connection buffers at most, which bounds the headers of an answer.
 const BUFFER_BYTES: usize = 16 << 10;
 
-/// Time without a byte after which the other side is probed. A watch waits for many seconds, and a
-/// change must not wait for a connection that has gone silent.
-const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
-/// Time between two probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Probes without an answer after which the connection is closed.
-const KEEPALIVE_PROBES: u32 = 1;
-
 /// An open connection with no exchange under way.
 pub(super) struct Connection {
     sender: SendRequest<Full<Bytes>>,
@@ -42,8 +34,8 @@
         let unreachable = |e: std::io::Error| Report::new(e).change_context(Error::Unreachable);
         let stream = TcpStream::connect(address).await.map_err(unreachable)?;
         stream.set_nodelay(true).map_err(unreachable)?;
-        let (idle, interval) = (Some(KEEPALIVE_IDLE), Some(KEEPALIVE_INTERVAL));
-        stream.set_tcp_keepalive(idle, interval, Some(KEEPALIVE_PROBES)).map_err(unreachable)?;
+        // A watch waits for many seconds, and a change must not wait for a silent connection.
+        Silence::default().watch(&stream).map_err(unreachable)?;
         let inner = MonoioIo::new(stream.into_poll_io().map_err(unreachable)?);
         let (sender, driver) = Builder::new()
             .max_buf_size(BUFFER_BYTES)
