feat(soak): faults from outside on real processes, with promises checked while they go on

Cause: measurements play one or two faults at a time, without cuts between running nodes, and judge at their end. Now a proxy on a thread of its own stands before every process of a fleet (callers, calls and messages between nodes, upstream, platform): delay, reset, cut one way, silence, open connections mute for good. Checked each second: nothing runs twice that must not, "not run" is true, answers are whole and the caller's own and in time, configurations go forward, leaving upstreams get nothing, nodes end in their grace, and 15 s after the last event everything serves.

--- a/crates/sycamore-bench/src/cli/mod.rs
+++ b/crates/sycamore-bench/src/cli/mod.rs
@@ -2,7 +2,7 @@
 
 mod stand_ins;
 
-use crate::{demo, http, measure, stand_in, Result};
+use crate::{demo, http, measure, soak, stand_in, Result};
 use bpaf::{construct, long, OptionParser, Parser};
 
 /// What the development tool does.
@@ -16,6 +16,8 @@
     Demo(demo::Options),
     /// Runs a measurement.
     Measure(measure::Command),
+    /// Runs the fault soak.
+    Soak(soak::Options),
 }
 
 /// The command line's parser.
@@ -34,7 +36,12 @@
         .descr("Runs a measurement; its last line on standard output is one JSON object.")
         .command("measure")
         .map(Command::Measure);
-    construct!([stand_in, demo, measure])
+    let soak = soak::parser()
+        .to_options()
+        .descr("Faults from outside, drawn from a seed, while promises are checked.")
+        .command("soak")
+        .map(Command::Soak);
+    construct!([stand_in, demo, measure, soak])
         .to_options()
         .descr("Development tool of sycamoreshift: stand-ins, demonstration and measurements.")
         .footer("Example: sycamoreshift-bench demo")
@@ -61,5 +68,6 @@
         Command::Upstream(options) => http::run(stand_in::upstream::run(*options)),
         Command::Demo(options) => http::run(demo::run(options)),
         Command::Measure(command) => http::run(measure::run(command)),
+        Command::Soak(options) => http::run(soak::run(options)),
     }
 }
--- a/crates/sycamore-bench/src/cli/stand_ins.rs
+++ b/crates/sycamore-bench/src/cli/stand_ins.rs
@@ -46,6 +46,7 @@
 fn upstream() -> impl Parser<upstream::Options> {
     let default = upstream::Options::default();
     let listen = arg("listen", "ADDR", default.listen);
+    let announced = long("announced").argument::<SocketAddr>("ADDR").optional();
     let node = long("node").argument::<SocketAddr>("ADDR").optional();
     let witness = long("witness").argument::<SocketAddr>("ADDR").optional();
     let instance = arg("instance", "NAME", default.instance);
@@ -65,6 +66,7 @@
     let seed = super::seed();
     construct!(upstream::Options {
         listen,
+        announced,
         node,
         witness,
         instance,
--- a/crates/sycamore-bench/src/fleet/instance.rs
+++ b/crates/sycamore-bench/src/fleet/instance.rs
@@ -1,7 +1,11 @@
 //! One instance: a node and the upstream beside it.
 
-use super::{Addrs, Process};
+use super::{Addrs, Hop, Process};
+use crate::proxy::{Link, Proxy};
 use crate::stand_in::upstream;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
 
 /// What an instance is.
 #[derive(Debug, Clone)]
@@ -18,6 +22,15 @@
     pub upstream: upstream::Options,
 }
 
+/// The proxy before an instance's processes.
+#[derive(Debug)]
+pub struct Front {
+    /// The proxy; it ends with the instance.
+    pub proxy: Proxy,
+    /// How each way is disturbed.
+    pub links: BTreeMap<Hop, Arc<Link>>,
+}
+
 /// An instance of a fleet.
 #[derive(Debug)]
 pub struct Instance {
@@ -31,4 +44,8 @@
     pub upstream: Option<Process>,
     /// The upstream is started again when it crashes.
     pub respawn: bool,
+    /// Civil time of the node runs ahead by so much from its next start.
+    pub clock_ahead: Duration,
+    /// The proxy before its processes, where there is one.
+    pub front: Option<Front>,
 }
--- a/crates/sycamore-bench/src/fleet/mod.rs
+++ b/crates/sycamore-bench/src/fleet/mod.rs
@@ -1,11 +1,12 @@
 //! A fleet of real processes on loopback: platform, nodes and upstreams, with faults on command.
 //!
 //! Every node has a loopback address of its own and the ports of [`net`], so that fleets beside
-//! each other never meet. There is no cut between two nodes here, since that takes a packet
-//! filter; a frozen process stands for one that is cut off from all others.
+//! each other never meet. Where a fleet is disturbed, a proxy stands before every process: it cuts
+//! a node off from all others one way or both, not two nodes from each other.
 
 pub mod deployment;
 mod faults;
+mod front;
 pub mod guard;
 mod inspect;
 mod instance;
@@ -20,8 +21,8 @@
 mod watch;
 
 pub use deployment::{Deployment, ServiceSpec};
-pub use instance::{Instance, InstanceSpec};
-pub use net::{Addrs, Net};
+pub use instance::{Front, Instance, InstanceSpec};
+pub use net::{Addrs, Hop, Net};
 pub use options::{Options, Upstreams};
 pub use process::{Process, Program};
 pub use query::{operator, Metrics};
--- a/crates/sycamore-bench/src/fleet/net.rs
+++ b/crates/sycamore-bench/src/fleet/net.rs
@@ -12,6 +12,9 @@
 const PLATFORM_PORT: u16 = 7390;
 const WITNESS_PORT: u16 = 7391;
 
+/// Added to a port for the proxy that stands before it.
+const FRONT: u16 = 100;
+
 /// Hosts in one block of the fleet's addresses.
 const HOSTS_PER_BLOCK: usize = 250;
 
@@ -39,6 +42,27 @@
     pub service: SocketAddr,
 }
 
+/// A way to a process that a proxy may disturb.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Hop {
+    /// From callers to the node.
+    Caller,
+    /// From other nodes to the node, with calls.
+    Relay,
+    /// From other nodes to the node, with messages.
+    Peer,
+    /// From the node to its upstream.
+    Service,
+    /// From the node to the platform.
+    Platform,
+}
+
+impl Hop {
+    /// Every hop.
+    pub const ALL: [Self; 5] =
+        [Self::Caller, Self::Relay, Self::Peer, Self::Service, Self::Platform];
+}
+
 impl Net {
     /// Draws a part of the loopback network that no other fleet is likely to use.
     pub fn draw() -> Self {
@@ -70,6 +94,24 @@
         }
     }
 
+    /// Where a proxy stands in for `hop` of the instance with this number, and for what.
+    pub fn front(&self, number: usize, hop: Hop) -> (SocketAddr, SocketAddr) {
+        let addrs = self.instance(number);
+        let target = match hop {
+            Hop::Caller => addrs.caller,
+            Hop::Relay => addrs.relay,
+            Hop::Peer => addrs.peer,
+            Hop::Service => addrs.service,
+            Hop::Platform => self.platform(),
+        };
+        (self.front_of(SocketAddr::new(addrs.caller.ip(), target.port())), target)
+    }
+
+    /// Where a proxy stands in for the listener at `addr`.
+    pub fn front_of(&self, addr: SocketAddr) -> SocketAddr {
+        SocketAddr::new(addr.ip(), addr.port() + FRONT)
+    }
+
     fn host(&self, number: usize) -> IpAddr {
         let block = usize::from(self.block) + number / HOSTS_PER_BLOCK;
         let host = 1 + number % HOSTS_PER_BLOCK;
--- a/crates/sycamore-bench/src/fleet/options.rs
+++ b/crates/sycamore-bench/src/fleet/options.rs
@@ -32,6 +32,8 @@
     pub writes_per_s: u32,
     /// Longest wait for the fleet to be ready.
     pub ready_limit: Duration,
+    /// A proxy stands before every process; see [`super::Fleet::link`].
+    pub disturbed: bool,
     /// Settings and logs are kept after the run.
     pub keep: bool,
 }
@@ -47,6 +49,7 @@
             reads_per_s: 2_000,
             writes_per_s: 400,
             ready_limit: Duration::from_secs(30),
+            disturbed: false,
             keep: false,
         }
     }
--- a/crates/sycamore-bench/src/fleet/start.rs
+++ b/crates/sycamore-bench/src/fleet/start.rs
@@ -1,6 +1,8 @@
 //! Starting and stopping a fleet.
 
-use super::{settings, Instance, InstanceSpec, Net, Options, Process, Program, Upstreams};
+use super::{
+    front, settings, Hop, Instance, InstanceSpec, Net, Options, Process, Program, Upstreams,
+};
 use crate::stand_in::upstream;
 use crate::witness::Witness;
 use crate::{BenchError, Result};
@@ -127,8 +129,13 @@
         self.started.set(number + 1);
         let addrs = self.net.instance(number);
         let mut spec = spec;
+        let front = match self.options.disturbed {
+            true => Some(front::start(&self.net, number)?),
+            false => None,
+        };
         spec.upstream = upstream::Options {
             listen: addrs.service,
+            announced: front.is_some().then(|| self.net.front(number, Hop::Service).0),
             node: Some(addrs.upstream),
             witness: Some(self.witness.addr()),
             instance: spec.instance.clone(),
@@ -139,11 +146,27 @@
         let name = spec.instance.clone();
         let file = self.dir.join(format!("{name}.ini"));
         let deployment = &self.options.deployment.name;
-        let extra = &self.options.settings;
-        let text = settings::ini(deployment, &spec, &addrs, self.net.platform(), extra);
+        let mut extra = self.options.settings.clone();
+        let mut platform = self.net.platform();
+        if front.is_some() {
+            let at = |hop| self.net.front(number, hop).0;
+            platform = at(Hop::Platform);
+            for (key, hop) in [("relay_advertised", Hop::Relay), ("peer_advertised", Hop::Peer)] {
+                extra.push(("listen".into(), key.into(), at(hop).to_string()));
+            }
+        }
+        let text = settings::ini(deployment, &spec, &addrs, platform, &extra);
         std::fs::write(&file, text)
             .change_context_lazy(|| BenchError::Io(format!("write {}", file.display())))?;
-        let instance = Instance { spec, addrs, node: None, upstream: None, respawn: true };
+        let instance = Instance {
+            spec,
+            addrs,
+            node: None,
+            upstream: None,
+            respawn: true,
+            clock_ahead: Duration::ZERO,
+            front,
+        };
         self.instances.borrow_mut().insert(name.clone(), instance);
         self.start_node(&name)?;
         self.start_upstream(&name)
@@ -155,11 +178,13 @@
     /// Where it can't be started.
     pub fn start_node(&self, instance: &str) -> Result<()> {
         let file = self.dir.join(format!("{instance}.ini"));
-        let args = vec!["--settings".into(), file.display().to_string()];
-        let program = Program { path: self.daemon.clone(), args };
         let log = self.log(instance, "node");
         self.with(instance, |entry| {
             entry.node = None;
+            let ahead = entry.clock_ahead.as_millis().to_string();
+            let args =
+                ["--settings".into(), file.display().to_string(), "--clock-ahead".into(), ahead];
+            let program = Program { path: self.daemon.clone(), args: args.into() };
             entry.node = Some(Process::start(&program, &log)?);
             Ok(())
         })
@@ -183,6 +208,12 @@
         })
     }
 
+    /// Like [`Fleet::stop`]; settings and logs stay.
+    pub async fn stop_and_keep(mut self) {
+        self.options.keep = true;
+        self.stop().await;
+    }
+
     /// Ends all processes by SIGTERM, and those that do not end in time by SIGKILL.
     pub async fn stop(self) {
         let mut processes: Vec<Process> = Vec::new();
--- a/crates/sycamore-bench/src/lib.rs
+++ b/crates/sycamore-bench/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod http;
 pub mod load;
 pub mod measure;
+pub mod proxy;
+pub mod soak;
 pub mod stand_in;
 pub mod witness;
 
--- a/crates/sycamore-bench/src/load/answer.rs
+++ b/crates/sycamore-bench/src/load/answer.rs
@@ -40,6 +40,8 @@
     pub kind: usize,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// Times that callers send the call, of which this is one.
+    pub sendings: usize,
     /// Address of the last attempt; `None` where there was none to try.
     pub addr: Option<std::net::SocketAddr>,
     /// It was sent when, in microseconds since the Unix epoch.
--- a/crates/sycamore-bench/src/load/call.rs
+++ b/crates/sycamore-bench/src/load/call.rs
@@ -127,6 +127,7 @@
         token: call.token.clone(),
         kind: call.index,
         idempotent: call.kind.is_idempotent(),
+        sendings: if call.kind.key == KeyUse::Repeated { 2 } else { 1 },
         addr: call.addrs.get(attempts.saturating_sub(1) as usize).copied(),
         sent_us,
         latency,
--- a/crates/sycamore-bench/src/load/generate.rs
+++ b/crates/sycamore-bench/src/load/generate.rs
@@ -77,6 +77,15 @@
 
 /// Sends calls for the options' time, or until `done` holds, and waits for their answers.
 pub async fn run_until(options: &Options, done: impl Fn() -> bool) -> Tally {
+    run_watched(options, done, |_| {}).await
+}
+
+/// Like [`run_until`]; `seen` is given each call as it ends.
+pub async fn run_watched(
+    options: &Options,
+    done: impl Fn() -> bool,
+    seen: impl Fn(&Record),
+) -> Tally {
     let caller = Caller::default();
     let mut draw = Draw::new(options);
     let mut calls = FuturesUnordered::new();
@@ -85,7 +94,7 @@
     let mut next = draw.gap();
     while next < options.time && !done() {
         let due = start + next;
-        wait_until(due, &mut calls, &mut tally).await;
+        wait_until(due, &mut calls, &mut tally, &seen).await;
         tally.note_lag(due.elapsed());
         for (delay, call) in draw.calls() {
             let caller = &caller;
@@ -99,6 +108,7 @@
         next += draw.gap();
     }
     while let Some(record) = calls.next().await {
+        seen(&record);
         tally.add(record);
     }
     tally.took(start.elapsed());
@@ -110,6 +120,7 @@
     due: Instant,
     calls: &mut FuturesUnordered<F>,
     tally: &mut Tally,
+    seen: &impl Fn(&Record),
 ) {
     loop {
         let left = due.saturating_duration_since(Instant::now());
@@ -117,6 +128,7 @@
             // One round of the loop, so that answers are read also when the generator lags.
             futures::future::poll_fn(|cx| {
                 while let std::task::Poll::Ready(Some(record)) = calls.poll_next_unpin(cx) {
+                    seen(&record);
                     tally.add(record);
                 }
                 std::task::Poll::Ready(())
@@ -127,6 +139,7 @@
         if calls.is_empty() {
             monoio::time::sleep(left).await;
         } else if let Ok(Some(record)) = monoio::time::timeout(left, calls.next()).await {
+            seen(&record);
             tally.add(record);
         }
     }
--- a/crates/sycamore-bench/src/load/mod.rs
+++ b/crates/sycamore-bench/src/load/mod.rs
@@ -8,6 +8,6 @@
 
 pub use answer::{Ended, Record};
 pub use call::{Call, Caller};
-pub use generate::{run, run_until, Options, Pick, Target};
+pub use generate::{run, run_until, run_watched, Options, Pick, Target};
 pub use kind::{photos, CallKind, KeyUse};
 pub use tally::{Latencies, Tally};
--- a/crates/sycamore-bench/src/stand_in/upstream/announce.rs
+++ b/crates/sycamore-bench/src/stand_in/upstream/announce.rs
@@ -40,7 +40,7 @@
 fn body(options: &Options) -> Bytes {
     let announcement = json!({
         "version": options.version,
-        "address": options.listen,
+        "address": options.announced.unwrap_or(options.listen),
         "slots": options.slots,
         "connections": options.connections,
         "cold_ms": u64::try_from(options.cold.as_millis()).unwrap_or(u64::MAX),
--- a/crates/sycamore-bench/src/stand_in/upstream/options.rs
+++ b/crates/sycamore-bench/src/stand_in/upstream/options.rs
@@ -52,6 +52,8 @@
 pub struct Options {
     /// Where it listens for its node.
     pub listen: SocketAddr,
+    /// Where its node is to reach it, where that is not [`Options::listen`].
+    pub announced: Option<SocketAddr>,
     /// Its node's upstream listener; without one it serves alone.
     pub node: Option<SocketAddr>,
     /// Where it reports its runs.
@@ -92,6 +94,7 @@
     fn default() -> Self {
         Self {
             listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 9000)),
+            announced: None,
             node: None,
             witness: None,
             instance: "counter-1".into(),
@@ -119,6 +122,9 @@
         let mut args: Vec<String> = vec!["stand-in".into(), "upstream".into()];
         let mut add = |name: &str, value: String| args.extend([format!("--{name}"), value]);
         add("listen", self.listen.to_string());
+        if let Some(announced) = self.announced {
+            add("announced", announced.to_string());
+        }
         if let Some(node) = self.node {
             add("node", node.to_string());
         }
--- a/crates/sycamore-bench/tests/process/main.rs
+++ b/crates/sycamore-bench/tests/process/main.rs
@@ -6,5 +6,6 @@
 mod drain;
 mod faults;
 mod morning;
+mod soak;
 mod support;
 mod whole_path;
--- /dev/null
+++ b/crates/sycamore-bench/tests/proxy.rs
@@ -0,0 +1,127 @@
+//! The proxy disturbs what passes, and only while it is told to.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use sycamore_bench::proxy::{Fault, Link, Proxy, Route, Transport, Way};
+
+const SHORT: Duration = Duration::from_millis(150);
+const LONG: Duration = Duration::from_secs(5);
+
+struct Setup {
+    link: Arc<Link>,
+    front: SocketAddr,
+    _proxy: Proxy,
+}
+
+fn free() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
+/// A proxy before an echo of connections and of datagrams.
+fn setup() -> Setup {
+    let echo = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let target = echo.local_addr().expect("an address");
+    let datagrams = UdpSocket::bind(target).expect("the port is free for datagrams");
+    std::thread::spawn(move || {
+        for mut stream in echo.incoming().flatten() {
+            std::thread::spawn(move || {
+                let mut buf = [0; 64];
+                while let Ok(count @ 1..) = stream.read(&mut buf) {
+                    if stream.write_all(&buf[..count]).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    std::thread::spawn(move || {
+        let mut buf = [0; 64];
+        while let Ok((count, from)) = datagrams.recv_from(&mut buf) {
+            let _ = datagrams.send_to(&buf[..count], from);
+        }
+    });
+    let (link, front) = (Arc::<Link>::default(), free());
+    let route = |transport| Route { transport, listen: front, target, link: link.clone() };
+    let routes = vec![route(Transport::Tcp), route(Transport::Udp)];
+    Setup { link: link.clone(), front, _proxy: Proxy::start(routes).expect("it listens") }
+}
+
+impl Setup {
+    fn open(&self) -> TcpStream {
+        TcpStream::connect(self.front).expect("the proxy accepts")
+    }
+}
+
+/// Sends a word and gives whether its echo is there within `limit`.
+fn echoes(stream: &mut TcpStream, limit: Duration) -> Result<(), ErrorKind> {
+    stream.set_read_timeout(Some(limit)).expect("a limit");
+    stream.write_all(b"word").map_err(|e| e.kind())?;
+    let mut word = [0; 4];
+    stream.read_exact(&mut word).map_err(|e| e.kind())
+}
+
+#[test]
+fn what_is_cut_arrives_when_the_cut_ends() {
+    for fault in [Fault::Cut(Way::There), Fault::Cut(Way::Back), Fault::Silence] {
+        let setup = setup();
+        let mut stream = setup.open();
+        assert_eq!(echoes(&mut stream, LONG), Ok(()));
+        setup.link.set(fault);
+        assert_eq!(echoes(&mut stream, SHORT), Err(ErrorKind::WouldBlock), "{fault:?}");
+        setup.link.set(Fault::None);
+        let mut late = [0; 4];
+        stream.set_read_timeout(Some(LONG)).expect("a limit");
+        assert!(stream.read_exact(&mut late).is_ok(), "{fault:?}");
+    }
+}
+
+#[test]
+fn a_delay_holds_both_ways() {
+    let setup = setup();
+    let mut stream = setup.open();
+    setup.link.set(Fault::Delay(SHORT));
+    let begun = Instant::now();
+    assert_eq!(echoes(&mut stream, LONG), Ok(()));
+    assert!(begun.elapsed() >= 2 * SHORT, "{:?}", begun.elapsed());
+}
+
+#[test]
+fn open_connections_are_reset_and_new_ones_work() {
+    let setup = setup();
+    let mut stream = setup.open();
+    assert_eq!(echoes(&mut stream, LONG), Ok(()));
+    setup.link.reset();
+    let ended = stream.read(&mut [0; 4]);
+    assert_eq!(ended.map_err(|e| e.kind()), Err(ErrorKind::ConnectionReset));
+    assert_eq!(echoes(&mut setup.open(), LONG), Ok(()));
+}
+
+#[test]
+fn muted_connections_stay_silent_and_new_ones_work() {
+    let setup = setup();
+    let mut stream = setup.open();
+    assert_eq!(echoes(&mut stream, LONG), Ok(()));
+    setup.link.mute();
+    assert_eq!(echoes(&mut stream, SHORT), Err(ErrorKind::WouldBlock));
+    assert_eq!(echoes(&mut setup.open(), LONG), Ok(()));
+    assert_eq!(echoes(&mut stream, SHORT), Err(ErrorKind::WouldBlock));
+}
+
+#[test]
+fn datagrams_find_their_way_back_and_are_lost_in_a_cut() {
+    let setup = setup();
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    let echoes = |limit| {
+        socket.set_read_timeout(Some(limit)).expect("a limit");
+        socket.send_to(b"word", setup.front).expect("it is sent");
+        socket.recv(&mut [0; 4]).is_ok()
+    };
+    assert!(echoes(LONG));
+    setup.link.set(Fault::Cut(Way::Back));
+    assert!(!echoes(SHORT));
+    setup.link.set(Fault::None);
+    assert!(echoes(LONG));
+}
--- a/crates/sycamore-node/src/hub/clock.rs
+++ b/crates/sycamore-node/src/hub/clock.rs
@@ -1,18 +1,24 @@
 //! Clocks of a process.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use sycamore_types::time::{Time, WallTime};
 
 /// Reads the clocks; decision crates are given what it reads.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
     started: Instant,
+    ahead: Duration,
 }
 
 impl Clock {
     /// A clock whose monotonic time starts now.
     pub fn start() -> Self {
-        Self { started: Instant::now() }
+        Self::ahead_by(Duration::ZERO)
+    }
+
+    /// The same, with civil time `ahead` of the machine's.
+    pub fn ahead_by(ahead: Duration) -> Self {
+        Self { started: Instant::now(), ahead }
     }
 
     /// Monotonic time since the start.
@@ -22,7 +28,8 @@
 
     /// Civil time.
     pub fn wall(&self) -> WallTime {
-        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let since_epoch =
+            SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default() + self.ahead;
         WallTime(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX))
     }
 }
--- a/crates/sycamore-node/src/hub/mod.rs
+++ b/crates/sycamore-node/src/hub/mod.rs
@@ -100,7 +100,11 @@
 impl Hub {
     /// A hub for a node with `settings`, that nothing has filled yet.
     pub fn new(settings: Settings) -> Rc<Self> {
-        let clock = Clock::start();
+        Self::with_clock(settings, Clock::start())
+    }
+
+    /// The same with `clock`.
+    pub fn with_clock(settings: Settings, clock: Clock) -> Rc<Self> {
         let (outcomes, outcomes_rx) = mpsc::channel(OUTCOME_QUEUE);
         let incarnation = Incarnation(clock.wall().0);
         let registry = Registry::new();
--- a/crates/sycamore-node/src/main.rs
+++ b/crates/sycamore-node/src/main.rs
@@ -3,7 +3,9 @@
 use bpaf::{construct, long, OptionParser, Parser};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 use sycamore_node::edge::Edges;
+use sycamore_node::hub::Clock;
 use sycamore_node::run;
 
 /// Exit code for settings that can't be used.
@@ -11,6 +13,7 @@
 
 struct Options {
     settings: PathBuf,
+    clock_ahead: Duration,
 }
 
 fn options() -> OptionParser<Options> {
@@ -18,7 +21,14 @@
         .short('s')
         .help("INI file with the node's settings; see sycamoreshiftd.sample.ini")
         .argument::<PathBuf>("FILE");
-    construct!(Options { settings })
+    let clock_ahead = long("clock-ahead")
+        .help(
+            "Civil time runs ahead by so many milliseconds: for tests of nodes whose clocks differ",
+        )
+        .argument::<u64>("MS")
+        .fallback(0)
+        .map(Duration::from_millis);
+    construct!(Options { settings, clock_ahead })
         .to_options()
         .descr("The sycamoreshift node: runs beside one upstream, admits its calls and relays others'.")
         .footer("Example: sycamoreshiftd --settings counter-1.ini")
@@ -34,7 +44,8 @@
             return ExitCode::from(EXIT_BAD_INPUT);
         }
     };
-    let source = run::Source { settings, path: Some(options.settings) };
+    let clock = Clock::ahead_by(options.clock_ahead);
+    let source = run::Source { settings, path: Some(options.settings), clock };
     match run::run(source, Edges::default()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
--- a/crates/sycamore-node/src/peers/driver.rs
+++ b/crates/sycamore-node/src/peers/driver.rs
@@ -219,7 +219,7 @@
         version: UpstreamVersion::new(NO_VERSION).expect("constant identifier"),
         data_centre: settings.node.data_centre.clone(),
         region: settings.node.region.clone(),
-        endpoints: Endpoints { peer: settings.listen.peer, relay: settings.listen.relay },
+        endpoints: settings.listen.endpoints(),
         slots: 0,
     };
     let options = Options {
--- a/crates/sycamore-node/src/run.rs
+++ b/crates/sycamore-node/src/run.rs
@@ -1,7 +1,7 @@
 //! The daemon's life: start every slice, wait for a signal, drain, join.
 
 use crate::edge::Edges;
-use crate::hub::{Hub, Phase};
+use crate::hub::{Clock, Hub, Phase};
 use crate::operator::readiness;
 use crate::platform::Platform;
 use crate::tasks::TaskGroup;
@@ -68,6 +68,8 @@
     pub settings: Settings,
     /// Their file.
     pub path: Option<PathBuf>,
+    /// Its clocks.
+    pub clock: Clock,
 }
 
 /// Runs a node that speaks through `edges` until it is told to stop.
@@ -84,7 +86,7 @@
 
 async fn serve(source: Source, edges: Edges) -> Result<(), Report<RunError>> {
     let mut signals = Signals::catch()?;
-    let hub = Hub::new(source.settings);
+    let hub = Hub::with_clock(source.settings, source.clock);
     let tasks = TaskGroup::default();
     hub.record(EventKind::Started);
     let calls = TaskGroup::default();
--- a/crates/sycamore-node/tests/calls/world.rs
+++ b/crates/sycamore-node/tests/calls/world.rs
@@ -158,6 +158,8 @@
         peer: free_addr(),
         operator: free_addr(),
         ready: None,
+        relay_advertised: None,
+        peer_advertised: None,
     };
     let instance = InstanceId::new(format!("counter-{i}")).unwrap();
     let settings = Settings {
--- a/crates/sycamore-settings/src/node.rs
+++ b/crates/sycamore-settings/src/node.rs
@@ -4,6 +4,7 @@
 use serde_with::{serde_as, DisplayFromStr, NoneAsEmptyString};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use sycamore_types::id::{DataCentre, Deployment, InstanceId, Region, ServiceName};
+use sycamore_types::member::Endpoints;
 
 /// Who the node is. All keys must be given.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -50,6 +51,13 @@
     /// Control messages of other nodes.
     #[serde_as(as = "DisplayFromStr")]
     pub peer: SocketAddr,
+    /// Where other nodes reach the relay listener, where that is another address than its own, such
+    /// as behind a port that is passed on.
+    #[serde_as(as = "NoneAsEmptyString")]
+    pub relay_advertised: Option<SocketAddr>,
+    /// Where other nodes reach the peer listener, likewise.
+    #[serde_as(as = "NoneAsEmptyString")]
+    pub peer_advertised: Option<SocketAddr>,
     /// Operators.
     #[serde_as(as = "DisplayFromStr")]
     pub operator: SocketAddr,
@@ -59,6 +67,16 @@
     pub ready: Option<SocketAddr>,
 }
 
+impl Listen {
+    /// Where other nodes reach this one.
+    pub fn endpoints(&self) -> Endpoints {
+        Endpoints {
+            peer: self.peer_advertised.unwrap_or(self.peer),
+            relay: self.relay_advertised.unwrap_or(self.relay),
+        }
+    }
+}
+
 impl Default for Listen {
     fn default() -> Self {
         let on = |port| SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port);
@@ -67,6 +85,8 @@
             upstream: on(7401),
             relay: on(7402),
             peer: on(7403),
+            relay_advertised: None,
+            peer_advertised: None,
             operator: on(7404),
             ready: None,
         }
