--- a/crates/sycamore-config/src/apply/candidate.rs
+++ b/crates/sycamore-config/src/apply/candidate.rs
@@ -26,12 +26,12 @@
 }
 
 impl Candidate {
-    /// A head whose first fetch goes to `first`.
+    /// A head whose first fetch goes to `first`, at `due`.
     pub(super) fn new(
         head: ConfigHead,
         first: Source,
         settings: &ApplySettings,
-        now: Time,
+        due: Time,
     ) -> Self {
         let failures = match first {
             Source::Peer => 0,
@@ -42,7 +42,7 @@
             manifest: None,
             objects: ObjectMap::new(),
             fetching: false,
-            due: now,
+            due,
             failures,
             absent: 0,
         }
--- a/crates/sycamore-config/src/apply/machine.rs
+++ b/crates/sycamore-config/src/apply/machine.rs
@@ -75,7 +75,8 @@
     pub fn step(&mut self, now: Time, input: Input) -> Vec<Action> {
         let mut actions = Vec::new();
         match input {
-            Input::Heard { head, from } => self.hear(now, head, from, &mut actions),
+            Input::Heard { head, from, lead } => self.hear(now + lead, head, from, &mut actions),
+            Input::Given { head, pack } => self.given(now, head, pack, &mut actions),
             Input::Floor(version) => self.learn_floor(version, &mut actions),
             Input::Fetched { head, answer } => self.fetched(now, head, answer, &mut actions),
             Input::Tick => {}
@@ -85,7 +86,7 @@
         actions
     }
 
-    fn hear(&mut self, now: Time, head: ConfigHead, from: Source, actions: &mut Vec<Action>) {
+    fn hear(&mut self, due: Time, head: ConfigHead, from: Source, actions: &mut Vec<Action>) {
         if self.rejected.contains(&head) || self.candidates.iter().any(|c| c.head == head) {
             return;
         }
@@ -99,10 +100,21 @@
         let at = self.candidates.partition_point(|candidate| candidate.head > head);
         // A starting node asks peers first all the same: many may start at once.
         let first = if self.in_force.is_none() { Source::Peer } else { from };
-        self.candidates.insert(at, Candidate::new(head, first, &self.settings, now));
+        self.candidates.insert(at, Candidate::new(head, first, &self.settings, due));
         self.candidates.truncate(self.settings.candidates);
     }
 
+    fn given(&mut self, now: Time, head: ConfigHead, pack: Bytes, actions: &mut Vec<Action>) {
+        self.hear(now, head, Source::Store, actions);
+        let Some(candidate) = self.candidates.iter_mut().find(|c| c.head == head) else {
+            return;
+        };
+        let taken = candidate.take(&unpack(pack), &self.objects, &self.settings);
+        if let Err(reason) = taken {
+            self.reject(head, reason, actions);
+        }
+    }
+
     fn is_conflicting(&self, head: ConfigHead) -> bool {
         self.head.is_some_and(|own| own.version == head.version && own != head)
     }
--- a/crates/sycamore-config/src/apply/mod.rs
+++ b/crates/sycamore-config/src/apply/mod.rs
@@ -8,6 +8,7 @@
 pub use reject::RejectReason;
 
 use bytes::Bytes;
+use std::time::Duration;
 use sycamore_platform::backoff::BackoffSettings;
 use sycamore_types::prelude::*;
 
@@ -42,8 +43,8 @@
             fetch_resources: 64,
             max_bytes: crate::manifest::MAX_PACK_BYTES,
             backoff: BackoffSettings {
-                base: std::time::Duration::from_millis(40),
-                cap: std::time::Duration::from_secs(2),
+                base: Duration::from_millis(40),
+                cap: Duration::from_secs(2),
             },
             seed: 0,
         }
@@ -81,6 +82,15 @@
         head: ConfigHead,
         /// Who told: a peer, or the platform's head row, in which case few peers have it yet.
         from: Source,
+        /// Time for which the configuration may come by itself before it is fetched.
+        lead: Duration,
+    },
+    /// A whole configuration came by itself, whatever is being fetched.
+    Given {
+        /// Its head.
+        head: ConfigHead,
+        /// All of it, as the object store would hold it.
+        pack: Bytes,
     },
     /// The version floor is known.
     Floor(ConfigVersion),
--- a/crates/sycamore-config/tests/apply_model.rs
+++ b/crates/sycamore-config/tests/apply_model.rs
@@ -215,7 +215,10 @@
         // Whatever was ever sent may arrive now: loss, duplicates and reordering at once.
         for (encoded, _) in &self.configs[..state.accepted] {
             let mut next = state.clone();
-            self.step(&mut next, Input::Heard { head: encoded.head, from: Source::Peer });
+            self.step(
+                &mut next,
+                Input::Heard { head: encoded.head, from: Source::Peer, lead: Duration::ZERO },
+            );
             moves.push((format!("the node hears of version {}", encoded.head.version), next));
         }
     }
--- a/crates/sycamore-config/tests/scenarios.rs
+++ b/crates/sycamore-config/tests/scenarios.rs
@@ -7,6 +7,7 @@
 use datadriven::TestCase;
 use std::collections::BTreeMap;
 use std::fmt::Write;
+use std::time::Duration;
 use sycamore_config::{Action, Apply, ApplySettings, Encoded, FetchAnswer, Input, Source};
 use sycamore_types::prelude::*;
 
@@ -38,11 +39,16 @@
                     Some("row") => Source::Store,
                     _ => Source::Peer,
                 };
-                self.step(Input::Heard { head, from })
+                let lead = values(case, "lead_ms").next().map_or(0, |ms| ms.parse().expect("ms"));
+                self.step(Input::Heard { head, from, lead: Duration::from_millis(lead) })
+            }
+            "given" => {
+                let encoded = self.named(case);
+                self.step(Input::Given { head: encoded.head, pack: encoded.pack() })
             }
             "answer" => self.answer(case),
             "wait" => {
-                self.now = self.now + std::time::Duration::from_millis(number(case, "ms"));
+                self.now = self.now + Duration::from_millis(number(case, "ms"));
                 self.step(Input::Tick)
             }
             other => panic!("unknown directive {other}"),
--- a/crates/sycamore-node/src/config/accept.rs
+++ b/crates/sycamore-node/src/config/accept.rs
@@ -75,7 +75,7 @@
     let key = object_key(encoded.head.manifest);
     retry(|| driver.platform.http().put(&key, pack.clone())).await.map_err(unchanged)?;
     settle(driver, &request, &current, encoded.head).await?;
-    driver.accepted(encoded.head, pack);
+    driver.given(encoded.head, pack);
     answer(encoded.head)
 }
 
--- a/crates/sycamore-node/src/config/driver.rs
+++ b/crates/sycamore-node/src/config/driver.rs
@@ -9,6 +9,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
+use std::time::Duration;
 use sycamore_config::{
     Action, Apply, ApplySettings, FetchAnswer, Floor, FloorSettings, Input, PeerHead, RejectReason,
     Source,
@@ -21,6 +22,10 @@
 /// Rejected heads that operators are told of.
 const MAX_REPORTED: usize = 8;
 
+/// Time that a configuration takes at most from the platform's row to a node that follows it: a
+/// megabyte over the users' slowest link of 10 Mbit/s.
+const ROW_LEAD: Duration = Duration::from_millis(800);
+
 /// One fetch that the machine asked for.
 #[derive(Debug)]
 pub(super) struct Fetch {
@@ -47,6 +52,8 @@
     pub(super) changed: Notify,
     /// Wakes the task that serves objects, which may have come.
     pub(super) gained: Notify,
+    /// This node reads operators' rows, and the platform answers.
+    pub(super) follows: Cell<bool>,
     /// The last head that a peer did not have.
     missed: Cell<Option<ConfigHead>>,
     apply: RefCell<Apply>,
@@ -74,6 +81,7 @@
             rejected: RefCell::default(),
             changed: Notify::new(),
             gained: Notify::new(),
+            follows: Cell::new(false),
             missed: Cell::new(None),
             apply: RefCell::new(Apply::new(settings)),
             floor: RefCell::new(Floor::new(FloorSettings::default())),
@@ -92,26 +100,17 @@
         self.gained.notify_one();
     }
 
-    /// Takes a configuration that was accepted through this node and need not be fetched.
-    pub(super) fn accepted(&self, head: ConfigHead, pack: Bytes) {
-        let heard = Input::Heard { head, from: Source::Store };
-        let actions = self.apply.borrow_mut().step(self.hub.clock.now(), heard);
-        let fetches_it =
-            |action: &Action| matches!(action, Action::Fetch { head: of, .. } if *of == head);
-        for action in actions {
-            if fetches_it(&action) {
-                self.input(Input::Fetched { head, answer: FetchAnswer::Pack(pack.clone()) });
-            } else {
-                self.act(action);
-            }
-        }
+    /// Takes a whole configuration that came by itself: accepted through this node, or read from an
+    /// operator's row.
+    pub(super) fn given(&self, head: ConfigHead, pack: Bytes) {
+        self.input(Input::Given { head, pack });
         self.hub.raise(Fact::Head(head));
     }
 
     /// Takes what the platform's head row said; `None` where there is no row.
     pub(super) fn read_head(&self, head: Option<ConfigHead>) {
         if let Some(head) = head {
-            self.input(Input::Heard { head, from: Source::Store });
+            self.input(Input::Heard { head, from: Source::Store, lead: Duration::ZERO });
             self.hub.raise(Fact::Head(head));
         }
         if self.floor().is_none() {
@@ -122,7 +121,7 @@
 
     /// Takes the highest head that `peer` has seen.
     pub(super) fn told(&self, peer: &Member, head: ConfigHead) {
-        self.input(Input::Heard { head, from: Source::Peer });
+        self.heard_of(head);
         if self.floor().is_none() {
             let (instance, data_centre) = (&peer.instance, &peer.data_centre);
             let told = PeerHead { instance, data_centre, head };
@@ -131,6 +130,13 @@
         }
     }
 
+    /// Takes a head that a peer told of. Where this node reads operators' rows itself, the whole
+    /// configuration is likely on its way from there.
+    pub(super) fn heard_of(&self, head: ConfigHead) {
+        let lead = if self.follows.get() { ROW_LEAD } else { Duration::ZERO };
+        self.input(Input::Heard { head, from: Source::Peer, lead });
+    }
+
     /// Notes that a peer did not have objects of `head`.
     pub(super) fn note_miss(&self, head: ConfigHead) {
         self.missed.set(Some(head));
--- a/crates/sycamore-node/src/config/find.rs
+++ b/crates/sycamore-node/src/config/find.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use sycamore_config::head::HEAD_KEY;
-use sycamore_config::{HeadRow, Input, PollSettings, Source};
+use sycamore_config::{HeadRow, PollSettings};
 use sycamore_platform::{Result, Row, Table};
 use sycamore_types::prelude::*;
 
@@ -71,7 +71,7 @@
     loop {
         let known = facts.borrow_and_update().clone();
         if let Some(Fact::Head(head)) = known.get(&FactKey::Head) {
-            driver.input(Input::Heard { head: *head, from: Source::Peer });
+            driver.heard_of(*head);
         }
         if facts.changed().await.is_err() {
             return;
--- a/crates/sycamore-node/src/config/follow.rs
+++ b/crates/sycamore-node/src/config/follow.rs
@@ -33,6 +33,7 @@
     loop {
         if !is_watcher(&driver) {
             watch.at = None;
+            driver.follows.set(false);
             monoio::time::sleep(ROLE_INTERVAL).await;
             continue;
         }
@@ -119,7 +120,7 @@
                 let encoded = Encoded::new(bundle.resources(), version);
                 info!(driver.hub.log, "configuration read"; "version" => version.0,
                     "bytes" => encoded.pack().len());
-                driver.accepted(encoded.head, encoded.pack());
+                driver.given(encoded.head, encoded.pack());
                 driver.read_head(Some(encoded.head));
             }
             Err(faults) => {
@@ -161,11 +162,13 @@
     }
 
     fn failed(&self, error: &Error) {
+        self.driver.follows.set(false);
         let hub = &self.driver.hub;
         hub.dependencies.lost(&hub.log, hub.clock.now(), Dependency::Platform, &error.to_string());
     }
 
     fn reached(&self) {
+        self.driver.follows.set(true);
         let hub = &self.driver.hub;
         hub.dependencies.reached(&hub.log, hub.clock.now(), Dependency::Platform);
         self.driver.metrics.followed(hub.clock.wall());
