fix(pool): one call without an answer closes the idle connections that are as old; soak holds its assumptions

Now a call that reaches its deadline on a used connection closes those idle since before it was sent; test on an upstream that goes silent: the second call failed before, is answered after.

--- a/crates/sycamore-bench/src/soak/schedule.rs
+++ b/crates/sycamore-bench/src/soak/schedule.rs
@@ -13,6 +13,10 @@
 /// Time that an event lasts, in milliseconds: from shorter than any timeout to longer than a node
 /// takes to be given up.
 const LASTS_MS: Range<u64> = 300..6_000;
+/// Longest time that bytes of a call are held up, in milliseconds: below half of the fleet's
+/// [`crate::fleet::KEY_MEMORY`], within which a repeat must arrive. (Where nobody confirms them, a
+/// node's own connections are closed after two seconds; the proxy confirms.)
+const HELD_MS: u64 = 1_400;
 /// Time by which a delayed way is delayed, in milliseconds.
 const DELAY_MS: Range<u64> = 5..400;
 /// Furthest that the clocks of two nodes differ.
@@ -75,14 +79,25 @@
     let mut events = Vec::new();
     let mut at = Duration::from_millis(rng.random_range(GAP_MS));
     while at < time {
-        let lasts = Duration::from_millis(rng.random_range(LASTS_MS)).min(time - at);
+        let drawn = Duration::from_millis(rng.random_range(LASTS_MS));
         let instance = instances.choose(&mut rng).cloned().unwrap_or_default();
-        events.push(Event { at, lasts, instance, deed: draw(&mut rng) });
+        let deed = draw(&mut rng);
+        let lasts = drawn.min(longest(deed)).min(time - at);
+        events.push(Event { at, lasts, instance, deed });
         at += Duration::from_millis(rng.random_range(GAP_MS));
     }
     events
 }
 
+fn longest(deed: Deed) -> Duration {
+    match deed {
+        Deed::Disturb(Hop::Caller | Hop::Relay, Fault::Cut(_) | Fault::Silence) => {
+            Duration::from_millis(HELD_MS)
+        }
+        _ => Duration::MAX,
+    }
+}
+
 fn draw(rng: &mut SmallRng) -> Deed {
     let part = if rng.random() { Part::Node } else { Part::Upstream };
     let hop = *Hop::ALL.choose(rng).expect("there are hops");
--- a/crates/sycamore-node/src/calls/beside.rs
+++ b/crates/sycamore-node/src/calls/beside.rs
@@ -10,14 +10,14 @@
 use super::pool::Stream;
 use super::slot::{acquire, Slot};
 use super::state::State;
-use crate::edge::{UpstreamAnswer, UpstreamCall};
+use crate::edge::{History, UpstreamAnswer, UpstreamCall};
 use crate::hub::{AnnouncedUpstream, Phase};
 use futures::future::{select, Either};
 use http::{HeaderName, HeaderValue, StatusCode};
 use slog::warn;
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use sycamore_call::admit::RunEnd;
 use sycamore_call::gate::GateRequest;
 use sycamore_call::quarantine::Verdict;
@@ -173,7 +173,7 @@
         };
         let calls = self.state.edges.calls.clone();
         calls.for_upstream(&call, &mut head.headers);
-        let history = stream.history;
+        let (history, began) = (stream.history, Instant::now());
         match send(Some(&mut *inbound), msg, &mut stream, head, false, left).await {
             Ok(answered) => match calls.judge(&msg.head.headers, &answered.head, history) {
                 UpstreamAnswer::Ran => self.relay(inbound, stream, answered, false).await,
@@ -189,6 +189,9 @@
                 }
             },
             Err(failure) => {
+                if failure == Failure::Deadline && history == History::Reused {
+                    self.state.upstreams.doubt(self.upstream.address, began);
+                }
                 // Closing the connection cancels the call at the upstream.
                 drop(stream);
                 self.fail(inbound, msg, failure).await
--- a/crates/sycamore-node/src/calls/forward.rs
+++ b/crates/sycamore-node/src/calls/forward.rs
@@ -9,10 +9,11 @@
 use super::meta::{text, CallMeta, Target};
 use super::pool::Stream;
 use super::state::State;
+use crate::edge::History;
 use http::HeaderMap;
 use std::rc::Rc;
 use std::str::FromStr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use sycamore_call::retry::CallState;
 use sycamore_call::route::AttemptEnd;
 use sycamore_call::{AttemptFailure, Choice, Load, Pick, RetryBudget, RetryDecision};
@@ -282,7 +283,11 @@
     let deployment = &state.hub.settings.node.deployment;
     out.meta.write(state.now(), deployment, Some(&target), attempt, &mut head.headers);
     let left = out.meta.left(state.now());
+    let began = Instant::now();
     let sent = send(inbound, out.msg, &mut stream, head, true, left).await;
+    if matches!(sent, Err(Failure::Deadline)) && stream.history == History::Reused {
+        state.relays.doubt(choice.relay, began);
+    }
     match sent {
         Err(Failure::CallerGone) => {
             undecided.end(AttemptEnd::Cancelled);
--- a/crates/sycamore-node/src/calls/pool.rs
+++ b/crates/sycamore-node/src/calls/pool.rs
@@ -76,6 +76,14 @@
         }
     }
 
+    /// Closes the connections to `address` that have been idle since before `sent`, when a call went
+    /// out on one that has brought no answer: they may all have gone silent.
+    pub(super) fn doubt(&self, address: SocketAddr, sent: Instant) {
+        if let Some(streams) = self.idle.borrow_mut().get_mut(&address) {
+            streams.retain(|(_, since)| *since > sent);
+        }
+    }
+
     /// Closes the connections that have been idle too long.
     pub(super) fn sweep(&self) {
         self.idle.borrow_mut().retain(|_, streams| {
--- a/crates/sycamore-node/tests/calls/silence.rs
+++ b/crates/sycamore-node/tests/calls/silence.rs
@@ -1,8 +1,9 @@
 //! Connections to nodes and upstreams are probed, so that one that has gone silent is noticed.
 
-use super::world::{get, run, Options, World};
+use super::world::{get, run, until, Options, World};
 use http::StatusCode;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
 
 /// The timer of a connection that is probed when it is idle, in the kernel's table.
 const PROBED: &str = "02";
@@ -36,3 +37,24 @@
         world.stop().await;
     });
 }
+
+#[test]
+fn one_call_without_an_answer_closes_the_connections_that_are_as_old() {
+    run(async {
+        let timeout = Duration::from_millis(400);
+        let world = World::start(&Options { nodes: 1, timeout, ..Options::default() }).await;
+        let upstream = &world.nodes[0].upstream;
+        let together = (0..4).map(|_| world.call(get("/counter/wait"), ""));
+        let release = async {
+            until(|| upstream.most_running() == 4).await;
+            upstream.release();
+        };
+        futures::join!(futures::future::join_all(together), release);
+        upstream.mute();
+        let late = world.call(get("/counter/echo"), "").await;
+        assert_eq!(late.status(), StatusCode::GATEWAY_TIMEOUT);
+        let next = world.call(get("/counter/echo"), "").await;
+        assert_eq!(next.status(), StatusCode::OK, "{next:?}");
+        world.stop().await;
+    });
+}
--- a/crates/sycamore-node/tests/calls/upstream.rs
+++ b/crates/sycamore-node/tests/calls/upstream.rs
@@ -20,6 +20,9 @@
     cancelled: Cell<usize>,
     crashed: Cell<bool>,
     released: Cell<bool>,
+    opened: Cell<u64>,
+    /// Connections with a lower number answer nothing any more.
+    muted: Cell<u64>,
 }
 
 /// A fake upstream.
@@ -62,6 +65,11 @@
         Some(value.to_str().unwrap().to_owned())
     }
 
+    /// Silences the connections that are open; new ones are served.
+    pub fn mute(&self) {
+        self.shared.muted.set(self.shared.opened.get());
+    }
+
     /// Lets every `wait` end.
     pub fn release(&self) {
         self.shared.released.set(true);
@@ -92,7 +100,12 @@
 async fn serve(stream: TcpStream, shared: &Shared) {
     let (read, mut writer) = stream.into_split();
     let mut reader = Reader::new(read);
+    let number = shared.opened.get();
+    shared.opened.set(number + 1);
     while let Ok(head) = reader.request_head(&HeadLimits::DEFAULT).await {
+        if number < shared.muted.get() {
+            std::future::pending::<()>().await;
+        }
         let path = head.uri.path().to_owned();
         let framing = request_framing(&head).unwrap();
         shared.heads.borrow_mut().push(head);
