fix(retry): what all nodes may save up in retries is bounded together

Each of 74 nodes had saved up ten retries towards each service (740, 190 allowed on top of the ratio), and repeats at the outer service make the calls below repeats too. Now a setting says what all nodes together may save; each node has its part by the members it knows, halved for chains of two services, never less than the one retry that can be spent. Ruled out: free reroutes (nothing had reached an upstream), the ratio itself (10% a level of 20%).

--- a/crates/sycamore-call/src/retry/mod.rs
+++ b/crates/sycamore-call/src/retry/mod.rs
@@ -12,6 +12,9 @@
 
 /// Most retries that a budget saves up.
 const MAX_SAVED: f64 = 10.0;
+/// Services on the longest usual way of a call. A repeat at each makes the calls below repeats too,
+/// so that what all nodes may save is divided by it.
+const LEVELS: f64 = 2.0;
 
 /// Settings of a [`RetryBudget`].
 #[derive(Debug, Clone)]
@@ -23,6 +26,8 @@
     /// Refusals for load after which a call goes to another upstream that is known to have room, without
     /// using the budget or an attempt: it has reached no upstream yet.
     pub free_reroutes: u8,
+    /// Retries that a budget saves up at most; below one, it begins with that part of a retry.
+    pub saved: f64,
     /// Longest backoff before the first retry; each further one doubles it.
     pub backoff: Duration,
     /// Longest backoff.
@@ -41,12 +46,22 @@
             attempts: policy.attempts,
             budget_percent: policy.budget_percent,
             free_reroutes: 0,
+            saved: MAX_SAVED,
             backoff: Duration::from_millis(5),
             backoff_max: Duration::from_millis(100),
         }
     }
 }
 
+impl RetryConfig {
+    /// The same for one of `nodes` that may save up `fleet` retries towards a service together.
+    #[must_use]
+    pub fn shared_by(self, fleet: u32, nodes: usize) -> Self {
+        let share = f64::from(fleet) / LEVELS / nodes.max(1) as f64;
+        Self { saved: share.min(self.saved), ..self }
+    }
+}
+
 /// Why an attempt failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum AttemptFailure {
@@ -117,7 +132,8 @@
 impl RetryBudget {
     /// A budget that draws its jitter from `seed`. It starts with one retry saved.
     pub fn new(config: RetryConfig, seed: u64) -> Self {
-        Self { config, saved: 1.0, rng: SmallRng::seed_from_u64(seed) }
+        let saved = config.saved.min(1.0);
+        Self { config, saved, rng: SmallRng::seed_from_u64(seed) }
     }
 
     /// Takes new settings.
@@ -133,7 +149,8 @@
     /// Counts the first attempt of a call.
     pub fn first_attempt(&mut self) {
         let earned = f64::from(self.config.budget_percent) / 100.0;
-        self.saved = (self.saved + earned).min(MAX_SAVED);
+        // A whole retry is spent at a time.
+        self.saved = (self.saved + earned).min(self.config.saved.max(1.0));
     }
 
     /// Decides what follows a failed attempt.
--- a/crates/sycamore-node/src/calls/state.rs
+++ b/crates/sycamore-node/src/calls/state.rs
@@ -185,7 +185,10 @@
             budgets.clear();
         }
         let free_reroutes = self.hub.settings.calls.free_reroutes;
-        let config = RetryConfig { free_reroutes, ..RetryConfig::from(policy) };
+        let mut config = RetryConfig { free_reroutes, ..RetryConfig::from(policy) };
+        if let Some(fleet) = self.hub.settings.calls.fleet_retries_saved {
+            config = config.shared_by(fleet, self.hub.members.borrow().members.len());
+        }
         let seed = self.rng.borrow_mut().random();
         let budget = budgets
             .entry(service.clone())
--- a/crates/sycamore-settings/src/calls.rs
+++ b/crates/sycamore-settings/src/calls.rs
@@ -2,7 +2,7 @@
 
 use crate::unit::{Size, Span};
 use serde::{Deserialize, Serialize};
-use serde_with::{serde_as, DisplayFromStr};
+use serde_with::{serde_as, DisplayFromStr, NoneAsEmptyString};
 use std::time::Duration;
 
 /// Memory that the request body of one exchange counts for, in bytes: its first part, of up to
@@ -56,6 +56,10 @@
     /// without using the retry budget.
     #[serde_as(as = "DisplayFromStr")]
     pub free_reroutes: u8,
+    /// Retries that all nodes together may save up towards a service, on top of its budget's part of
+    /// the calls; ten a node where it is empty.
+    #[serde_as(as = "NoneAsEmptyString")]
+    pub fleet_retries_saved: Option<u32>,
     /// How the number of calls that run at a time follows the upstream.
     pub limit_policy: LimitPolicy,
     /// Time that a request stays quarantined.
@@ -84,6 +88,7 @@
             upstream_beyond_loopback: false,
             min_retry_after: Duration::from_secs(1),
             free_reroutes: 0,
+            fleet_retries_saved: None,
             limit_policy: LimitPolicy::default(),
             quarantine: Duration::from_secs(600),
             key_memory: Duration::from_secs(60),
