fix(store): an answer may take longer than the timeout as long as it moves

Cause: a request to the platform had one second in all. Tests: 80 bytes in 800 ms under a timeout of 250 ms failed before, pass after; an answer that stops halfway is given up after the timeout.

--- a/crates/sycamore-platform/src/http/connection.rs
+++ b/crates/sycamore-platform/src/http/connection.rs
@@ -2,7 +2,7 @@
 
 use super::count::{Counted, Traffic};
 use crate::error::{Error, Result};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use error_stack::Report;
 use futures::future::{select, Either};
 use futures::FutureExt;
@@ -17,11 +17,21 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::time::Duration;
 use sycamore_http::conn::Silence;
 
 /// Bytes that a connection buffers at most, which bounds the headers of an answer.
 const BUFFER_BYTES: usize = 16 << 10;
 
+/// How fast an answer must come.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Pace {
+    /// Longest time to its head.
+    pub(super) first: Duration,
+    /// Longest time from one part of its body to the next.
+    pub(super) next: Duration,
+}
+
 /// An open connection with no exchange under way.
 pub(super) struct Connection {
     sender: SendRequest<Full<Bytes>>,
@@ -56,8 +66,15 @@
         mut self,
         request: Request<Full<Bytes>>,
         max: usize,
+        pace: Pace,
     ) -> Result<((StatusCode, Bytes), Option<Self>)> {
-        let answer = self.sender.send_request(request).then(|response| collect(response, max));
+        let head = monoio::time::timeout(pace.first, self.sender.send_request(request));
+        let answer = head.then(|head| async move {
+            match head {
+                Ok(response) => collect(response, max, pace.next).await,
+                Err(_) => Err(Report::new(Error::NoAnswer)),
+            }
+        });
         let answer = match select(Box::pin(answer), &mut self.driver).await {
             Either::Left((answer, _)) => return Ok((answer?, Some(self))),
             // The connection ended; the answer may be whole all the same.
@@ -73,12 +90,18 @@
 async fn collect(
     response: hyper::Result<Response<Incoming>>,
     max: usize,
+    next: Duration,
 ) -> Result<(StatusCode, Bytes)> {
     let response = response.map_err(|e| Report::new(e).change_context(Error::NoAnswer))?;
     let status = response.status();
-    let body = Limited::new(response.into_body(), max)
-        .collect()
-        .await
-        .map_err(|e| Report::new(Error::Malformed(e.to_string())))?;
-    Ok((status, body.to_bytes()))
+    let mut body = Limited::new(response.into_body(), max);
+    let mut bytes = BytesMut::new();
+    loop {
+        let next = monoio::time::timeout(next, body.frame()).await;
+        match next.map_err(|_| Report::new(Error::NoAnswer))? {
+            None => return Ok((status, bytes.freeze())),
+            Some(Ok(frame)) => bytes.extend(frame.into_data().ok()),
+            Some(Err(e)) => return Err(Report::new(Error::Malformed(e.to_string()))),
+        }
+    }
 }
--- a/crates/sycamore-platform/tests/http.rs
+++ b/crates/sycamore-platform/tests/http.rs
@@ -121,3 +121,41 @@
     assert_eq!(*error.current_context(), Error::TooLarge { bytes: 1001, max: 1000 });
     server.join().unwrap();
 }
+
+/// Answers with `part`s, each `gap` after the one before, then waits.
+fn serve_slowly(parts: Vec<String>, gap: Duration, timeout: Duration) -> HttpPlatform {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback is free");
+    let address = listener.local_addr().expect("bound");
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("accepts");
+        read_request(&mut stream);
+        for part in parts {
+            std::thread::sleep(gap);
+            // The client may have given up.
+            let _ = stream.write_all(part.as_bytes());
+        }
+        std::thread::sleep(Duration::from_secs(5));
+    });
+    HttpPlatform::new(HttpSettings { timeout, ..HttpSettings::new(address) })
+}
+
+#[test]
+fn a_large_answer_over_a_slow_link_may_take_longer_than_the_timeout_as_long_as_it_moves() {
+    let (gap, timeout) = (Duration::from_millis(100), Duration::from_millis(250));
+    let mut parts = vec!["HTTP/1.1 200 OK\r\ncontent-length: 80\r\n\r\n".to_owned()];
+    parts.extend((0..8).map(|_| "0123456789".to_owned()));
+    let platform = serve_slowly(parts, gap, timeout);
+    let object = run(platform.fetch("config/a")).expect("it is whole").expect("it is there");
+    assert_eq!(object.len(), 80);
+}
+
+#[test]
+fn an_answer_that_stops_halfway_is_given_up_after_the_timeout() {
+    let timeout = Duration::from_millis(250);
+    let parts = vec!["HTTP/1.1 200 OK\r\ncontent-length: 80\r\n\r\n0123456789".to_owned()];
+    let platform = serve_slowly(parts, Duration::ZERO, timeout);
+    let begun = std::time::Instant::now();
+    let answer = run(platform.fetch("config/a")).map_err(|r| r.current_context().clone());
+    assert_eq!(answer, Err(Error::NoAnswer));
+    assert!(begun.elapsed() < Duration::from_secs(2), "{:?}", begun.elapsed());
+}
