feat(trace): requests carry an identifier by the node's own protocol, and three failures are explained by it

Now callers may name a request (shift-request), an upstream that calls on appends to it, and trace shows the calls that a request made as well. Tests on the real programs, from the identifier alone: a call refused for load shows the node that was full and its figures; an unknown outcome the instance whose upstream died; a time limit the call to a paused dependency and how long it waited. Ruled out for the last: end=timed-out at the dependency, since the caller above it may leave first (cancelled after 887 of 900 ms was seen).

--- a/crates/sycamore-bench/src/fleet/inspect.rs
+++ b/crates/sycamore-bench/src/fleet/inspect.rs
@@ -1,9 +1,11 @@
 //! What a fleet is made of and uses.
 
 use super::faults::process;
+use super::start::beside;
 use super::{Addrs, Fleet, Options, Process, Usage};
 use crate::witness::Witness;
-use crate::Result;
+use crate::{BenchError, Result};
+use error_stack::{Report, ResultExt};
 use std::path::Path;
 
 impl Fleet {
@@ -79,6 +81,26 @@
         &self.options
     }
 
+    /// What `sycamoreshift trace` tells of the request called `id` from the logs of all nodes.
+    ///
+    /// # Errors
+    /// Where the program can't be run or finds no line.
+    pub fn trace(&self, id: &str) -> Result<String> {
+        let logs = self.names().into_iter().map(|name| self.dir.join(format!("{name}.node.log")));
+        let traced = std::process::Command::new(beside("sycamoreshift")?)
+            .args(["trace", id])
+            .args(logs)
+            .output()
+            .change_context_lazy(|| BenchError::Io("run sycamoreshift".into()))?;
+        match traced.status.success() {
+            true => Ok(String::from_utf8_lossy(&traced.stdout).into_owned()),
+            false => {
+                let said = String::from_utf8_lossy(&traced.stderr).into_owned();
+                Err(Report::new(BenchError::Unmet(format!("trace {id}: {said}"))))
+            }
+        }
+    }
+
     /// The folder with settings and logs.
     pub fn dir(&self) -> &Path {
         &self.dir
--- a/crates/sycamore-bench/src/fleet/start.rs
+++ b/crates/sycamore-bench/src/fleet/start.rs
@@ -270,7 +270,7 @@
 ///
 /// # Errors
 /// [`BenchError::Option`] where it is not there: it was not built.
-fn beside(name: &str) -> Result<PathBuf> {
+pub(super) fn beside(name: &str) -> Result<PathBuf> {
     let own = std::env::current_exe()
         .change_context_lazy(|| BenchError::Io("path of the running executable".into()))?;
     let found = own.ancestors().skip(1).take(2).map(|dir| dir.join(name)).find(|p| p.is_file());
--- a/crates/sycamore-bench/src/load/call.rs
+++ b/crates/sycamore-bench/src/load/call.rs
@@ -89,6 +89,7 @@
     };
     set("host", addr.to_string());
     set(headers::TOKEN, call.token.clone());
+    set(shift::REQUEST, call.token.clone());
     set(shift::CALLER, call.caller.clone());
     if let Some(len) = kind.answer {
         set(headers::ANSWER_BYTES, len.to_string());
--- a/crates/sycamore-bench/src/stand_in/upstream/onward.rs
+++ b/crates/sycamore-bench/src/stand_in/upstream/onward.rs
@@ -57,6 +57,9 @@
     let mut req = Request::get(path)
         .header(http::header::HOST, node.to_string())
         .header(headers::TOKEN, format!("{token}+"));
+    if let Some(id) = incoming.get(shift::REQUEST).and_then(|id| id.to_str().ok()) {
+        req = req.header(shift::REQUEST, format!("{id}.1"));
+    }
     if !rest.is_empty() {
         req = req.header(headers::ONWARD, rest);
     }
--- a/crates/sycamore-bench/tests/process/main.rs
+++ b/crates/sycamore-bench/tests/process/main.rs
@@ -4,6 +4,7 @@
 mod accept;
 mod change;
 mod drain;
+mod explain;
 mod faults;
 mod morning;
 mod soak;
--- a/crates/sycamore-cli/src/queries/trace.rs
+++ b/crates/sycamore-cli/src/queries/trace.rs
@@ -41,7 +41,7 @@
 
 fn lines_about(id: &str, log: &str) -> Vec<Line> {
     log.lines()
-        .filter(|line| value(line, "request") == Some(id))
+        .filter(|line| value(line, "request").is_some_and(|request| is_about(id, request)))
         .map(|line| Line {
             time_ms: value(line, "time_ms").and_then(|time| time.parse().ok()).unwrap_or_default(),
             text: line.trim().to_owned(),
@@ -49,6 +49,12 @@
         .collect()
 }
 
+/// Whether `request` is the request called `id` or a call that it made, directly or not: those have
+/// its identifier, a dot, and more.
+fn is_about(id: &str, request: &str) -> bool {
+    request.strip_prefix(id).is_some_and(|rest| rest.is_empty() || rest.starts_with('.'))
+}
+
 /// The value of `key` in a line of key=value pairs; identifiers and times are written without
 /// quotes.
 fn value<'a>(line: &'a str, key: &str) -> Option<&'a str> {
--- a/crates/sycamore-node/src/edge/native.rs
+++ b/crates/sycamore-node/src/edge/native.rs
@@ -29,7 +29,7 @@
     fn words(&self, head: &RequestHead) -> RequestWords {
         let fields = &head.headers;
         RequestWords {
-            id: None,
+            id: fields.get(headers::REQUEST).cloned(),
             timeout: timeout(fields),
             class: class(fields),
             caller: fields.get(headers::CALLER).cloned(),
--- a/crates/sycamore-types/src/headers.rs
+++ b/crates/sycamore-types/src/headers.rs
@@ -4,6 +4,9 @@
 /// Prefix of the headers that only nodes may set.
 pub const INTERNAL_PREFIX: &str = "x-shift-";
 
+/// From callers: their identifier of the request. Lines of the log name it; an upstream that calls on
+/// gives the call this identifier with a dot and something of its own behind it.
+pub const REQUEST: &str = "shift-request";
 /// On answers: `not-run` where the request certainly did not run, `unknown` where it may have.
 pub const OUTCOME: &str = "shift-outcome";
 /// On refusals: the reason, one word.
