fix(config): a node that is behind reads the rows as they are, and is given what is below other heads

Changes are told one by one with the whole configuration each; a node on a slow link read version 29 when others had 38, and 49 never. What it did read was dropped as well: four higher heads that it had heard of were being followed, and the lowest gives way. Now a node that peers tell of something newer reads the rows, which hold the newest alone, instead of the changes in between; and a whole configuration that is given comes into force under any number of higher heads. Ruled out: a lost or paused node (it served 315 calls meanwhile), lost log lines (none).

--- a/crates/sycamore-config/src/apply/machine.rs
+++ b/crates/sycamore-config/src/apply/machine.rs
@@ -87,6 +87,12 @@
     }
 
     fn hear(&mut self, due: Time, head: ConfigHead, from: Source, actions: &mut Vec<Action>) {
+        self.follow(due, head, from, actions);
+        self.candidates.truncate(self.settings.candidates);
+    }
+
+    /// Follows `head`, unless it is known or of no use.
+    fn follow(&mut self, due: Time, head: ConfigHead, from: Source, actions: &mut Vec<Action>) {
         if self.rejected.contains(&head) || self.candidates.iter().any(|c| c.head == head) {
             return;
         }
@@ -101,11 +107,12 @@
         // A starting node asks peers first all the same: many may start at once.
         let first = if self.in_force.is_none() { Source::Peer } else { from };
         self.candidates.insert(at, Candidate::new(head, first, &self.settings, due));
-        self.candidates.truncate(self.settings.candidates);
     }
 
+    /// Takes a whole configuration, also where higher heads are being followed already: it is in
+    /// force until they are whole.
     fn given(&mut self, now: Time, head: ConfigHead, pack: Bytes, actions: &mut Vec<Action>) {
-        self.hear(now, head, Source::Store, actions);
+        self.follow(now, head, Source::Store, actions);
         let Some(candidate) = self.candidates.iter_mut().find(|c| c.head == head) else {
             return;
         };
@@ -113,6 +120,8 @@
         if let Err(reason) = taken {
             self.reject(head, reason, actions);
         }
+        self.advance(actions);
+        self.candidates.truncate(self.settings.candidates);
     }
 
     fn is_conflicting(&self, head: ConfigHead) -> bool {
--- a/crates/sycamore-config/src/lib.rs
+++ b/crates/sycamore-config/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod bundle;
 pub mod diff;
 pub mod floor;
+pub mod follow;
 pub mod head;
 pub mod manifest;
 pub mod poll;
--- a/crates/sycamore-node/src/config/follow.rs
+++ b/crates/sycamore-node/src/config/follow.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use sycamore_config::follow::{next, Next};
 use sycamore_config::{Bundle, Encoded};
 use sycamore_platform::backoff::{Backoff, BackoffSettings};
 use sycamore_platform::{Error, PageQuery, Result, Revision, Row, Table};
@@ -87,7 +88,10 @@
         match platform.changes(prefix, at, wait).await {
             Ok(changes) => {
                 changes.rows.iter().for_each(|row| self.take(row));
-                self.at = Some(changes.at);
+                self.at = match next(self.driver.hub.snapshot.borrow().version, self.known()) {
+                    Next::Changes => Some(changes.at),
+                    Next::Rows => None,
+                };
                 Ok(())
             }
             Err(report) => {
@@ -100,6 +104,14 @@
         }
     }
 
+    /// The highest version that peers tell of.
+    fn known(&self) -> Option<ConfigVersion> {
+        match self.driver.hub.facts.known().get(&FactKey::Head) {
+            Some(Fact::Head(head)) => Some(head.version),
+            _ => None,
+        }
+    }
+
     fn take(&self, row: &Row) {
         match self.edge.read(&row.key, &row.value) {
             OperatorRow::Config(Ok((version, resources))) => self.take_config(version, resources),
