--- a/crates/sycamore-moves/src/plan/mod.rs
+++ b/crates/sycamore-moves/src/plan/mod.rs
@@ -1,10 +1,12 @@
 //! Plans and moves as rows of the platform's table, and the changes that operators and nodes make
 //! to them. Every change is a compare-and-set on revisions that carries an operation id.
 
+mod before;
 mod change;
 mod import;
 mod row;
 
+pub use before::version_before;
 pub use change::{abort, end, settle, Change, Conflict, Settled, Write};
 pub use import::{import, Diff, FieldChange, ImportError, ImportRefusal, Imported, Stored};
 pub use row::{
--- a/crates/sycamore-node/src/moves/orders.rs
+++ b/crates/sycamore-node/src/moves/orders.rs
@@ -9,7 +9,9 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
-use sycamore_moves::plan::{move_key, Author, MoveRow, MoveSpec, OnTimeout, Outcome, OutcomeKind};
+use sycamore_moves::plan::{
+    move_key, version_before, Author, MoveRow, MoveSpec, OnTimeout, Outcome, OutcomeKind,
+};
 use sycamore_moves::ramp::{fit, FitOptions, MIN_WINDOW};
 use sycamore_platform::{Condition, Revision, Table, Transacted, Transaction, Write};
 use sycamore_types::prelude::*;
@@ -115,7 +117,7 @@
 
 /// Plans the move; of several planners the first to write wins.
 async fn plan(state: &Rc<State>, order: &ReleaseOrder, mv: &MoveId, age: Duration) {
-    let Some(from) = version_before(state, order) else { return };
+    let Some(from) = from_version(state, order) else { return };
     let now = state.hub.clock.wall();
     let left = order.duration.saturating_sub(age).mul_f64(1.0 - TELL_PART).max(MIN_WINDOW);
     let spec = MoveSpec {
@@ -154,33 +156,16 @@
     }
 }
 
-/// The version that serves while the ordered one is proved: what the service's last move ended with,
-/// or the version that most members run besides the ordered one.
-fn version_before(state: &State, order: &ReleaseOrder) -> Option<UpstreamVersion> {
+/// The version that the order's move starts from, by what this node knows.
+fn from_version(state: &State, order: &ReleaseOrder) -> Option<UpstreamVersion> {
     let view = state.hub.members.borrow().clone();
-    let last = last_settled(state, &order.service).filter(|version| *version != order.to);
-    if let Some(version) = last {
-        let runs = view.serving(&order.service).any(|member| member.version == version);
-        if runs {
-            return Some(version);
-        }
-    }
-    let mut counts: BTreeMap<&UpstreamVersion, usize> = BTreeMap::new();
-    for member in view.serving(&order.service).filter(|member| member.version != order.to) {
-        *counts.entry(&member.version).or_default() += 1;
-    }
-    counts.into_iter().max_by_key(|(_, count)| *count).map(|(version, _)| version.clone())
-}
-
-/// The version that the service's last move ended with, or started from where it has not ended.
-fn last_settled(state: &State, service: &ServiceName) -> Option<UpstreamVersion> {
     let moves = state.moves.borrow();
-    let rows = moves.values().map(|entry| entry.control.row().0);
-    let last = rows.filter(|row| row.spec.service == *service).max_by_key(|row| row.spec.start)?;
-    Some(match &last.outcome {
-        Some(Outcome { kind: OutcomeKind::Done, .. }) => last.spec.to.clone(),
-        Some(Outcome { kind: OutcomeKind::TakenBack, .. }) | None => last.spec.from.clone(),
-    })
+    let known = moves.values().map(|entry| {
+        let row = entry.control.row().0;
+        (&row.spec, row.outcome.as_ref().map(|outcome| outcome.kind))
+    });
+    let serving = view.serving(&order.service).map(|member| &member.version);
+    version_before(&order.service, &order.to, known, serving)
 }
 
 /// Writes a row that must not exist; `None` where it does.
--- a/crates/sycamore-node/tests/calls/refuse.rs
+++ b/crates/sycamore-node/tests/calls/refuse.rs
@@ -2,7 +2,11 @@
 
 use super::world::{field, get, post, run, service, settle, until, version, Options, World};
 use http::StatusCode;
+use monoio::io::{AsyncWriteRentExt, Splitable};
 use std::time::Duration;
+use sycamore_http::conn::Reader;
+use sycamore_http::HeadLimits;
+use sycamore_settings::calls::Calls as CallSettings;
 use sycamore_types::headers;
 use sycamore_types::prelude::*;
 
@@ -177,3 +181,34 @@
         world.stop().await;
     });
 }
+
+#[test]
+fn connections_of_one_address_are_bounded_by_the_setting() {
+    run(async {
+        let calls = CallSettings { connections_per_address: 3, ..CallSettings::default() };
+        let world = World::start(&Options { nodes: 1, calls, ..Options::default() }).await;
+        let caller = world.nodes[0].hub.settings.listen.caller;
+        let open = || async {
+            let stream = monoio::net::TcpStream::connect(caller).await.unwrap();
+            let (read, mut write) = stream.into_split();
+            let request = "GET /counter/echo HTTP/1.1\r\nhost: a\r\n\r\n";
+            let (sent, _) = write.write_all(request.as_bytes().to_vec()).await;
+            let mut reader = Reader::new(read);
+            let answered = sent.is_ok() && reader.response_head(&HeadLimits::DEFAULT).await.is_ok();
+            (answered, reader, write)
+        };
+        let mut kept = Vec::new();
+        for _ in 0..3 {
+            kept.push(open().await);
+        }
+        assert!(kept.iter().all(|(answered, ..)| *answered), "three are allowed");
+        assert!(!open().await.0, "a fourth is not");
+        drop(kept.pop());
+        let again = || async { open().await.0 };
+        let begun = std::time::Instant::now();
+        while !again().await {
+            assert!(begun.elapsed() < Duration::from_secs(5), "room comes back with a close");
+        }
+        world.stop().await;
+    });
+}
