feat(config): log when a head is learned, how reads and fetches end, and the lag

Cause: the log said which version a node applied and when, not when it learned of the version nor what it was waiting for, so a full link, a fetch that finds nothing and a head that never arrives looked alike.

Change: lines for a learned head, a read of operators' rows that brought rows or failed, a finished fetch, and an applied configuration with its lag; metrics config_known_version and config_lag_seconds. The lag counts from the time at which a version above the one in force became known, which Apply now keeps. No decision changes. At most one line for each read, fetch and version, which back-off and versions bound.

--- a/crates/sycamore-config/src/apply/candidate.rs
+++ b/crates/sycamore-config/src/apply/candidate.rs
@@ -21,6 +21,8 @@
     pub(super) objects: ObjectMap,
     /// Whether a fetch for this candidate is pending.
     pub(super) fetching: bool,
+    /// Time at which this node learned the head.
+    pub(super) learned: Time,
     /// Earliest time of the candidate's next fetch.
     pub(super) due: Time,
     /// Position in the cycle of peer and store attempts, which also determines the backoff.
@@ -30,11 +32,12 @@
 }
 
 impl Candidate {
-    /// Creates a candidate whose first fetch goes to `first`, not before `due`.
+    /// Creates a candidate learned at `learned` whose first fetch goes to `first`, not before `due`.
     pub(super) fn new(
         head: ConfigHead,
         first: Source,
         settings: &ApplySettings,
+        learned: Time,
         due: Time,
     ) -> Self {
         let failures = match first {
@@ -46,6 +49,7 @@
             manifest: None,
             objects: ObjectMap::new(),
             fetching: false,
+            learned,
             due,
             failures,
             absent_answers: 0,
--- a/crates/sycamore-config/src/apply/machine.rs
+++ b/crates/sycamore-config/src/apply/machine.rs
@@ -24,6 +24,8 @@
     objects: ObjectMap,
     /// Configurations being fetched, highest head first.
     candidates: Vec<Candidate>,
+    /// Time since which a version above the one in force is known.
+    behind_since: Option<Time>,
     rejected: VecDeque<ConfigHead>,
 }
 
@@ -37,6 +39,7 @@
             head: None,
             objects: ObjectMap::new(),
             candidates: Vec::new(),
+            behind_since: None,
             rejected: VecDeque::new(),
         }
     }
@@ -56,6 +59,11 @@
         self.candidates.first().map(|candidate| candidate.head).max(self.head)
     }
 
+    /// Returns the time since which a version above the one in force is known; `None` if none is.
+    pub fn behind_since(&self) -> Option<Time> {
+        self.behind_since
+    }
+
     /// Returns an object, to be served to a peer, of the configuration in force or of one being
     /// fetched.
     pub fn object(&self, hash: &ContentHash) -> Option<&Bytes> {
@@ -80,7 +88,7 @@
         let mut actions = Vec::new();
         match input {
             Input::HeadLearned { head, from, fetch_delay } => {
-                self.on_head(now + fetch_delay, head, from, &mut actions);
+                self.on_head(now, now + fetch_delay, head, from, &mut actions);
             }
             Input::PackReceived { head, pack } => self.on_pack(now, head, pack, &mut actions),
             Input::Floor(version) => self.on_floor(version, &mut actions),
@@ -92,14 +100,22 @@
         actions
     }
 
-    fn on_head(&mut self, due: Time, head: ConfigHead, from: Source, actions: &mut Vec<Action>) {
-        self.add_candidate(due, head, from, actions);
+    fn on_head(
+        &mut self,
+        now: Time,
+        due: Time,
+        head: ConfigHead,
+        from: Source,
+        actions: &mut Vec<Action>,
+    ) {
+        self.add_candidate(now, due, head, from, actions);
         self.candidates.truncate(self.settings.candidates);
     }
 
     /// Adds a candidate for `head`, unless it is known, rejected, too low or conflicting.
     fn add_candidate(
         &mut self,
+        now: Time,
         due: Time,
         head: ConfigHead,
         from: Source,
@@ -119,13 +135,14 @@
         // A starting node asks peers first even for a head from the platform, because many nodes
         // may start at once.
         let first = if self.in_force.is_none() { Source::Peer } else { from };
-        self.candidates.insert(at, Candidate::new(head, first, &self.settings, due));
+        self.candidates.insert(at, Candidate::new(head, first, &self.settings, now, due));
+        self.behind_since.get_or_insert(now);
     }
 
     /// Applies a complete configuration even if higher heads are being fetched: it stays in force
     /// until one of those is complete.
     fn on_pack(&mut self, now: Time, head: ConfigHead, pack: Bytes, actions: &mut Vec<Action>) {
-        self.add_candidate(now, head, Source::Store, actions);
+        self.add_candidate(now, now, head, Source::Store, actions);
         let Some(candidate) = self.candidates.iter_mut().find(|c| c.head == head) else {
             return;
         };
@@ -198,6 +215,7 @@
                     self.head = Some(head);
                     self.objects = objects;
                     self.candidates.retain(|candidate| candidate.head.version > head.version);
+                    self.behind_since = self.candidates.iter().map(|c| c.learned).min();
                     actions.push(Action::Apply(snapshot));
                 }
                 Err(reason) => self.reject(head, reason, actions),
@@ -217,6 +235,9 @@
     /// permanent.
     fn reject(&mut self, head: ConfigHead, reason: RejectReason, actions: &mut Vec<Action>) {
         self.candidates.retain(|candidate| candidate.head != head);
+        if self.candidates.is_empty() {
+            self.behind_since = None;
+        }
         if reason.is_final() {
             if self.rejected.len() == MAX_REJECTED {
                 self.rejected.pop_front();
--- a/crates/sycamore-config/src/apply/mod.rs
+++ b/crates/sycamore-config/src/apply/mod.rs
@@ -61,6 +61,16 @@
     Store,
 }
 
+impl Source {
+    /// Returns the name of the source as logged.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Peer => "peer",
+            Self::Store => "platform",
+        }
+    }
+}
+
 /// Result of a fetch. Objects are verified against their hashes before use.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum FetchAnswer {
--- a/crates/sycamore-node/src/config/driver.rs
+++ b/crates/sycamore-node/src/config/driver.rs
@@ -5,7 +5,7 @@
 use crate::peers::Peers;
 use crate::platform::Platform;
 use bytes::Bytes;
-use slog::warn;
+use slog::{info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -92,9 +92,14 @@
 
     /// Feeds one input to the state machine and executes the resulting actions.
     pub(super) fn input(&self, input: Input) {
-        let actions = self.apply.borrow_mut().step(self.hub.clock.now(), input);
+        let now = self.hub.clock.now();
+        let behind_since = self.with_state(Apply::behind_since).unwrap_or(now);
+        let actions = self.apply.borrow_mut().step(now, input);
+        if let Some(highest) = self.with_state(Apply::highest) {
+            self.metrics.record_known(highest.version);
+        }
         for action in actions {
-            self.execute(action);
+            self.execute(action, now.since(behind_since));
         }
         self.state_changed.notify_one();
         self.objects_changed.notify_one();
@@ -110,11 +115,7 @@
     /// Handles the head read from the platform's table; `None` if the table has no head row.
     pub(super) fn handle_stored_head(&self, head: Option<ConfigHead>) {
         if let Some(head) = head {
-            self.input(Input::HeadLearned {
-                head,
-                from: Source::Store,
-                fetch_delay: Duration::ZERO,
-            });
+            self.learn_head(head, Source::Store, Duration::ZERO);
             self.hub.raise(Fact::Head(head));
         }
         if self.floor().is_none() {
@@ -138,7 +139,18 @@
     /// the complete configuration is probably on its way from the platform.
     pub(super) fn handle_spread_head(&self, head: ConfigHead) {
         let fetch_delay = if self.watches_rows.get() { ROW_TRANSFER_TIME } else { Duration::ZERO };
-        self.input(Input::HeadLearned { head, from: Source::Peer, fetch_delay });
+        self.learn_head(head, Source::Peer, fetch_delay);
+    }
+
+    fn learn_head(&self, head: ConfigHead, from: Source, fetch_delay: Duration) {
+        let (highest, in_force) = self.with_state(|apply| (apply.highest(), apply.in_force()));
+        if Some(head) > highest {
+            let source = self.hub.facts.head_source(&head).map(|source| source.to_string());
+            info!(self.hub.log, "configuration head learned"; "version" => head.version.0,
+                "in_force" => in_force.unwrap_or_default().0, "from" => from.as_str(),
+                "source" => source.unwrap_or_default());
+        }
+        self.input(Input::HeadLearned { head, from, fetch_delay });
     }
 
     /// Records that a peer lacked objects of `head`.
@@ -168,13 +180,17 @@
         }
     }
 
-    fn execute(&self, action: Action) {
+    /// Executes `action`; `lag` is the time for which a newer version than the one in force was
+    /// known.
+    fn execute(&self, action: Action, lag: Duration) {
         match action {
             Action::Fetch { head, source, hashes } => {
                 self.queue_fetch(Fetch { head, source, hashes });
             }
             Action::Apply(snapshot) => {
-                self.metrics.record_applied(snapshot.version, self.hub.clock.wall());
+                self.metrics.record_applied(snapshot.version, self.hub.clock.wall(), lag);
+                info!(self.hub.log, "configuration applied"; "version" => snapshot.version.0,
+                    "lag_ms" => millis(lag));
                 self.hub.publish_snapshot(snapshot);
             }
             Action::Reject { head, reason } => self.reject(head, &reason),
@@ -203,3 +219,8 @@
         self.hub.record(EventKind::ConfigRejected { config: head.version, reason });
     }
 }
+
+/// Returns `time` in whole milliseconds, as logged.
+pub(super) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/sycamore-node/src/config/fetch.rs
+++ b/crates/sycamore-node/src/config/fetch.rs
@@ -1,8 +1,9 @@
 //! Fetches configuration objects from peers and from the platform's object store.
 
-use super::driver::{Driver, Fetch};
+use super::driver::{millis, Driver, Fetch};
 use crate::tasks::TaskGroup;
 use rand::seq::IndexedRandom;
+use slog::info;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -40,10 +41,28 @@
 }
 
 async fn fetch_objects(driver: &Driver, fetch: Fetch) -> FetchAnswer {
-    match (fetch.source, choose_peer(driver, fetch.head)) {
-        (Source::Peer, Some(to)) => fetch_from_peer(driver, fetch.head, to, &fetch.hashes).await,
-        // Without a known peer the object store is the only source.
-        (Source::Peer, None) | (Source::Store, _) => fetch_from_store(driver, fetch.head).await,
+    let started = driver.hub.clock.now();
+    // Without a known peer the object store is the only source.
+    let peer = choose_peer(driver, fetch.head).filter(|_| fetch.source == Source::Peer);
+    let answer = match peer {
+        Some(to) => fetch_from_peer(driver, fetch.head, to, &fetch.hashes).await,
+        None => fetch_from_store(driver, fetch.head).await,
+    };
+    info!(driver.hub.log, "configuration fetch finished"; "version" => fetch.head.version.0,
+        "from" => peer.map_or(Source::Store, |_| Source::Peer).as_str(),
+        "source" => peer.map(|peer| peer.to_string()).unwrap_or_default(),
+        "wanted" => fetch.hashes.len(), "result" => describe(&answer),
+        "took_ms" => millis(driver.hub.clock.now().since(started)));
+    answer
+}
+
+/// Describes `answer` for the log, with the number of objects.
+fn describe(answer: &FetchAnswer) -> String {
+    match answer {
+        FetchAnswer::Objects(objects) => format!("objects:{}", objects.len()),
+        FetchAnswer::Pack(_) => "pack".to_owned(),
+        FetchAnswer::Absent => "absent".to_owned(),
+        FetchAnswer::Failed => "failed".to_owned(),
     }
 }
 
--- a/crates/sycamore-node/src/config/follow.rs
+++ b/crates/sycamore-node/src/config/follow.rs
@@ -4,7 +4,7 @@
 //! Only some nodes watch; a configuration that one of them reads spreads to the others like any
 //! other head.
 
-use super::driver::Driver;
+use super::driver::{millis, Driver};
 use crate::edge::{OperatorEdge, OperatorRow};
 use crate::hub::Dependency;
 use crate::tasks::TaskGroup;
@@ -40,13 +40,15 @@
             monoio::time::sleep(ROLE_INTERVAL).await;
             continue;
         }
+        let (started, read) = (driver.hub.clock.now(), watch.next_read());
         match watch.step().await {
             Ok(()) => {
                 watch.record_success();
                 backoff = Backoff::new(settings.clone(), rand::random());
             }
             Err(report) => {
-                watch.record_failure(report.current_context());
+                let took = driver.hub.clock.now().since(started);
+                watch.record_failure(report.current_context(), read, took);
                 monoio::time::sleep(backoff.record_failure()).await;
             }
         }
@@ -77,12 +79,22 @@
 }
 
 impl Watch<'_> {
+    /// Returns the kind of the next read as logged.
+    fn next_read(&self) -> &'static str {
+        match self.at {
+            None => "listing",
+            Some(_) => "changes",
+        }
+    }
+
     /// Reads all rows if the watch has no revision, else waits for the changes after it.
     async fn step(&mut self) -> Result<()> {
         let platform = self.driver.platform.http();
+        let (started, read) = (self.driver.hub.clock.now(), self.next_read());
         let prefix = self.edge.prefix();
         let Some(at) = self.at else {
             let page = platform.list(PageQuery { prefix, ..PageQuery::default() }).await?;
+            self.log_read(read, started, page.rows.len(), page.at);
             self.remove_stale_orders(&page.rows);
             page.rows.iter().for_each(|row| self.handle_row(row));
             self.at = Some(page.at);
@@ -91,6 +103,9 @@
         let wait = self.driver.hub.settings.config.watch_time;
         match platform.changes(prefix, at, wait).await {
             Ok(changes) => {
+                if !changes.rows.is_empty() {
+                    self.log_read(read, started, changes.rows.len(), changes.at);
+                }
                 changes.rows.iter().for_each(|row| self.handle_row(row));
                 let applied = self.driver.hub.snapshot.borrow().version;
                 self.at = match choose_read(applied, self.highest_spread_version()) {
@@ -109,6 +124,12 @@
         }
     }
 
+    fn log_read(&self, read: &str, started: Time, rows: usize, at: Revision) {
+        let hub = &self.driver.hub;
+        info!(hub.log, "operator rows read"; "read" => read, "rows" => rows, "revision" => at.0,
+            "took_ms" => millis(hub.clock.now().since(started)));
+    }
+
     /// Returns the highest configuration version that this node has raised or learnt from peers.
     fn highest_spread_version(&self) -> Option<ConfigVersion> {
         match self.driver.hub.facts.known().get(&FactKey::Head) {
@@ -178,9 +199,11 @@
             "revision" => row.revision.0, "why" => why);
     }
 
-    fn record_failure(&self, error: &Error) {
+    fn record_failure(&self, error: &Error, read: &str, took: Duration) {
         self.driver.watches_rows.set(false);
         let hub = &self.driver.hub;
+        warn!(hub.log, "operator rows not read"; "read" => read, "why" => %error,
+            "took_ms" => millis(took));
         hub.dependencies.record_lost(
             &hub.log,
             hub.clock.now(),
--- a/crates/sycamore-node/src/config/metrics.rs
+++ b/crates/sycamore-node/src/config/metrics.rs
@@ -1,13 +1,16 @@
 //! Metrics of configurations and of requests to the platform.
 
 use crate::hub::{raise_to, Meter};
-use prometheus::{Gauge, IntCounter, IntCounterVec, IntGauge, Registry, Result};
+use prometheus::{Gauge, Histogram, IntCounter, IntCounterVec, IntGauge, Registry, Result};
+use std::time::Duration;
 use sycamore_platform::http::Traffic;
 use sycamore_types::prelude::*;
 
 /// Metrics of configurations and of requests to the platform.
 pub(super) struct Metrics {
     version: IntGauge,
+    known_version: IntGauge,
+    lag: Histogram,
     applied_at: Gauge,
     followed_at: Gauge,
     rejected: IntCounter,
@@ -22,6 +25,14 @@
         let meter = Meter::new(registry);
         Ok(Self {
             version: meter.gauge("config_version", "Version of the configuration in force")?,
+            known_version: meter.gauge(
+                "config_known_version",
+                "Highest version known from peers or the platform, in force or not",
+            )?,
+            lag: meter.times(
+                "config_lag_seconds",
+                "Time from learning of a newer configuration to applying one, in seconds",
+            )?,
             applied_at: meter.level(
                 "config_applied_timestamp_seconds",
                 "Unix time at which the configuration in force was applied, in seconds",
@@ -50,10 +61,17 @@
         })
     }
 
-    /// Records that configuration `version` was applied at `at`.
-    pub(super) fn record_applied(&self, version: ConfigVersion, at: WallTime) {
+    /// Records that `version` is the highest known one.
+    pub(super) fn record_known(&self, version: ConfigVersion) {
+        self.known_version.set(gauge_value(version));
+    }
+
+    /// Records that configuration `version` was applied at `at`, `lag` after this node learned of a
+    /// newer version than the one in force before.
+    pub(super) fn record_applied(&self, version: ConfigVersion, at: WallTime, lag: Duration) {
         self.applied_at.set(seconds(at));
-        self.version.set(i64::try_from(version.0).unwrap_or(i64::MAX));
+        self.version.set(gauge_value(version));
+        self.lag.observe(lag.as_secs_f64());
     }
 
     /// Records that a read of operators' rows succeeded at `at`, with or without changes.
@@ -100,3 +118,7 @@
 fn seconds(at: WallTime) -> f64 {
     at.0 as f64 / 1_000.0
 }
+
+fn gauge_value(version: ConfigVersion) -> i64 {
+    i64::try_from(version.0).unwrap_or(i64::MAX)
+}
