feat(config): name the result of a failed fetch in its log line

Cause: the line said only that a fetch failed. Whether the peer had nothing, did not answer in time or could not be reached is what distinguishes a superseded version from a full link.

--- a/crates/sycamore-node/src/config/fetch.rs
+++ b/crates/sycamore-node/src/config/fetch.rs
@@ -2,6 +2,7 @@
 
 use super::driver::{millis, Driver, Fetch};
 use crate::tasks::TaskGroup;
+use bytes::Bytes;
 use rand::seq::IndexedRandom;
 use slog::info;
 use std::net::SocketAddr;
@@ -40,30 +41,32 @@
     }
 }
 
+/// Result of a fetch, with its name for the log.
+struct Finished {
+    answer: FetchAnswer,
+    result: String,
+}
+
+impl Finished {
+    fn new(answer: FetchAnswer, result: impl Into<String>) -> Self {
+        Self { answer, result: result.into() }
+    }
+}
+
 async fn fetch_objects(driver: &Driver, fetch: Fetch) -> FetchAnswer {
     let started = driver.hub.clock.now();
     // Without a known peer the object store is the only source.
     let peer = choose_peer(driver, fetch.head).filter(|_| fetch.source == Source::Peer);
-    let answer = match peer {
+    let finished = match peer {
         Some(to) => fetch_from_peer(driver, fetch.head, to, &fetch.hashes).await,
         None => fetch_from_store(driver, fetch.head).await,
     };
     info!(driver.hub.log, "configuration fetch finished"; "version" => fetch.head.version.0,
         "from" => peer.map_or(Source::Store, |_| Source::Peer).as_str(),
         "source" => peer.map(|peer| peer.to_string()).unwrap_or_default(),
-        "wanted" => fetch.hashes.len(), "result" => describe(&answer),
+        "wanted" => fetch.hashes.len(), "result" => finished.result,
         "took_ms" => millis(driver.hub.clock.now().since(started)));
-    answer
-}
-
-/// Describes `answer` for the log, with the number of objects.
-fn describe(answer: &FetchAnswer) -> String {
-    match answer {
-        FetchAnswer::Objects(objects) => format!("objects:{}", objects.len()),
-        FetchAnswer::Pack(_) => "pack".to_owned(),
-        FetchAnswer::Absent => "absent".to_owned(),
-        FetchAnswer::Failed => "failed".to_owned(),
-    }
+    finished.answer
 }
 
 async fn fetch_from_peer(
@@ -71,30 +74,33 @@
     head: ConfigHead,
     to: SocketAddr,
     hashes: &[ContentHash],
-) -> FetchAnswer {
+) -> Finished {
     let limit: Duration = driver.hub.settings.config.fetch_timeout;
     let fetched = monoio::time::timeout(limit, driver.peers.calls().fetch(to, hashes)).await;
-    match fetched {
+    let result = match fetched {
         Ok(Ok(objects)) if !objects.is_empty() => {
             driver.metrics.count_peer_fetch();
-            FetchAnswer::Objects(objects.into_iter().map(|(_, body)| body).collect())
-        }
-        _ => {
-            driver.record_peer_miss(head);
-            driver.metrics.count_peer_miss();
-            FetchAnswer::Failed
+            let bodies: Vec<Bytes> = objects.into_iter().map(|(_, body)| body).collect();
+            let result = format!("objects:{}", bodies.len());
+            return Finished::new(FetchAnswer::Objects(bodies), result);
         }
-    }
+        Ok(Ok(_)) => "none".to_owned(),
+        Ok(Err(report)) => report.current_context().to_string(),
+        Err(_) => "timeout".to_owned(),
+    };
+    driver.record_peer_miss(head);
+    driver.metrics.count_peer_miss();
+    Finished::new(FetchAnswer::Failed, result)
 }
 
-async fn fetch_from_store(driver: &Driver, head: ConfigHead) -> FetchAnswer {
+async fn fetch_from_store(driver: &Driver, head: ConfigHead) -> Finished {
     match driver.platform.http().fetch(&object_key(head.manifest)).await {
         Ok(Some(pack)) => {
             driver.metrics.count_store_fetch();
-            FetchAnswer::Pack(pack)
+            Finished::new(FetchAnswer::Pack(pack), "pack")
         }
-        Ok(None) => FetchAnswer::Absent,
-        Err(_) => FetchAnswer::Failed,
+        Ok(None) => Finished::new(FetchAnswer::Absent, "absent"),
+        Err(report) => Finished::new(FetchAnswer::Failed, report.current_context().to_string()),
     }
 }
 
