fix(config): list the rows again where peers announce a newer version after a listing

Cause: after a listing the watch always read the change feed, also where peers had announced newer versions meanwhile; and it compared what they announce with the version in force, which may come from peers, instead of the version that it has read.

Change: RowReads keeps the version read and chooses after each read. A listing is followed by another one only where peers announced a higher version during it, so a version that the platform doesn't hold causes no loop.

--- a/crates/sycamore-config/tests/storm.rs
+++ b/crates/sycamore-config/tests/storm.rs
@@ -1,6 +1,6 @@
 //! A storm of changes at a node whose link is full.
 //!
-//! One node runs the real [`Apply`] and [`choose_read`], a peer that reads the operators' rows in
+//! One node runs the real [`Apply`] and [`RowReads`], a peer that reads the operators' rows in
 //! time runs another [`Apply`]. Times are those of an instance whose link uploads fill: a row takes
 //! seconds, a connection and a request to a peer take longer than the timeout of a fetch, and
 //! datagrams arrive.
@@ -9,7 +9,7 @@
 
 use common::{route, service};
 use std::time::Duration;
-use sycamore_config::follow::{choose_read, NextRead};
+use sycamore_config::follow::{NextRead, RowReads};
 use sycamore_config::{Action, Apply, ApplySettings, Delta, Encoded, FetchAnswer, Input, Source};
 use sycamore_types::prelude::*;
 
@@ -49,7 +49,6 @@
     until: Time,
     /// Versions in the answer, in order.
     versions: Vec<u64>,
-    was_listing: bool,
 }
 
 /// Node behind the full link, with what is on its way to it.
@@ -61,7 +60,7 @@
     read: Option<RowRead>,
     /// Version up to which the node has read the rows.
     read_up_to: u64,
-    next_read: NextRead,
+    reads: RowReads,
     known: Option<ConfigVersion>,
 }
 
@@ -115,21 +114,19 @@
             for version in read.versions {
                 let encoded = config(version);
                 self.read_up_to = version;
+                self.reads.record_version(encoded.head.version);
                 self.step(now, Input::PackReceived { head: encoded.head, pack: encoded.pack() });
             }
-            self.next_read = match read.was_listing {
-                true => NextRead::Changes,
-                false => choose_read(self.apply.in_force().unwrap_or_default(), self.known),
-            };
+            self.reads.end(self.known);
         }
         if self.read.is_none() && newest > self.read_up_to {
-            let was_listing = self.next_read == NextRead::Rows;
-            let versions: Vec<u64> = match self.next_read {
+            self.reads.begin(self.known);
+            let versions: Vec<u64> = match self.reads.next() {
                 NextRead::Rows => vec![newest],
                 NextRead::Changes => (self.read_up_to + 1..=newest).collect(),
             };
             let until = now + ROW_TIME * versions.len() as u32;
-            self.read = Some(RowRead { until, versions, was_listing });
+            self.read = Some(RowRead { until, versions });
         }
     }
 }
@@ -156,7 +153,7 @@
         requests: Vec::new(),
         read: None,
         read_up_to: 0,
-        next_read: NextRead::Changes,
+        reads: RowReads::default(),
         known: None,
     };
     let (mut now, mut at_peer, mut announced, mut applied) = (Time::default(), 0, 0, 0);
--- a/crates/sycamore-node/src/config/follow.rs
+++ b/crates/sycamore-node/src/config/follow.rs
@@ -13,7 +13,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use sycamore_config::follow::{choose_read, NextRead};
+use sycamore_config::follow::{NextRead, RowReads};
 use sycamore_config::{Bundle, Encoded};
 use sycamore_platform::backoff::{Backoff, BackoffSettings};
 use sycamore_platform::{Error, PageQuery, Result, Revision, Row, Table};
@@ -32,15 +32,15 @@
 async fn run(driver: Rc<Driver>, edge: Rc<dyn OperatorEdge>) {
     let settings = BackoffSettings { cap: MAX_RETRY_PAUSE, ..BackoffSettings::default() };
     let mut backoff = Backoff::new(settings.clone(), rand::random());
-    let mut watch = Watch { driver: &driver, edge: &*edge, at: None };
+    let mut watch = Watch::new(&driver, &*edge);
     loop {
         if !is_watcher(&driver) {
-            watch.at = None;
+            watch.reads.restart();
             driver.watches_rows.set(false);
             monoio::time::sleep(ROLE_INTERVAL).await;
             continue;
         }
-        let (started, read) = (driver.hub.clock.now(), watch.next_read());
+        let started = driver.hub.clock.now();
         match watch.step().await {
             Ok(()) => {
                 watch.record_success();
@@ -48,7 +48,7 @@
             }
             Err(report) => {
                 let took = driver.hub.clock.now().since(started);
-                watch.record_failure(report.current_context(), read, took);
+                watch.record_failure(report.current_context(), took);
                 monoio::time::sleep(backoff.record_failure()).await;
             }
         }
@@ -74,59 +74,66 @@
 struct Watch<'a> {
     driver: &'a Driver,
     edge: &'a dyn OperatorEdge,
-    /// Revision up to which changes were handled; `None` if all rows must be read again.
-    at: Option<Revision>,
+    reads: RowReads,
+    /// Revision up to which changes were handled.
+    at: Revision,
 }
 
-impl Watch<'_> {
-    /// Returns the kind of the next read as logged.
-    fn next_read(&self) -> &'static str {
-        match self.at {
-            None => "listing",
-            Some(_) => "changes",
-        }
+impl<'a> Watch<'a> {
+    fn new(driver: &'a Driver, edge: &'a dyn OperatorEdge) -> Self {
+        Self { driver, edge, reads: RowReads::default(), at: Revision::ABSENT }
     }
 
-    /// Reads all rows if the watch has no revision, else waits for the changes after it.
+    /// Lists all rows, or waits for the changes after the last read, and handles what it brings.
     async fn step(&mut self) -> Result<()> {
-        let platform = self.driver.platform.http();
-        let (started, read) = (self.driver.hub.clock.now(), self.next_read());
-        let prefix = self.edge.prefix();
-        let Some(at) = self.at else {
-            let page = platform.list(PageQuery { prefix, ..PageQuery::default() }).await?;
-            self.log_read(read, started, page.rows.len(), page.at);
-            self.remove_stale_orders(&page.rows);
-            page.rows.iter().for_each(|row| self.handle_row(row));
-            self.at = Some(page.at);
+        let started = self.driver.hub.clock.now();
+        self.reads.begin(self.highest_spread_version());
+        let Some((rows, at)) = self.read().await? else {
+            self.reads.restart();
             return Ok(());
         };
-        let wait = self.driver.hub.settings.config.watch_time;
-        match platform.changes(prefix, at, wait).await {
-            Ok(changes) => {
-                if !changes.rows.is_empty() {
-                    self.log_read(read, started, changes.rows.len(), changes.at);
-                }
-                changes.rows.iter().for_each(|row| self.handle_row(row));
-                let applied = self.driver.hub.snapshot.borrow().version;
-                self.at = match choose_read(applied, self.highest_spread_version()) {
-                    NextRead::Changes => Some(changes.at),
-                    NextRead::Rows => None,
-                };
-                Ok(())
+        if self.reads.next() == NextRead::Rows || !rows.is_empty() {
+            self.log_read(started, rows.len(), at);
+        }
+        rows.iter().for_each(|row| self.handle_row(row));
+        self.at = at;
+        self.reads.end(self.highest_spread_version());
+        Ok(())
+    }
+
+    /// Returns the rows of the next read with the revision up to which they are complete; `None` if
+    /// the platform no longer holds the changes.
+    async fn read(&self) -> Result<Option<(Vec<Row>, Revision)>> {
+        let platform = self.driver.platform.http();
+        let prefix = self.edge.prefix();
+        match self.reads.next() {
+            NextRead::Rows => {
+                let page = platform.list(PageQuery { prefix, ..PageQuery::default() }).await?;
+                self.remove_stale_orders(&page.rows);
+                Ok(Some((page.rows, page.at)))
             }
-            Err(report) => {
-                if *report.current_context() == Error::HistoryLost {
-                    self.at = None;
-                    return Ok(());
+            NextRead::Changes => {
+                let wait = self.driver.hub.settings.config.watch_time;
+                match platform.changes(prefix, self.at, wait).await {
+                    Ok(changes) => Ok(Some((changes.rows, changes.at))),
+                    Err(report) if *report.current_context() == Error::HistoryLost => Ok(None),
+                    Err(report) => Err(report),
                 }
-                Err(report)
             }
         }
     }
 
-    fn log_read(&self, read: &str, started: Time, rows: usize, at: Revision) {
+    /// Returns the kind of the next read as logged.
+    fn read_name(&self) -> &'static str {
+        match self.reads.next() {
+            NextRead::Rows => "listing",
+            NextRead::Changes => "changes",
+        }
+    }
+
+    fn log_read(&self, started: Time, rows: usize, at: Revision) {
         let hub = &self.driver.hub;
-        info!(hub.log, "operator rows read"; "read" => read, "rows" => rows, "revision" => at.0,
+        info!(hub.log, "operator rows read"; "read" => self.read_name(), "rows" => rows, "revision" => at.0,
             "took_ms" => millis(hub.clock.now().since(started)));
     }
 
@@ -138,9 +145,12 @@
         }
     }
 
-    fn handle_row(&self, row: &Row) {
+    fn handle_row(&mut self, row: &Row) {
         match self.edge.read(&row.key, &row.value) {
-            OperatorRow::Config(Ok((version, resources))) => self.handle_config(version, resources),
+            OperatorRow::Config(Ok((version, resources))) => {
+                self.reads.record_version(version);
+                self.handle_config(version, resources);
+            }
             OperatorRow::Config(Err(why)) => self.reject_row(row, &why),
             OperatorRow::Release(Ok(order)) => self.handle_order(row, order),
             OperatorRow::Release(Err(why)) => self.reject_row(row, &why),
@@ -199,10 +209,10 @@
             "revision" => row.revision.0, "why" => why);
     }
 
-    fn record_failure(&self, error: &Error, read: &str, took: Duration) {
+    fn record_failure(&self, error: &Error, took: Duration) {
         self.driver.watches_rows.set(false);
         let hub = &self.driver.hub;
-        warn!(hub.log, "operator rows not read"; "read" => read, "why" => %error,
+        warn!(hub.log, "operator rows not read"; "read" => self.read_name(), "why" => %error,
             "took_ms" => millis(took));
         hub.dependencies.record_lost(
             &hub.log,
