fix(config): count the delay of a fetch from the time since which the node is behind

Cause: a node that watches the rows fetches a head 800 ms after it learned it, and each newer head has a wait of its own. With a version every 0.6 s a fetch asks for one that peers have replaced: 15 of 80 fetches in a storm found nothing. With one every 0.2 s, heads even leave the list of four candidates before their fetch is due.

Change: the delay counts from the time since which a newer version than the one in force is known. A head learned later than that is fetched at once.

Conclusion: matters for changes that are too large for a delta; for the others the delta arrives before.

--- a/crates/sycamore-config/src/apply/machine.rs
+++ b/crates/sycamore-config/src/apply/machine.rs
@@ -106,7 +106,10 @@
         let mut actions = Vec::new();
         match input {
             Input::HeadLearned { head, from, fetch_delay } => {
-                self.on_head(now, now + fetch_delay, head, from, &mut actions);
+                // Counted from the last head, the delay would never pass while versions follow each
+                // other faster.
+                let behind_since = self.behind_since().unwrap_or(now);
+                self.on_head(now, behind_since + fetch_delay, head, from, &mut actions);
             }
             Input::PackReceived { head, pack } => self.on_pack(now, head, pack, &mut actions),
             Input::DeltaReceived(delta) => self.on_delta(now, &delta, &mut actions),
--- a/crates/sycamore-config/src/apply/mod.rs
+++ b/crates/sycamore-config/src/apply/mod.rs
@@ -106,7 +106,8 @@
         /// Origin of the head. A head from the platform is fetched from the object store first,
         /// because few peers have its objects yet.
         from: Source,
-        /// Delay before the first fetch, during which the pack may arrive unrequested.
+        /// Delay before the first fetch, during which the pack may arrive unrequested; counted
+        /// from the time since which a newer version than the one in force is known.
         fetch_delay: Duration,
     },
     /// A complete configuration arrived without a fetch.
