fix(config): peers hold a request for a delta until they have a newer configuration

Cause: where hardly a node can read a new version, most requests reach peers that are behind themselves and stay without an answer, and the time between requests doubles.

Change: a peer holds the request for 2 s, the latest of each instance, at most 64, and answers it when it applies a newer configuration.

--- a/crates/sycamore-config/src/delta.rs
+++ b/crates/sycamore-config/src/delta.rs
@@ -8,11 +8,16 @@
 use bytes::Bytes;
 use prost::Message;
 use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
 use sycamore_types::prelude::*;
 
 /// Upper bound on an encoded delta, in bytes. With the packet's header it fits into the largest
 /// datagram between nodes.
 pub const MAX_DELTA_BYTES: usize = 5 << 10;
+/// Upper bound on held requests. The oldest is dropped first; its sender asks again.
+const MAX_HELD: usize = 64;
+/// Time for which a request is held; its sender has asked again by then.
+const HOLD_TIME: Duration = Duration::from_secs(2);
 /// Upper bound on the steps that a [`History`] keeps.
 const MAX_STEPS: usize = 32;
 /// Upper bound on the hashes of one step. The resources of a larger one fit into no delta.
@@ -96,6 +101,43 @@
     }
 }
 
+/// Requests for a delta that came before this node had a newer configuration itself.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct HeldRequests {
+    /// Requests with the time until which they are held, oldest first.
+    requests: VecDeque<(Time, InstanceId, ContentHash)>,
+}
+
+impl HeldRequests {
+    /// Holds the request of `from` for a delta from `base`, in place of an earlier one of the same
+    /// instance.
+    pub fn hold(&mut self, now: Time, from: InstanceId, base: ContentHash) {
+        self.requests.retain(|(until, held, _)| *until > now && *held != from);
+        if self.requests.len() == MAX_HELD {
+            self.requests.pop_front();
+        }
+        self.requests.push_back((now + HOLD_TIME, from, base));
+    }
+
+    /// Removes and returns the requests for which `delta_from` has a delta, with that delta.
+    pub fn take_answerable(
+        &mut self,
+        now: Time,
+        delta_from: impl Fn(&ContentHash) -> Option<Delta>,
+    ) -> Vec<(InstanceId, Delta)> {
+        let mut answers = Vec::new();
+        self.requests.retain(|(until, from, base)| match delta_from(base) {
+            _ if *until <= now => false,
+            Some(delta) => {
+                answers.push((from.clone(), delta));
+                false
+            }
+            None => true,
+        });
+        answers
+    }
+}
+
 /// Change from one configuration in force to the next.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Step {
--- a/crates/sycamore-node/src/config/delta.rs
+++ b/crates/sycamore-node/src/config/delta.rs
@@ -51,19 +51,39 @@
 async fn handle_messages(driver: Rc<Driver>, mut deltas: Deltas) {
     while let Some(DeltaMessage { from, body }) = deltas.recv().await {
         match body {
-            DeltaBody::Request(base) => answer(&driver, &from, base),
+            DeltaBody::Request(base) => answer(&driver, from, base),
             DeltaBody::Delta(encoded) => receive(&driver, &from, &encoded),
         }
     }
 }
 
-/// Sends the delta from `base` to the member `from`, if there is one that fits into a datagram. The
-/// answer goes to the member's own address, so that nobody can have it sent elsewhere.
-fn answer(driver: &Driver, from: &InstanceId, base: ContentHash) {
-    let to = driver.hub.members.borrow().members.get(from).map(|member| member.endpoints.peer);
-    let delta = driver.with_state(|apply| apply.delta_from(&base));
-    let encoded = delta.and_then(|delta| delta.encode());
-    match (to, encoded) {
+/// Answers the request of the member `from`, or holds it until this node has a newer configuration.
+fn answer(driver: &Driver, from: InstanceId, base: ContentHash) {
+    match driver.with_state(|apply| apply.delta_from(&base)) {
+        Some(delta) => send(driver, &from, &delta),
+        None => {
+            driver.metrics.count_delta("held");
+            driver.held_requests.borrow_mut().hold(driver.hub.clock.now(), from, base);
+        }
+    }
+}
+
+/// Answers the held requests for which the configuration in force has a delta.
+pub(super) fn answer_held(driver: &Driver) {
+    let now = driver.hub.clock.now();
+    let answers = driver.with_state(|apply| {
+        driver.held_requests.borrow_mut().take_answerable(now, |base| apply.delta_from(base))
+    });
+    for (from, delta) in answers {
+        send(driver, &from, &delta);
+    }
+}
+
+/// Sends `delta` to the member `to` if it fits into a datagram. It goes to the member's own address,
+/// so that nobody can have it sent elsewhere.
+fn send(driver: &Driver, to: &InstanceId, delta: &Delta) {
+    let to = driver.hub.members.borrow().members.get(to).map(|member| member.endpoints.peer);
+    match (to, delta.encode()) {
         (Some(to), Some(encoded)) => {
             driver.metrics.count_delta("sent");
             driver.peers.send_delta(to, DeltaBody::Delta(encoded));
--- a/crates/sycamore-node/src/config/driver.rs
+++ b/crates/sycamore-node/src/config/driver.rs
@@ -11,6 +11,7 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
+use sycamore_config::delta::HeldRequests;
 use sycamore_config::{
     Action, Apply, ApplySettings, FetchAnswer, Floor, FloorSettings, Input, PeerHead, RejectReason,
     Source,
@@ -55,6 +56,8 @@
     pub(super) objects_changed: Notify,
     /// Whether this node watches operators' rows itself and its last read of them succeeded.
     pub(super) watches_rows: Cell<bool>,
+    /// Peers' requests for a delta that this node can't answer yet.
+    pub(super) held_requests: RefCell<HeldRequests>,
     /// Latest head for which a peer lacked objects.
     peer_miss: Cell<Option<ConfigHead>>,
     apply: RefCell<Apply>,
@@ -83,6 +86,7 @@
             state_changed: Notify::new(),
             objects_changed: Notify::new(),
             watches_rows: Cell::new(false),
+            held_requests: RefCell::default(),
             peer_miss: Cell::new(None),
             apply: RefCell::new(Apply::new(settings)),
             floor: RefCell::new(Floor::new(FloorSettings::default())),
@@ -194,6 +198,7 @@
                 info!(self.hub.log, "configuration applied"; "version" => snapshot.version.0,
                     "lag_ms" => millis(lag));
                 self.hub.publish_snapshot(snapshot);
+                delta::answer_held(self);
             }
             Action::Reject { head, reason } => self.reject(head, &reason),
         }
