fix(member): push a configuration head to six members

Cause: a head is pushed by each node that learns it to four members. A node that none of them chooses, or whose link loses the datagrams, learns of the head from later probes, 0.7 s later and more.

Change: heads go to six members, five of them in the own data centre. Other items go to four as before.

--- a/crates/sycamore-member/src/machine/push.rs
+++ b/crates/sycamore-member/src/machine/push.rs
@@ -30,7 +30,9 @@
         if pushed.is_empty() {
             return;
         }
-        let targets = self.push_targets(source);
+        let has_head = pushed.iter().any(|item| matches!(item, Item::Fact(Fact::Head(_))));
+        let fanout = if has_head { self.options.head_fanout } else { self.options.fanout };
+        let targets = self.push_targets(fanout, source);
         for batch in batches(pushed) {
             for to in &targets {
                 self.send(*to, Body::Push, batch.clone(), actions);
@@ -70,9 +72,10 @@
         }
     }
 
-    /// Returns the addresses of members to push to, except `source`: mostly in this data centre, to
-    /// limit traffic between data centres, and [`crate::Options::remote_fanout`] outside.
-    fn push_targets(&mut self, source: Option<SocketAddr>) -> Vec<SocketAddr> {
+    /// Returns the addresses of `fanout` members to push to, except `source`: mostly in this data
+    /// centre, to limit traffic between data centres, and [`crate::Options::remote_fanout`]
+    /// outside.
+    fn push_targets(&mut self, fanout: usize, source: Option<SocketAddr>) -> Vec<SocketAddr> {
         let (near, far): (Vec<_>, Vec<_>) = self
             .table
             .members()
@@ -80,9 +83,9 @@
             .filter(|m| Some(m.endpoints.peer) != source)
             .map(|m| (m.data_centre == self.me.data_centre, m.endpoints.peer))
             .partition(|(near, _)| *near);
-        let remote = self.options.remote_fanout.min(self.options.fanout);
-        let mut targets = self.random.choose(near, self.options.fanout - remote);
-        let rest = self.options.fanout - targets.len();
+        let remote = self.options.remote_fanout.min(fanout);
+        let mut targets = self.random.choose(near, fanout - remote);
+        let rest = fanout - targets.len();
         targets.extend(self.random.choose(far, rest));
         targets.into_iter().map(|(_, to)| to).collect()
     }
--- a/crates/sycamore-member/src/options.rs
+++ b/crates/sycamore-member/src/options.rs
@@ -15,6 +15,9 @@
     pub helpers: usize,
     /// Number of members that a new item is pushed to.
     pub fanout: usize,
+    /// Number of members that a new configuration head is pushed to. A node that no push reaches
+    /// learns of it from probes, up to seconds later.
+    pub head_fanout: usize,
     /// Number of members among [`Options::fanout`] chosen outside the node's own data centre.
     pub remote_fanout: usize,
     /// Number of failure detector datagrams that each update is piggybacked on.
@@ -52,6 +55,7 @@
             suspicion: Duration::from_secs(4),
             helpers: 3,
             fanout: 4,
+            head_fanout: 6,
             remote_fanout: 1,
             retransmits: 4,
             piggyback_bytes: 512,
--- a/crates/sycamore-member/tests/facts_everywhere.rs
+++ b/crates/sycamore-member/tests/facts_everywhere.rs
@@ -35,6 +35,20 @@
     }
 }
 
+/// Guards against nodes that learn of a head late because their links lose 30% of the datagrams: a
+/// node that no push reaches learns of it from later probes, which are lost as well.
+#[test]
+fn a_head_reaches_all_nodes_in_time_over_lossy_links() {
+    for seed in 1..=40 {
+        let mut net = Net::new(NODES, DATA_CENTRES, seed, Options::default());
+        net.loss = 300;
+        net.run(Duration::from_secs(3));
+        net.raise(5, head(2));
+        net.run(APPLY_DEADLINE - FETCH_TIME);
+        assert_eq!(nodes_without_head(&net), Vec::<usize>::new(), "seed {seed}");
+    }
+}
+
 /// Guards against nodes that miss a head because they restart while it is being disseminated.
 #[test]
 fn a_head_reaches_nodes_that_restart_during_its_dissemination() {
