test(platform): the requests of a client run on one event loop

A fault of the tests: a node has one event loop.

Ruled out: a fault of the client; it drops connections that it sees closed.

Change: all requests of a test are in one run, and whole answers announce that the server closes the connection, so that the client doesn't use it again before it sees the close. The assertions are the same.

--- a/crates/sycamore-platform/tests/http.rs
+++ b/crates/sycamore-platform/tests/http.rs
@@ -13,6 +13,8 @@
 const COMMITTED: &str =
     "HTTP/1.1 200 OK\r\ncontent-length: 38\r\n\r\n{\"committed\":true,\"revisions\":{\"k\":4}}\n";
 
+/// Runs `future` on a new event loop. All requests of a client belong into one run, since its
+/// connections belong to the event loop that opened them.
 fn run<T>(future: impl std::future::Future<Output = T>) -> T {
     monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
         .enable_timer()
@@ -34,7 +36,8 @@
 }
 
 /// Starts a server that accepts one connection per entry of `answers`, answers one request on it
-/// and closes it. The thread returns the first line of each request.
+/// and closes it; whole answers announce that, or the client may use the connection again. The
+/// thread returns the first line of each request.
 fn serve(
     answers: Vec<&'static str>,
 ) -> (HttpPlatform, SocketAddr, std::thread::JoinHandle<Vec<String>>) {
@@ -58,8 +61,8 @@
     HttpPlatform::new(HttpSettings { timeout, body_bytes: 1000, ..HttpSettings::new(address) })
 }
 
-fn transact(platform: &HttpPlatform) -> Result<Transacted, Error> {
-    let answer = run(platform.transact(&Transaction::default()));
+async fn transact(platform: &HttpPlatform) -> Result<Transacted, Error> {
+    let answer = platform.transact(&Transaction::default()).await;
     answer.map_err(|report| report.current_context().clone())
 }
 
@@ -68,7 +71,7 @@
 #[test]
 fn committed_transaction_returns_revisions_and_counts_traffic() {
     let (platform, _, server) = serve(vec![COMMITTED]);
-    match transact(&platform) {
+    match run(transact(&platform)) {
         Ok(Transacted::Committed { revisions }) => assert_eq!(revisions["k"], Revision(4)),
         other => panic!("{other:?}"),
     }
@@ -84,10 +87,12 @@
 fn closed_connection_and_status_500_leave_the_effect_unknown() {
     let cut = "HTTP/1.1 200 OK\r\ncontent-length: 38\r\n\r\n{\"committed\":tr";
     let (platform, _, server) =
-        serve(vec!["", cut, "HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n"]);
-    for _ in 0..3 {
-        assert!(transact(&platform).unwrap_err().may_have_run());
-    }
+        serve(vec!["", cut, "HTTP/1.1 500 Oops\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"]);
+    run(async {
+        for _ in 0..3 {
+            assert!(transact(&platform).await.unwrap_err().may_have_run());
+        }
+    });
     server.join().unwrap();
 }
 
@@ -96,14 +101,16 @@
 #[test]
 fn refused_request_had_no_effect() {
     let (platform, address, server) = serve(vec![
-        "HTTP/1.1 503 Out\r\ncontent-length: 0\r\n\r\n",
-        "HTTP/1.1 429 Slow down\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 503 Out\r\nconnection: close\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 429 Slow down\r\nconnection: close\r\ncontent-length: 0\r\n\r\n",
     ]);
-    assert_eq!(transact(&platform), Err(Error::Refused { status: 503 }));
-    assert_eq!(transact(&platform), Err(Error::Refused { status: 429 }));
-    server.join().unwrap();
-    assert!(TcpStream::connect(address).is_err());
-    assert_eq!(transact(&platform), Err(Error::Unreachable));
+    run(async {
+        assert_eq!(transact(&platform).await, Err(Error::Refused { status: 503 }));
+        assert_eq!(transact(&platform).await, Err(Error::Refused { status: 429 }));
+        server.join().unwrap();
+        assert!(TcpStream::connect(address).is_err());
+        assert_eq!(transact(&platform).await, Err(Error::Unreachable));
+    });
 }
 
 // Guards against reading an answer into memory whose declared length exceeds the body limit, and
@@ -112,9 +119,11 @@
 fn oversized_answer_is_refused() {
     let (platform, _, server) =
         serve(vec!["HTTP/1.1 200 OK\r\ncontent-length: 4000\r\n\r\n", "HTTP/1.1 404 No\r\n\r\n"]);
-    let error = run(platform.fetch("config/x")).unwrap_err();
-    assert!(matches!(error.current_context(), Error::Malformed(_) | Error::NoAnswer));
-    assert_eq!(run(platform.fetch("config/x y")).unwrap(), None);
+    run(async {
+        let error = platform.fetch("config/x").await.unwrap_err();
+        assert!(matches!(error.current_context(), Error::Malformed(_) | Error::NoAnswer));
+        assert_eq!(platform.fetch("config/x y").await.unwrap(), None);
+    });
     let lines = server.join().unwrap();
     assert_eq!(lines[1], "GET /objects/config/x%20y HTTP/1.1");
 }
@@ -124,14 +133,16 @@
 #[test]
 fn put_reports_an_existing_object_and_refuses_an_oversized_body() {
     let (platform, _, server) = serve(vec![
-        "HTTP/1.1 201 Created\r\ncontent-length: 0\r\n\r\n",
-        "HTTP/1.1 412 There\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 201 Created\r\nconnection: close\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 412 There\r\nconnection: close\r\ncontent-length: 0\r\n\r\n",
     ]);
-    assert_eq!(run(platform.put("config/x", Bytes::from("a"))).unwrap(), Put::Stored);
-    assert_eq!(run(platform.put("config/x", Bytes::from("a"))).unwrap(), Put::Exists);
-    let large = Bytes::from(vec![0; 1001]);
-    let error = run(platform.put("config/y", large)).unwrap_err();
-    assert_eq!(*error.current_context(), Error::TooLarge { bytes: 1001, max: 1000 });
+    run(async {
+        let put = |key, body| platform.put(key, body);
+        assert_eq!(put("config/x", Bytes::from("a")).await.unwrap(), Put::Stored);
+        assert_eq!(put("config/x", Bytes::from("a")).await.unwrap(), Put::Exists);
+        let error = put("config/y", Bytes::from(vec![0; 1001])).await.unwrap_err();
+        assert_eq!(*error.current_context(), Error::TooLarge { bytes: 1001, max: 1000 });
+    });
     server.join().unwrap();
 }
 
