fix(node): plan the shutdown from the grace time, and give nodes the platform's bounds

Cause: two faults of one class, a figure of ours where the platform states the bound. And the template's {{terms.bounds.budget_extra_tries}} named nothing: the platform dissolves the tables of its settings file in templates, and fills in an unknown name as empty, so the retries of the fleet had no bound but the default of ten a node. Ruled out: a hung upstream, it was still at work on the call when it was cut. Change: sycamore_settings::shutdown derives notice, drain and end from [calls] grace; an impossible grace time is a fault of the settings. The listeners' tasks are joined for a bounded time at the end, as the others were. Before and after: drain of 2.8 s at every grace time; 2.8 s at 6 s, 6.6 s at 10 s.

--- a/crates/sycamore-node/src/run.rs
+++ b/crates/sycamore-node/src/run.rs
@@ -20,6 +20,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
+use sycamore_settings::shutdown::{Shutdown, CLOSING_SPREAD, JOIN_TIMEOUT};
 use sycamore_settings::Settings;
 use sycamore_types::event::EventKind;
 
@@ -103,10 +104,14 @@
     while signals.next().await == Signal::Reload {
         reload(&hub, options.path.as_deref());
     }
-    info!(hub.log, "node stopping"; "in_flight" => hub.in_flight());
-    drain(&hub, &calls, &tasks).await;
+    let plan = shutdown_plan(&hub);
+    info!(hub.log, "node stopping"; "in_flight" => hub.in_flight(),
+        "notice_ms" => plan.notice.as_millis(), "drain_ms" => plan.drain.as_millis());
+    drain(&hub, plan, &calls, &tasks).await;
     listener.stop();
-    listener.join().await;
+    if monoio::time::timeout(JOIN_TIMEOUT, listener.join()).await.is_err() {
+        warn!(hub.log, "shutdown timed out, listeners aborted"; "tasks" => listener.live());
+    }
     info!(hub.log, "node stopped");
     Ok(())
 }
@@ -138,21 +143,16 @@
     Ok(Node { hub: hub.clone(), platform, peers, config, moves, calls })
 }
 
-/// Time for other nodes to learn that this one accepts no more calls for its upstream.
-const CLOSING_SPREAD: Duration = Duration::from_millis(200);
-/// Timeout for the tasks of all subsystems other than calls to end.
-const JOIN_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Drains the node: announces it while calls are still accepted, waits for the calls in flight,
 /// then stops and joins every task.
-async fn drain(hub: &Rc<Hub>, calls: &TaskGroup, tasks: &TaskGroup) {
+async fn drain(hub: &Rc<Hub>, plan: Shutdown, calls: &TaskGroup, tasks: &TaskGroup) {
     hub.set_phase(Phase::Draining);
     hub.record(EventKind::Draining);
-    monoio::time::sleep(hub.settings.calls.drain_notice).await;
+    monoio::time::sleep(plan.notice).await;
     hub.set_phase(Phase::Closing);
     monoio::time::sleep(CLOSING_SPREAD).await;
     calls.stop();
-    if monoio::time::timeout(hub.settings.calls.drain_timeout, calls.join()).await.is_err() {
+    if monoio::time::timeout(plan.drain, calls.join()).await.is_err() {
         warn!(hub.log, "drain timed out, calls aborted"; "in_flight" => hub.in_flight());
     }
     hub.record(EventKind::Stopped);
@@ -163,6 +163,15 @@
     }
 }
 
+/// Returns the timetable of the shutdown. Settings that didn't pass the checks of a settings file may
+/// hold a grace time that is too short for one.
+fn shutdown_plan(hub: &Hub) -> Shutdown {
+    Shutdown::plan(&hub.settings.calls).unwrap_or_else(|least| {
+        warn!(hub.log, "grace time too short, calls not drained"; "least_ms" => least.as_millis());
+        Shutdown { notice: Duration::ZERO, drain: Duration::ZERO }
+    })
+}
+
 /// Request that a POSIX signal makes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Signal {
--- a/crates/sycamore-settings/src/calls.rs
+++ b/crates/sycamore-settings/src/calls.rs
@@ -1,8 +1,8 @@
 //! Section `[calls]`: settings of routing, admission and retries of calls.
 
-use crate::unit::{Size, Span};
+use crate::unit::{OptionalCount, OptionalSpan, Size, Span};
 use serde::{Deserialize, Serialize};
-use serde_with::{serde_as, DisplayFromStr, NoneAsEmptyString};
+use serde_with::{serde_as, DisplayFromStr};
 use std::time::Duration;
 
 /// Memory reserved for the request body of one exchange, in bytes.
@@ -48,6 +48,10 @@
     /// Time for which a draining node still accepts new calls, while callers switch to other nodes.
     #[serde_as(as = "Span")]
     pub drain_notice: Duration,
+    /// Time after which a node that was told to stop is killed. The drain ends so early that the
+    /// node ends by itself before; `None` if it isn't killed.
+    #[serde_as(as = "OptionalSpan")]
+    pub grace: Option<Duration>,
     /// Whether the upstream's listener may have an address other than loopback, which programs
     /// other than the upstream on the node's instance may reach.
     #[serde_as(as = "DisplayFromStr")]
@@ -61,7 +65,7 @@
     pub free_reroutes: u8,
     /// Largest number of retries to a service that all nodes together may accumulate, in addition
     /// to the percentage of calls in the service's retry budget; `None` allows ten per node.
-    #[serde_as(as = "NoneAsEmptyString")]
+    #[serde_as(as = "OptionalCount")]
     pub fleet_retries_saved: Option<u32>,
     /// Algorithm that adapts the concurrency limit to the upstream.
     pub limit_policy: LimitPolicy,
@@ -89,6 +93,7 @@
             body_memory: 16 << 20,
             drain_timeout: Duration::from_secs(60),
             drain_notice: Duration::from_millis(500),
+            grace: None,
             upstream_beyond_loopback: false,
             min_retry_after: Duration::from_secs(1),
             free_reroutes: 0,
--- a/crates/sycamore-settings/src/check.rs
+++ b/crates/sycamore-settings/src/check.rs
@@ -2,6 +2,7 @@
 
 use crate::calls::EXCHANGE_BYTES;
 use crate::operator::MIN_TOKEN_BYTES;
+use crate::shutdown::Shutdown;
 use crate::Settings;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -25,6 +26,7 @@
     check_access(settings, &mut found);
     check_timing_and_rates(settings, &mut found);
     check_body_memory(settings, &mut found);
+    check_shutdown(settings, &mut found);
     found
 }
 
@@ -109,6 +111,15 @@
     }
 }
 
+/// Checks that the grace time suffices to end in order.
+fn check_shutdown(settings: &Settings, found: &mut Vec<Contradiction>) {
+    if let Err(least) = Shutdown::plan(&settings.calls) {
+        let problem =
+            format!("must be longer than {} ms, which a shutdown takes", least.as_millis());
+        add(found, "calls", "grace", problem);
+    }
+}
+
 /// Returns the names of the keys of `section`, sorted; empty if it does not serialise.
 pub(crate) fn keys_of(section: &impl Serialize) -> Vec<String> {
     match ::config::Config::try_from(section).and_then(|source| source.try_deserialize()) {
--- a/crates/sycamore-settings/src/lib.rs
+++ b/crates/sycamore-settings/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod operator;
 pub mod peers;
 pub mod platform;
+pub mod shutdown;
 pub mod unit;
 
 pub use load::{from_file, from_text, Fault, SettingsError};
--- a/crates/sycamore-settings/src/unit.rs
+++ b/crates/sycamore-settings/src/unit.rs
@@ -6,9 +6,16 @@
 use std::time::Duration;
 use sycamore_types::share::Share;
 
-/// Adapter for a [`Duration`] written with its unit: `250ms`, `3s`, `2m`, `1h`.
+/// Adapter for a [`Duration`] written with its unit: `250ms`, `3s`, `2.5s`, `2m`, `1h`.
 pub struct Span;
 
+/// Adapter for an optional [`Duration`], written like a [`Span`]; empty for `None`.
+pub struct OptionalSpan;
+
+/// Adapter for an optional number of things; empty for `None`. A fraction is rounded down, as the
+/// settings' source may divide a bound.
+pub struct OptionalCount;
+
 /// Adapter for a number of bytes written with its unit: `512B`, `64KB`, `8MB` (powers of 1,024).
 pub struct Size;
 
@@ -30,6 +37,21 @@
     number.checked_mul(*factor)
 }
 
+/// Parses `text` as a duration in whole milliseconds; a number with a decimal point is rounded.
+fn parse_span(text: &str) -> Option<Duration> {
+    let text = text.trim();
+    if let Some(millis) = parse_with_unit(text, &DURATION_UNITS) {
+        return Some(Duration::from_millis(millis));
+    }
+    let (unit, factor) = DURATION_UNITS.iter().find(|(unit, _)| {
+        text.strip_suffix(unit).is_some_and(|rest| rest.ends_with(|c: char| c.is_ascii_digit()))
+    })?;
+    let number = text.strip_suffix(unit)?;
+    let is_decimal = number.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+    let millis = number.parse::<f64>().ok().filter(|_| is_decimal)? * *factor as f64;
+    Duration::try_from_secs_f64(millis.round() / 1_000.0).ok()
+}
+
 /// Formats `value` with the largest of `units` that divides it.
 fn format_with_unit(value: u64, units: &[(&str, u64)]) -> String {
     let mut fitting: Vec<_> =
@@ -48,15 +70,37 @@
 impl<'de> DeserializeAs<'de, Duration> for Span {
     fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
         let text = deserialize_text(deserializer)?;
-        parse_with_unit(text.trim(), &DURATION_UNITS).map(Duration::from_millis).ok_or_else(|| {
+        parse_span(&text).ok_or_else(|| {
             de::Error::custom(format!(
-                "{text:?} is not a duration; expected a whole number with a unit, such as 250ms, \
-                 3s, 2m or 1h"
+                "{text:?} is not a duration; expected a number with a unit, such as 250ms, 2.5s, \
+                 2m or 1h"
             ))
         })
     }
 }
 
+impl<'de> DeserializeAs<'de, Option<Duration>> for OptionalSpan {
+    fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<Option<Duration>, D::Error> {
+        let text = deserialize_text(deserializer)?;
+        match text.trim() {
+            "" => Ok(None),
+            text => Span::deserialize_as(de::value::StrDeserializer::new(text)).map(Some),
+        }
+    }
+}
+
+impl SerializeAs<Option<Duration>> for OptionalSpan {
+    fn serialize_as<S: Serializer>(
+        source: &Option<Duration>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        match source {
+            Some(time) => Span::serialize_as(time, serializer),
+            None => serializer.serialize_str(""),
+        }
+    }
+}
+
 impl SerializeAs<Duration> for Span {
     fn serialize_as<S: Serializer>(source: &Duration, serializer: S) -> Result<S::Ok, S::Error> {
         let millis = u64::try_from(source.as_millis()).unwrap_or(u64::MAX);
@@ -64,6 +108,30 @@
     }
 }
 
+impl<'de> DeserializeAs<'de, Option<u32>> for OptionalCount {
+    fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<Option<u32>, D::Error> {
+        let text = deserialize_text(deserializer)?;
+        match text.trim() {
+            "" => Ok(None),
+            number => match number.parse::<f64>() {
+                Ok(count) if (0.0..=f64::from(u32::MAX)).contains(&count) => Ok(Some(count as u32)),
+                _ => Err(de::Error::custom(format!(
+                    "{number:?} is not a number; expected 0 or more"
+                ))),
+            },
+        }
+    }
+}
+
+impl SerializeAs<Option<u32>> for OptionalCount {
+    fn serialize_as<S: Serializer>(source: &Option<u32>, serializer: S) -> Result<S::Ok, S::Error> {
+        match source {
+            Some(count) => serializer.collect_str(count),
+            None => serializer.serialize_str(""),
+        }
+    }
+}
+
 impl<'de> DeserializeAs<'de, u64> for Size {
     fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
         let text = deserialize_text(deserializer)?;
