fix(http): refuse bytes that begin no response at once

Cause: a head was parsed only once it was complete, so that junk which comes one byte at a time was waited for until the call's deadline. Found by the new tests of answers without end. Ruled out: memory. Change: the first bytes are compared with those of every response.

--- a/crates/sycamore-http/src/wire/head.rs
+++ b/crates/sycamore-http/src/wire/head.rs
@@ -73,12 +73,19 @@
     buf: &mut BytesMut,
     limits: &HeadLimits,
 ) -> Result<Option<ResponseHead>, HeadError> {
+    // Bytes that can't begin a response need no further ones to be refused.
+    if buf.iter().zip(RESPONSE_START).any(|(byte, expected)| byte != expected) {
+        return Err(HeadError::Malformed);
+    }
     if !is_complete(buf, limits)? {
         return Ok(None);
     }
     decode(ResponseHeadDecoder, buf).map(Some)
 }
 
+/// First bytes of every response.
+const RESPONSE_START: &[u8] = b"HTTP/1.";
+
 /// Returns whether `buf` holds a complete head, and checks the size and the line ends of the head.
 fn is_complete(buf: &[u8], limits: &HeadLimits) -> Result<bool, HeadError> {
     let Some(at) = buf.windows(HEAD_END.len()).position(|window| window == HEAD_END) else {
--- a/crates/sycamore-http/tests/wire/head.rs
+++ b/crates/sycamore-http/tests/wire/head.rs
@@ -195,3 +195,15 @@
         matches!(early, Ok(None)) && matches!(whole, Ok(Some(_))) && buf.is_empty()
     }
 }
+
+/// Guards against waiting for the end of a head that no response begins with: the bytes may come
+/// without end, one at a time.
+#[test]
+fn bytes_that_begin_no_response_are_refused_at_once() {
+    for bytes in ["n", "HTTQ", "\r\n", "http/1.1 200"] {
+        let mut buf = BytesMut::from(bytes);
+        assert!(parse_response(&mut buf, &HeadLimits::DEFAULT).is_err(), "{bytes:?}");
+    }
+    let mut buf = BytesMut::from("HTTP/1.1 2");
+    assert!(matches!(parse_response(&mut buf, &HeadLimits::DEFAULT), Ok(None)));
+}
--- a/crates/sycamore-node/tests/calls/upstream.rs
+++ b/crates/sycamore-node/tests/calls/upstream.rs
@@ -1,7 +1,7 @@
 //! Fake upstream whose behaviour is chosen by the last segment of a request's path.
 
 use bytes::{Bytes, BytesMut};
-use monoio::io::Splitable;
+use monoio::io::{OwnedWriteHalf, Splitable};
 use monoio::net::{TcpListener, TcpStream};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -22,6 +22,8 @@
     cancelled: Cell<usize>,
     crashed: Cell<bool>,
     released: Cell<bool>,
+    /// Answers without end that the node has cut off.
+    ended: Cell<usize>,
     /// Number of connections opened so far; gives the number of the next one.
     opened: Cell<u64>,
     /// Number below which connections answer no further request.
@@ -62,6 +64,12 @@
         self.shared.cancelled.get()
     }
 
+    /// Returns the number of answers without end that the node has cut off.
+    #[allow(dead_code, reason = "only tests/endless has such answers")]
+    pub fn ended(&self) -> usize {
+        self.shared.ended.get()
+    }
+
     /// Returns the header field `name` of the last request.
     pub fn last_field(&self, name: &str) -> Option<String> {
         let heads = self.shared.heads.borrow();
@@ -128,6 +136,9 @@
             }
         };
         drop(running);
+        if let Some((prefix, repeated)) = endless(&path) {
+            return write_without_end(&mut writer, prefix, repeated, &path, shared).await;
+        }
         let Some((bytes, keep)) = answer else { return };
         if write_all(&mut writer, bytes).await.is_err() || !keep {
             return;
@@ -135,6 +146,51 @@
     }
 }
 
+/// Returns the first bytes of an answer without end and those that follow again and again.
+fn endless(path: &str) -> Option<(&'static str, &'static str)> {
+    let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let name = path.rsplit('/').next()?;
+    Some(match name.strip_suffix("-drip").unwrap_or(name) {
+        "endless-junk" => ("", "no answer "),
+        "endless-status" => ("HTTP/1.1 200 ", "OK "),
+        "endless-fields" => ("HTTP/1.1 200 OK\r\n", "x-more: 1\r\n"),
+        "endless-interim" => ("", "HTTP/1.1 102 Processing\r\n\r\n"),
+        "endless-extension" => (chunked, "5;x="),
+        "endless-trailers" => {
+            ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n", "x-more: 1\r\n")
+        }
+        "endless-extra" => ("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", "more"),
+        "endless-body" => ("HTTP/1.1 200 OK\r\n\r\n", "body "),
+        _ => return None,
+    })
+}
+
+/// Writes `prefix`, then `repeated` until the connection is closed: as fast as the reader takes it,
+/// or one byte at a time for paths that end in `-drip`.
+async fn write_without_end(
+    writer: &mut OwnedWriteHalf<TcpStream>,
+    prefix: &'static str,
+    repeated: &'static str,
+    path: &str,
+    shared: &Shared,
+) {
+    let is_drip = path.ends_with("-drip");
+    let piece = if is_drip { Bytes::from(repeated) } else { repeated.repeat(2_000).into() };
+    let pieces = std::iter::once(Bytes::from(prefix)).chain(std::iter::repeat(piece));
+    for mut rest in pieces {
+        while !rest.is_empty() {
+            let next = rest.split_to(if is_drip { 1 } else { rest.len() });
+            if write_all(writer, next).await.is_err() {
+                shared.ended.set(shared.ended.get() + 1);
+                return;
+            }
+            if is_drip {
+                monoio::time::sleep(Duration::from_millis(1)).await;
+            }
+        }
+    }
+}
+
 /// Count of a running request, removed on drop.
 struct Running<'a>(&'a Shared);
 
