feat(platform): revisions know the epoch of the platform's table

Cause: the platform may come back from a copy some seconds old; revisions go back and are given out again, so that a condition, a watch or a remembered row of before could hold by accident. An ended move stays ended when a row without its end comes back under a higher revision. Ruled out: the revision alone with a reset at each rise; every place that remembers one would need to hear of it in time.

--- a/crates/sycamore-moves/src/control/machine.rs
+++ b/crates/sycamore-moves/src/control/machine.rs
@@ -112,9 +112,13 @@
     }
 
     fn apply_row(&mut self, row: MoveRow, revision: u64) {
-        if revision > self.revision {
+        if revision <= self.revision {
+            return;
+        }
+        self.revision = revision;
+        // A platform that comes back from an older copy holds the row without its end, which stays.
+        if row.is_ended() || !self.row.is_ended() {
             self.row = row;
-            self.revision = revision;
         }
     }
 
--- a/crates/sycamore-moves/tests/mergers.rs
+++ b/crates/sycamore-moves/tests/mergers.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 use support::{id, now, report, spec};
 use sycamore_moves::control::{Action, ControlOptions, Input, Moment, MoveControl, Peer};
-use sycamore_moves::plan::{Author, MoveRow};
+use sycamore_moves::plan::{Author, Cause, MoveRow, Outcome, OutcomeKind, Summary};
 use sycamore_moves::ramp::{Schedule, Step};
 use sycamore_types::prelude::*;
 
@@ -153,3 +153,27 @@
     node.report(25_700, "old", "1", (1_150, 100));
     assert!(!finds_bad(&node.tick(25_800)));
 }
+
+/// The platform comes back from an older copy of its table, which holds the row of an ended move
+/// without its end, under a higher revision: the move must not open again.
+#[test]
+fn an_ended_move_stays_ended_when_the_platform_returns_an_older_row() {
+    let ended = MoveRow {
+        outcome: Some(Outcome {
+            kind: OutcomeKind::TakenBack,
+            cause: Cause::Aborted,
+            reason: "taken back".to_owned(),
+            at: at(70_000).wall,
+            share: Share::from_basis_points(500),
+            evidence: Summary::default(),
+        }),
+        ..row()
+    };
+    let mut node = Node::start(50_000);
+    let later = |row, revision| Input::Row { row: Box::new(row), revision };
+    node.control.step(at(70_000), later(ended.clone(), 2));
+    node.control.step(at(80_000), later(row(), 1 << 40 | 1));
+    assert_eq!(node.control.row(), (&ended, 1 << 40 | 1));
+    node.control.step(at(81_000), later(row(), 3));
+    assert_eq!(node.control.row().1, 1 << 40 | 1);
+}
--- a/crates/sycamore-platform/src/error.rs
+++ b/crates/sycamore-platform/src/error.rs
@@ -33,6 +33,15 @@
     /// The platform no longer holds the changes since the requested revision.
     #[error("platform no longer holds the changes since the requested revision")]
     HistoryLost,
+    /// The answer comes from an earlier epoch of the table than one before; what the request did is
+    /// lost.
+    #[error("answer of epoch {answered} of the platform's table, which is in epoch {current}")]
+    EarlierEpoch {
+        /// Epoch of the answer, or of the revision that the request was made with.
+        answered: u64,
+        /// Epoch that the table is known to be in.
+        current: u64,
+    },
     /// The platform does not report changed rows; nothing was sent.
     #[error("platform does not report changed rows")]
     Unsupported,
@@ -55,6 +64,7 @@
             | Error::Unreachable
             | Error::Refused { .. }
             | Error::HistoryLost
+            | Error::EarlierEpoch { .. }
             | Error::Unsupported
             | Error::TooLarge { .. } => false,
         }
--- a/crates/sycamore-platform/src/http/connection.rs
+++ b/crates/sycamore-platform/src/http/connection.rs
@@ -6,7 +6,7 @@
 use error_stack::Report;
 use futures::future::{select, Either};
 use futures::FutureExt;
-use http::{Request, Response, StatusCode};
+use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -76,7 +76,7 @@
         request: Request<Full<Bytes>>,
         max: usize,
         timeouts: AnswerTimeouts,
-    ) -> Result<((StatusCode, Bytes), Option<Self>)> {
+    ) -> Result<(Response<Bytes>, Option<Self>)> {
         let head = monoio::time::timeout(timeouts.head, self.sender.send_request(request));
         let answer = head.then(|head| async move {
             match head {
@@ -101,15 +101,15 @@
     response: hyper::Result<Response<Incoming>>,
     max: usize,
     timeout: Duration,
-) -> Result<(StatusCode, Bytes)> {
+) -> Result<Response<Bytes>> {
     let response = response.map_err(|e| Report::new(e).change_context(Error::NoAnswer))?;
-    let status = response.status();
-    let mut body = Limited::new(response.into_body(), max);
+    let (head, body) = response.into_parts();
+    let mut body = Limited::new(body, max);
     let mut bytes = BytesMut::new();
     loop {
         let frame = monoio::time::timeout(timeout, body.frame()).await;
         match frame.map_err(|_| Report::new(Error::NoAnswer))? {
-            None => return Ok((status, bytes.freeze())),
+            None => return Ok(Response::from_parts(head, bytes.freeze())),
             Some(Ok(frame)) => bytes.extend(frame.into_data().ok()),
             Some(Err(e)) => return Err(Report::new(Error::Malformed(e.to_string()))),
         }
--- a/crates/sycamore-platform/src/http/mod.rs
+++ b/crates/sycamore-platform/src/http/mod.rs
@@ -6,6 +6,7 @@
 
 mod connection;
 mod count;
+mod epoch;
 mod native;
 mod pool;
 mod protocol;
@@ -19,8 +20,9 @@
 use crate::objects::{Objects, Put};
 use crate::table::{Changes, Page, PageQuery, Revision, Row, Table, Transacted, Transaction};
 use bytes::Bytes;
-use error_stack::Report;
-use http::{Request, StatusCode};
+use epoch::InEpoch;
+use error_stack::{Report, ResultExt};
+use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::Full;
 use pool::Pool;
 use std::cell::RefCell;
@@ -28,6 +30,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use sycamore_types::prelude::*;
+use tokio::sync::watch;
 
 /// Addresses and limits of a platform client.
 #[derive(Debug, Clone)]
@@ -77,6 +80,16 @@
     started: Instant,
     body_bytes: usize,
     observer: Option<Observer>,
+    /// Epoch of the table; `None` before the first answer.
+    epoch: watch::Sender<Option<u64>>,
+}
+
+/// Answer of the platform.
+struct Answer {
+    status: StatusCode,
+    body: Bytes,
+    /// Epoch of the table that answered.
+    epoch: u64,
 }
 
 /// Token bucket from which a request is paid.
@@ -138,6 +151,7 @@
             started,
             body_bytes,
             observer,
+            epoch: watch::Sender::new(None),
         }
     }
 
@@ -156,6 +170,56 @@
         &self.traffic
     }
 
+    /// Subscribes to the epoch of the table, which rises when the platform comes back from an older
+    /// copy of it; `None` before the first answer.
+    pub fn epochs(&self) -> watch::Receiver<Option<u64>> {
+        self.epoch.subscribe()
+    }
+
+    /// Records that the table is in `epoch`, as an answer or another node told. An epoch that is
+    /// over changes nothing.
+    pub fn observe_epoch(&self, epoch: u64) {
+        self.epoch.send_if_modified(|known| {
+            let rises = Some(epoch) > *known;
+            if rises {
+                *known = Some(epoch);
+            }
+            rises
+        });
+    }
+
+    /// Returns the epoch of an answer with the header `fields`, or the latest known one if it
+    /// doesn't tell.
+    ///
+    /// # Errors
+    /// [`Error::EarlierEpoch`] if that epoch is over.
+    fn check_epoch(&self, fields: &HeaderMap) -> Result<u64> {
+        let Some(answered) = self.protocol.epoch(fields) else {
+            return Ok(self.epoch.borrow().unwrap_or_default());
+        };
+        self.observe_epoch(answered);
+        match *self.epoch.borrow() {
+            Some(current) if answered < current => {
+                Err(Report::new(Error::EarlierEpoch { answered, current }))
+            }
+            _ => Ok(answered),
+        }
+    }
+
+    /// Checks that `revision`, which a request is made with, is of the table's epoch: in a later one
+    /// its number may mean something else.
+    ///
+    /// # Errors
+    /// [`Error::EarlierEpoch`] if it is of an epoch that is over.
+    fn check_revision(&self, revision: Revision) -> Result<()> {
+        match *self.epoch.borrow() {
+            Some(current) if revision != Revision::ABSENT && revision.epoch() < current => {
+                Err(Report::new(Error::EarlierEpoch { answered: revision.epoch(), current }))
+            }
+            _ => Ok(()),
+        }
+    }
+
     fn now(&self) -> Time {
         Time::default() + self.started.elapsed()
     }
@@ -179,7 +243,7 @@
         kind: RequestKind,
         request: StoreRequest,
         timeout: Duration,
-    ) -> Result<(StatusCode, Bytes)> {
+    ) -> Result<Answer> {
         let request = self.encode(request)?;
         match kind {
             RequestKind::Read | RequestKind::Watch => {
@@ -197,10 +261,11 @@
             self.traffic.failures.add(1);
         }
         if let Some(observer) = &self.observer {
-            let status = answer.as_ref().ok().map(|(status, _)| *status);
+            let status = answer.as_ref().ok().map(Response::status);
             observer(FinishedRequest { kind, status, took: started.elapsed() });
         }
-        answer
+        let (head, body) = answer?.into_parts();
+        Ok(Answer { status: head.status, body, epoch: self.check_epoch(&head.headers)? })
     }
 
     fn encode(&self, request: StoreRequest) -> Result<Request<Full<Bytes>>> {
@@ -219,11 +284,11 @@
         builder.body(Full::new(body)).map_err(|e| Report::new(Error::Malformed(e.to_string())))
     }
 
-    async fn read(&self, pool: &Pool, request: StoreRequest) -> Result<(StatusCode, Bytes)> {
+    async fn read(&self, pool: &Pool, request: StoreRequest) -> Result<Answer> {
         self.send(pool, RequestKind::Read, request, self.timeout).await
     }
 
-    async fn write(&self, pool: &Pool, request: StoreRequest) -> Result<(StatusCode, Bytes)> {
+    async fn write(&self, pool: &Pool, request: StoreRequest) -> Result<Answer> {
         self.send(pool, RequestKind::Write, request, self.timeout).await
     }
 
@@ -234,48 +299,63 @@
     /// [`Error::Unsupported`] if the platform does not report changes, [`Error::HistoryLost`] if it
     /// no longer holds them, and the errors of any request.
     pub async fn changes(&self, prefix: &str, after: Revision, wait: Duration) -> Result<Changes> {
-        let request = self.protocol.changes(prefix, after, wait);
+        self.check_revision(after).change_context(Error::HistoryLost)?;
+        let request = self.protocol.changes(prefix, Revision(after.number()), wait);
         let request = request.ok_or_else(|| Report::new(Error::Unsupported))?;
         let timeout = wait + self.timeout;
-        let (status, body) = self.send(&self.watches, RequestKind::Watch, request, timeout).await?;
-        self.protocol.decode_changes(prefix, status, &body)
+        let answer = self.send(&self.watches, RequestKind::Watch, request, timeout).await?;
+        // The same number of another epoch names other changes.
+        if after != Revision::ABSENT && after.epoch() != answer.epoch {
+            return Err(Report::new(Error::HistoryLost));
+        }
+        let changes = self.protocol.decode_changes(prefix, answer.status, &answer.body)?;
+        Ok(changes.in_epoch(answer.epoch))
     }
 }
 
 impl Table for HttpPlatform {
     async fn get(&self, key: &str) -> Result<Option<Row>> {
-        let (status, body) = self.read(&self.table, self.protocol.get(key)).await?;
-        self.protocol.decode_row(key, status, &body)
+        let answer = self.read(&self.table, self.protocol.get(key)).await?;
+        let row = self.protocol.decode_row(key, answer.status, &answer.body)?;
+        Ok(row.in_epoch(answer.epoch))
     }
 
     async fn list(&self, query: PageQuery<'_>) -> Result<Page> {
-        let (status, body) = self.read(&self.table, self.protocol.list(query)).await?;
-        self.protocol.decode_page(query, status, &body)
+        let answer = self.read(&self.table, self.protocol.list(query)).await?;
+        let page = self.protocol.decode_page(query, answer.status, &answer.body)?;
+        Ok(page.in_epoch(answer.epoch))
     }
 
     async fn transact(&self, transaction: &Transaction) -> Result<Transacted> {
-        let request = self.protocol.transact(transaction);
-        let (status, body) = self.write(&self.table, request).await?;
-        self.protocol.decode_transaction(transaction, status, &body)
+        let mut numbered = transaction.clone();
+        for condition in &mut numbered.conditions {
+            self.check_revision(condition.revision)?;
+            condition.revision = Revision(condition.revision.number());
+        }
+        let answer = self.write(&self.table, self.protocol.transact(&numbered)).await?;
+        let transacted =
+            self.protocol.decode_transaction(&numbered, answer.status, &answer.body)?;
+        Ok(transacted.in_epoch(answer.epoch))
     }
 }
 
 impl Objects for HttpPlatform {
     async fn put(&self, key: &str, body: Bytes) -> Result<Put> {
-        let (status, _) = self.write(&self.objects, self.protocol.put(key, body)).await?;
-        self.protocol.decode_put(status)
+        let answer = self.write(&self.objects, self.protocol.put(key, body)).await?;
+        self.protocol.decode_put(answer.status)
     }
 
     async fn fetch(&self, key: &str) -> Result<Option<Bytes>> {
-        match self.read(&self.objects, self.protocol.fetch(key)).await? {
-            (StatusCode::OK, body) => Ok(Some(body)),
-            (StatusCode::NOT_FOUND, _) => Ok(None),
-            (status, _) => Err(unexpected(status)),
+        let answer = self.read(&self.objects, self.protocol.fetch(key)).await?;
+        match answer.status {
+            StatusCode::OK => Ok(Some(answer.body)),
+            StatusCode::NOT_FOUND => Ok(None),
+            status => Err(unexpected(status)),
         }
     }
 
     async fn keys(&self, prefix: &str) -> Result<Vec<String>> {
-        let (status, body) = self.read(&self.objects, self.protocol.keys(prefix)).await?;
-        self.protocol.decode_keys(status, &body)
+        let answer = self.read(&self.objects, self.protocol.keys(prefix)).await?;
+        self.protocol.decode_keys(answer.status, &answer.body)
     }
 }
--- a/crates/sycamore-platform/src/http/pool.rs
+++ b/crates/sycamore-platform/src/http/pool.rs
@@ -6,7 +6,7 @@
 use crate::error::{Error, Result};
 use bytes::Bytes;
 use error_stack::Report;
-use http::{Request, StatusCode};
+use http::{Request, Response};
 use http_body_util::Full;
 use local_sync::semaphore::{Semaphore, SemaphorePermit};
 use std::cell::{Cell, RefCell};
@@ -37,7 +37,7 @@
         }
     }
 
-    /// Sends `request` and returns the status and body of its answer.
+    /// Sends `request` and returns its answer.
     ///
     /// The answer's head must arrive within `timeout`, which includes the wait for a free
     /// connection, and each part of the body within `timeout` of the part before it, so that a
@@ -50,7 +50,7 @@
         &self,
         request: Request<Full<Bytes>>,
         timeout: Duration,
-    ) -> Result<(StatusCode, Bytes)> {
+    ) -> Result<Response<Bytes>> {
         let sent = Cell::new(false);
         let total = timeout * MAX_TIMEOUTS_PER_REQUEST;
         match monoio::time::timeout(total, self.exchange(request, &sent, timeout)).await {
@@ -66,7 +66,7 @@
         request: Request<Full<Bytes>>,
         sent: &Cell<bool>,
         timeout: Duration,
-    ) -> Result<(StatusCode, Bytes)> {
+    ) -> Result<Response<Bytes>> {
         let started = Instant::now();
         let connected = monoio::time::timeout(timeout, self.acquire()).await;
         let (_permit, connection) = connected.unwrap_or_else(|_| Err(Error::Unreachable.into()))?;
--- a/crates/sycamore-platform/src/http/protocol.rs
+++ b/crates/sycamore-platform/src/http/protocol.rs
@@ -6,7 +6,7 @@
 use crate::table::{Changes, Page, PageQuery, Revision, Row, Transacted, Transaction};
 use bytes::Bytes;
 use error_stack::Report;
-use http::{Method, StatusCode};
+use http::{HeaderMap, Method, StatusCode};
 use std::time::Duration;
 
 /// HTTP request in a platform's protocol.
@@ -34,6 +34,13 @@
 /// Decoding fails with [`Error::Refused`] only if the platform guarantees that the request had no
 /// effect.
 pub trait StoreProtocol {
+    /// Returns the epoch of the table that answered with the header `fields`, which rises when the
+    /// platform comes back from an older copy of the table; `None` if the answer doesn't tell.
+    fn epoch(&self, fields: &HeaderMap) -> Option<u64> {
+        let _ = fields;
+        None
+    }
+
     /// Encodes a read of the row at `key`.
     fn get(&self, key: &str) -> StoreRequest;
 
--- a/crates/sycamore-platform/src/table.rs
+++ b/crates/sycamore-platform/src/table.rs
@@ -9,7 +9,9 @@
 /// Largest number of rows in one page.
 pub const MAX_PAGE_ROWS: usize = 500;
 
-/// Version of one row, which starts at 1 and grows with each write of the row.
+/// Version of one row, which grows with each write of the row.
+///
+/// Revisions of a later epoch are higher than all of an earlier one.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
@@ -19,6 +21,24 @@
 impl Revision {
     /// Revision of a row that does not exist.
     pub const ABSENT: Revision = Revision(0);
+    /// Position of the epoch above the number within it.
+    const EPOCH_SHIFT: u32 = 40;
+
+    /// Creates the revision with `number` in `epoch`. Each time that the platform comes back from an
+    /// older copy of the table, a new epoch begins, in which numbers are given out again.
+    pub const fn new(epoch: u64, number: u64) -> Self {
+        Self(epoch << Self::EPOCH_SHIFT | number)
+    }
+
+    /// Returns the epoch of the table that the revision belongs to.
+    pub const fn epoch(self) -> u64 {
+        self.0 >> Self::EPOCH_SHIFT
+    }
+
+    /// Returns the number within the epoch.
+    pub const fn number(self) -> u64 {
+        self.0 & ((1 << Self::EPOCH_SHIFT) - 1)
+    }
 }
 
 /// Row of the table as last read.
