--- a/crates/sycamore-config/src/apply/candidate.rs
+++ b/crates/sycamore-config/src/apply/candidate.rs
@@ -83,6 +83,13 @@
         self.absent_answers >= settings.max_absent
     }
 
+    /// Lets the first fetch start at `due` if it would start later.
+    pub(super) fn hasten(&mut self, due: Time) {
+        if !self.fetching && self.failures == 0 {
+            self.due = self.due.min(due);
+        }
+    }
+
     /// Returns the hashes of objects that are neither received nor among those in force; only the
     /// manifest's while the manifest is missing.
     pub(super) fn missing(&self, in_force: &ObjectMap) -> Vec<ContentHash> {
--- a/crates/sycamore-config/src/apply/machine.rs
+++ b/crates/sycamore-config/src/apply/machine.rs
@@ -3,7 +3,7 @@
 use super::behind::Behind;
 use super::candidate::{Assembled, Candidate, ObjectMap};
 use super::{Action, ApplySettings, FetchAnswer, Input, RejectReason, Source};
-use crate::delta::{Delta, History};
+use crate::delta::{Delta, History, NO_CONFIGURATION};
 use crate::manifest::{unpack, Manifest};
 use bytes::Bytes;
 use std::collections::VecDeque;
@@ -70,8 +70,12 @@
     }
 
     /// Returns the difference from the configuration with manifest hash `base` to the one in force;
-    /// `None` if `base` is in force itself, unknown, or too long ago.
+    /// `None` if `base` is in force itself, unknown, or too long ago. From [`NO_CONFIGURATION`] the
+    /// difference is the whole configuration.
     pub fn delta_from(&self, base: &ContentHash) -> Option<Delta> {
+        if *base == NO_CONFIGURATION {
+            return self.whole();
+        }
         let changes = self.history.since(base)?;
         let removed = changes.removed.into_iter().filter(|hash| !self.objects.contains_key(hash));
         let added = changes.added.iter().filter_map(|hash| self.objects.get(hash)).cloned();
@@ -79,6 +83,20 @@
         Some(Delta { base: *base, head: self.head?, removed, added })
     }
 
+    /// Returns the configuration in force as a delta for a node that has none.
+    fn whole(&self) -> Option<Delta> {
+        let head = self.head?;
+        let resources = self.objects.iter().filter(|(hash, _)| **hash != head.manifest);
+        let added = resources.map(|(_, body)| body.clone()).collect();
+        Some(Delta { base: NO_CONFIGURATION, head, removed: Vec::new(), added })
+    }
+
+    /// Returns the manifest hash from which a delta for this node starts: that of the configuration
+    /// in force, or [`NO_CONFIGURATION`].
+    pub fn delta_base(&self) -> ContentHash {
+        self.head.map_or(NO_CONFIGURATION, |head| head.manifest)
+    }
+
     /// Returns an object, to be served to a peer, of the configuration in force or of one being
     /// fetched.
     pub fn object(&self, hash: &ContentHash) -> Option<&Bytes> {
@@ -144,7 +162,11 @@
         from: Source,
         actions: &mut Vec<Action>,
     ) {
-        if self.rejected.contains(&head) || self.candidates.iter().any(|c| c.head == head) {
+        if let Some(known) = self.candidates.iter_mut().find(|c| c.head == head) {
+            known.hasten(due);
+            return;
+        }
+        if self.rejected.contains(&head) {
             return;
         }
         if self.is_conflicting(head) {
@@ -180,10 +202,13 @@
     /// Adds what a delta from the configuration in force brings. A delta from another base, or one
     /// that doesn't lead to the manifest that it names, is ignored.
     fn on_delta(&mut self, now: Time, delta: &Delta, actions: &mut Vec<Action>) {
-        if self.head.map(|head| head.manifest) != Some(delta.base) {
+        if self.delta_base() != delta.base {
             return;
         }
-        let base = self.objects.get(&delta.base).and_then(|body| Manifest::decode(body));
+        let base = match self.head {
+            Some(head) => self.objects.get(&head.manifest).and_then(|body| Manifest::decode(body)),
+            None => Some(Manifest { version: ConfigVersion::default(), resources: Vec::new() }),
+        };
         let Some(manifest) = base.and_then(|base| delta.manifest(&base)) else { return };
         self.add_candidate(now, now, delta.head, Source::Peer, actions);
         let Some(candidate) = self.candidates.iter_mut().find(|c| c.head == delta.head) else {
@@ -234,6 +259,7 @@
             FetchAnswer::Pack(pack) => {
                 candidate.add_objects(&unpack(pack), &self.objects, &self.settings)
             }
+            FetchAnswer::Delta(delta) => return self.on_fetched_delta(now, head, &delta, actions),
             FetchAnswer::Absent if candidate.record_absent(&self.settings) => {
                 Err(RejectReason::Absent)
             }
@@ -246,6 +272,21 @@
         }
     }
 
+    /// Handles a delta that answered the fetch for `head`. Unless it brings that configuration or a
+    /// newer one, the fetch has failed.
+    fn on_fetched_delta(
+        &mut self,
+        now: Time,
+        head: ConfigHead,
+        delta: &Delta,
+        actions: &mut Vec<Action>,
+    ) {
+        self.on_delta(now, delta, actions);
+        if let Some(candidate) = self.candidates.iter_mut().find(|c| c.head == head) {
+            candidate.record_failure(&self.settings, now);
+        }
+    }
+
     /// Applies the highest complete candidate and drops the candidates with lower versions.
     fn apply_complete(&mut self, actions: &mut Vec<Action>) {
         let Some(floor) = self.floor else {
--- a/crates/sycamore-config/src/apply/mod.rs
+++ b/crates/sycamore-config/src/apply/mod.rs
@@ -90,6 +90,8 @@
     Objects(Vec<Bytes>),
     /// Pack of the configuration from the object store.
     Pack(Bytes),
+    /// Difference from the configuration in force to the peer's.
+    Delta(Delta),
     /// The object store has no object for the manifest's hash.
     Absent,
     /// The fetch timed out or was refused.
--- a/crates/sycamore-config/src/delta.rs
+++ b/crates/sycamore-config/src/delta.rs
@@ -1,27 +1,32 @@
-//! Differences between two configurations, which fit into a datagram when few resources change.
+//! Differences between two configurations, compressed, which fit into a datagram when few resources
+//! change.
 //!
 //! A node that is some versions behind asks peers for the difference from the configuration that it
 //! has in force. The answer takes one datagram each way and no connection, so it arrives also over
 //! a link that is too full for a manifest or an operator's row.
 
-use crate::manifest::Manifest;
+use crate::manifest::{Manifest, MAX_PACK_BYTES};
 use bytes::Bytes;
+use flate2::read::{DeflateDecoder, DeflateEncoder};
+use flate2::Compression;
 use prost::Message;
 use std::collections::{BTreeSet, VecDeque};
-use std::time::Duration;
+use std::io::Read;
 use sycamore_types::prelude::*;
 
-/// Upper bound on an encoded delta, in bytes. With the packet's header it fits into the largest
-/// datagram between nodes.
-pub const MAX_DELTA_BYTES: usize = 5 << 10;
+/// Base of the delta for a node without a configuration, which then holds all resources.
+pub const NO_CONFIGURATION: ContentHash = ContentHash([0; 32]);
+/// Upper bound on an encoded delta in a datagram, in bytes. With the packet's header it fits into the
+/// largest datagram between nodes.
+pub const MAX_DATAGRAM_DELTA: usize = 5 << 10;
+/// Upper bound on an encoded delta that answers a fetch, in bytes.
+pub const MAX_FETCHED_DELTA: usize = 512 << 10;
 /// Upper bound on held requests. The oldest is dropped first; its sender asks again.
-const MAX_HELD: usize = 64;
-/// Time for which a request is held; its sender has asked again by then.
-const HOLD_TIME: Duration = Duration::from_secs(2);
+const MAX_HELD: usize = 512;
 /// Upper bound on the steps that a [`History`] keeps.
 const MAX_STEPS: usize = 32;
-/// Upper bound on the hashes of one step. The resources of a larger one fit into no delta.
-const MAX_STEP_HASHES: usize = 128;
+/// Upper bound on the hashes of all steps, which limits the memory of a [`History`] to 256 KiB.
+const MAX_HISTORY_HASHES: usize = 8_192;
 
 /// Difference from one configuration to a later one.
 ///
@@ -56,9 +61,9 @@
 }
 
 impl Delta {
-    /// Encodes the delta; `None` if it exceeds [`MAX_DELTA_BYTES`].
-    pub fn encode(&self) -> Option<Vec<u8>> {
-        let encoded = WireDelta {
+    /// Encodes and compresses the delta; `None` if the result exceeds `max_bytes`.
+    pub fn encode(&self, max_bytes: usize) -> Option<Vec<u8>> {
+        let wire = WireDelta {
             base: self.base.0.to_vec(),
             version: self.head.version.0,
             manifest: self.head.manifest.0.to_vec(),
@@ -66,15 +71,23 @@
             added: self.added.clone(),
         }
         .encode_to_vec();
-        (encoded.len() <= MAX_DELTA_BYTES).then_some(encoded)
+        let mut encoded = Vec::new();
+        let compressed = DeflateEncoder::new(wire.as_slice(), Compression::fast());
+        let limit = u64::try_from(max_bytes).ok()?.checked_add(1)?;
+        compressed.take(limit).read_to_end(&mut encoded).ok()?;
+        (encoded.len() <= max_bytes).then_some(encoded)
     }
 
-    /// Decodes a delta; `None` if the bytes are malformed or exceed [`MAX_DELTA_BYTES`].
+    /// Decompresses and decodes a delta; `None` if the bytes are malformed or hold more than
+    /// [`MAX_PACK_BYTES`].
     pub fn decode(encoded: &[u8]) -> Option<Self> {
-        if encoded.len() > MAX_DELTA_BYTES {
+        let mut wire = Vec::new();
+        let limit = u64::try_from(MAX_PACK_BYTES).ok()?;
+        DeflateDecoder::new(encoded).take(limit + 1).read_to_end(&mut wire).ok()?;
+        if wire.len() > MAX_PACK_BYTES {
             return None;
         }
-        let wire = WireDelta::decode(encoded).ok()?;
+        let wire = WireDelta::decode(wire.as_slice()).ok()?;
         let hash = |bytes: Vec<u8>| bytes.try_into().ok().map(ContentHash);
         Some(Self {
             base: hash(wire.base)?,
@@ -109,14 +122,14 @@
 }
 
 impl HeldRequests {
-    /// Holds the request of `from` for a delta from `base`, in place of an earlier one of the same
-    /// instance.
-    pub fn hold(&mut self, now: Time, from: InstanceId, base: ContentHash) {
-        self.requests.retain(|(until, held, _)| *until > now && *held != from);
+    /// Holds the request of `from` for a delta from `base` until the time `until`, in place of an
+    /// earlier one of the same instance.
+    pub fn hold(&mut self, now: Time, until: Time, from: InstanceId, base: ContentHash) {
+        self.requests.retain(|(end, held, _)| *end > now && *held != from);
         if self.requests.len() == MAX_HELD {
             self.requests.pop_front();
         }
-        self.requests.push_back((now + HOLD_TIME, from, base));
+        self.requests.push_back((until, from, base));
     }
 
     /// Removes and returns the requests for which `delta_from` has a delta, with that delta.
@@ -160,21 +173,21 @@
 }
 
 impl History {
-    /// Records that `new` replaces `old`, whose manifest hash is `base`. A change of too many
-    /// resources forgets the steps before it, since no delta leads across it.
+    /// Records that `new` replaces `old`, whose manifest hash is `base`, and drops the oldest steps
+    /// beyond the bounds.
     pub(crate) fn record(&mut self, base: ContentHash, old: &Manifest, new: &Manifest) {
         let before: BTreeSet<ContentHash> = old.resources.iter().copied().collect();
         let after: BTreeSet<ContentHash> = new.resources.iter().copied().collect();
         let removed: Vec<ContentHash> = before.difference(&after).copied().collect();
         let added: Vec<ContentHash> = after.difference(&before).copied().collect();
-        if removed.len() + added.len() > MAX_STEP_HASHES {
-            self.steps.clear();
-            return;
-        }
-        if self.steps.len() == MAX_STEPS {
+        self.steps.push_back(Step { base, removed, added });
+        while self.steps.len() > MAX_STEPS || self.hashes() > MAX_HISTORY_HASHES {
             self.steps.pop_front();
         }
-        self.steps.push_back(Step { base, removed, added });
+    }
+
+    fn hashes(&self) -> usize {
+        self.steps.iter().map(|step| step.removed.len() + step.added.len()).sum()
     }
 
     /// Returns the changes since the configuration with manifest hash `base`; `None` if that is not
--- a/crates/sycamore-config/src/follow.rs
+++ b/crates/sycamore-config/src/follow.rs
@@ -59,6 +59,17 @@
         self.next = if is_behind && may_help { NextRead::Rows } else { NextRead::Changes };
     }
 
+    /// Returns the newest version that a read has brought.
+    pub fn taken(&self) -> ConfigVersion {
+        self.taken
+    }
+
+    /// Continues with the changes after a revision at which `version` was the newest.
+    pub fn resume(&mut self, version: ConfigVersion) {
+        self.next = NextRead::Changes;
+        self.record_version(version);
+    }
+
     /// Starts over with a listing, after the platform lost the changes since the last read.
     pub fn restart(&mut self) {
         self.next = NextRead::Rows;
--- a/crates/sycamore-config/src/lib.rs
+++ b/crates/sycamore-config/src/lib.rs
@@ -3,7 +3,8 @@
 //! A [`Bundle`] is an operator's configuration, validated as a whole and encoded as a [`Manifest`]
 //! of content hashes. [`Apply`] is the state machine that fetches a manifest's resources and
 //! replaces the configuration in force atomically. [`Floor`] determines the lowest version that a
-//! starting node may serve, and [`PollSettings`] the interval between reads of the head row.
+//! starting node may serve, [`PollSettings`] the interval between reads of the head row, and [`Watch`]
+//! which nodes watch the operators' rows.
 
 pub mod apply;
 pub mod bundle;
@@ -14,6 +15,7 @@
 pub mod head;
 pub mod manifest;
 pub mod poll;
+pub mod watch;
 
 pub use crate::apply::{Action, Apply, ApplySettings, FetchAnswer, Input, RejectReason, Source};
 pub use crate::bundle::{Bundle, Fault};
@@ -23,3 +25,4 @@
 pub use crate::head::HeadRow;
 pub use crate::manifest::{Encoded, Manifest};
 pub use crate::poll::PollSettings;
+pub use crate::watch::{Role, Watch, WatchSettings};
--- a/crates/sycamore-config/tests/common/mod.rs
+++ b/crates/sycamore-config/tests/common/mod.rs
@@ -21,3 +21,20 @@
         policy: RoutePolicy::default(),
     })
 }
+
+/// Creates a serving member of a data centre.
+#[allow(dead_code, reason = "not every test has members")]
+pub fn member(instance: InstanceId, data_centre: &str) -> Member {
+    let address = "127.0.0.1:7400".parse().expect("constant address");
+    Member {
+        instance,
+        incarnation: Incarnation(1),
+        state: MemberState::Serving,
+        service: ServiceName::new("counter").expect("constant identifier"),
+        version: UpstreamVersion::new("v1").expect("constant identifier"),
+        data_centre: DataCentre::new(data_centre).expect("a valid name"),
+        region: Region::new("region").expect("constant identifier"),
+        endpoints: Endpoints { peer: address, relay: address },
+        slots: 11,
+    }
+}
--- a/crates/sycamore-config/tests/delta.rs
+++ b/crates/sycamore-config/tests/delta.rs
@@ -8,7 +8,7 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
-use sycamore_config::delta::HeldRequests;
+use sycamore_config::delta::{HeldRequests, MAX_DATAGRAM_DELTA};
 use sycamore_config::{Action, Apply, ApplySettings, Delta, Encoded, Input, Source};
 use sycamore_types::prelude::*;
 
@@ -16,6 +16,8 @@
 const NODES: usize = 930;
 /// Peers that a node asks at once.
 const PEERS_ASKED: usize = 3;
+/// Time for which a node holds a request.
+const HOLD_TIME: Duration = Duration::from_secs(2);
 /// Time of a datagram from one node to another.
 const DATAGRAM_TIME: Duration = Duration::from_millis(5);
 /// Required time until a version is in force everywhere: the shorter one of the deployments'
@@ -82,7 +84,7 @@
     }
 
     fn send_delta(&mut self, now: Time, to: usize, delta: &Delta) {
-        self.send(now, to, Event::Delta(delta.encode().expect("a small change")));
+        self.send(now, to, Event::Delta(delta.encode(MAX_DATAGRAM_DELTA).expect("a small change")));
     }
 
     /// Feeds `input` to the machine of node `at` and performs its actions.
@@ -118,7 +120,9 @@
             }
             Event::Request { from, base } => match self.nodes[at].apply.delta_from(&base) {
                 Some(delta) => self.send_delta(now, from, &delta),
-                None if self.holds_requests => self.nodes[at].held.hold(now, instance(from), base),
+                None if self.holds_requests => {
+                    self.nodes[at].held.hold(now, now + HOLD_TIME, instance(from), base)
+                }
                 None => {}
             },
             Event::Delta(encoded) => {
--- a/crates/sycamore-config/tests/storm.rs
+++ b/crates/sycamore-config/tests/storm.rs
@@ -9,6 +9,7 @@
 
 use common::{route, service};
 use std::time::Duration;
+use sycamore_config::delta::MAX_DATAGRAM_DELTA;
 use sycamore_config::follow::{NextRead, RowReads};
 use sycamore_config::{Action, Apply, ApplySettings, Delta, Encoded, FetchAnswer, Input, Source};
 use sycamore_types::prelude::*;
@@ -101,7 +102,7 @@
             .map(|(_, base)| base)
             .collect();
         for base in bases {
-            let encoded = peer.delta_from(&base).and_then(|delta| delta.encode());
+            let encoded = peer.delta_from(&base).and_then(|delta| delta.encode(MAX_DATAGRAM_DELTA));
             if let Some(delta) = encoded.and_then(|encoded| Delta::decode(&encoded)) {
                 self.step(now, Input::DeltaReceived(delta));
             }
--- a/crates/sycamore-member/src/message.rs
+++ b/crates/sycamore-member/src/message.rs
@@ -1,6 +1,7 @@
 //! Messages between the membership state machines of different nodes.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 use sycamore_types::prelude::*;
 
 /// Entry of a membership table, as carried by messages.
@@ -173,6 +174,16 @@
         /// Encoded difference between two configurations.
         encoded: Vec<u8>,
     },
+    /// Answers a [`Body::DeltaRequest`] for which there is no delta, or none that fits into a
+    /// datagram.
+    Current {
+        /// Head of the sender's configuration in force; `None` if it has none.
+        head: Option<ConfigHead>,
+        /// Revision of the platform's table up to which the sender's configuration holds.
+        revision: u64,
+        /// Age of the sender's knowledge of the platform's table.
+        age: Duration,
+    },
 }
 
 /// Datagram between nodes.
--- a/crates/sycamore-node/src/config/delta.rs
+++ b/crates/sycamore-node/src/config/delta.rs
@@ -4,17 +4,48 @@
 use super::fetch::random_peer;
 use crate::peers::{DeltaBody, DeltaMessage, Deltas};
 use crate::tasks::TaskGroup;
+use bytes::Bytes;
 use slog::info;
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use sycamore_config::{Delta, Input};
+use std::time::Duration;
+use sycamore_config::delta::{MAX_DATAGRAM_DELTA, MAX_FETCHED_DELTA};
+use sycamore_config::{Apply, Delta, Input};
+use sycamore_platform::Revision;
 use sycamore_types::prelude::*;
 
 /// Number of peers asked for a delta at once, since a datagram or a peer's version may be missing.
 const PEERS_ASKED: usize = 3;
 /// Random draws of a peer, which may repeat one.
 const PEER_DRAWS: usize = 8;
+/// Shortest time for which a request is held; its sender has asked again by then.
+const MIN_HOLD_TIME: Duration = Duration::from_secs(2);
+/// Number of encoded deltas kept: from the versions that peers have in force during a change.
+const CACHED_DELTAS: usize = 8;
+
+/// Latest encoded deltas to the configuration in force. Most peers ask from the same base.
+#[derive(Default)]
+pub(super) struct DeltaCache {
+    /// Base and head of each delta with its encoding, oldest first; `None` if it is too large.
+    encoded: VecDeque<(ContentHash, ConfigHead, Option<Bytes>)>,
+}
+
+impl DeltaCache {
+    fn encode(&mut self, delta: &Delta) -> Option<Bytes> {
+        let is_it =
+            |base: &ContentHash, head: &ConfigHead| *base == delta.base && *head == delta.head;
+        if let Some((_, _, found)) = self.encoded.iter().find(|(base, head, _)| is_it(base, head)) {
+            return found.clone();
+        }
+        let encoded = delta.encode(MAX_FETCHED_DELTA).map(Bytes::from);
+        if self.encoded.len() == CACHED_DELTAS {
+            self.encoded.pop_front();
+        }
+        self.encoded.push_back((delta.base, delta.head, encoded.clone()));
+        encoded
+    }
+}
 
 /// Spawns the task that handles datagrams about deltas.
 pub(super) fn start(driver: &Rc<Driver>, tasks: &TaskGroup) {
@@ -49,23 +80,30 @@
 }
 
 async fn handle_messages(driver: Rc<Driver>, mut deltas: Deltas) {
-    while let Some(DeltaMessage { from, body }) = deltas.recv().await {
+    while let Some(DeltaMessage { from, source, body }) = deltas.recv().await {
         match body {
-            DeltaBody::Request(base) => answer(&driver, from, base),
+            DeltaBody::Request(base) => answer(&driver, from, source, base),
             DeltaBody::Delta(encoded) => receive(&driver, &from, &encoded),
+            DeltaBody::Current { head, revision, age } => {
+                driver.handle_current(source, head, Revision(revision), age);
+            }
         }
     }
 }
 
-/// Answers the request of the member `from`, or holds it until this node has a newer configuration.
-fn answer(driver: &Driver, from: InstanceId, base: ContentHash) {
-    match driver.with_state(|apply| apply.delta_from(&base)) {
-        Some(delta) => send(driver, &from, &delta),
-        None => {
-            driver.metrics.count_delta("held");
-            driver.held_requests.borrow_mut().hold(driver.hub.clock.now(), from, base);
-        }
+/// Answers the request of the instance `from` with a delta. Without one that fits into a datagram,
+/// tells it what this node has in force, and holds the request until there is a newer
+/// configuration.
+fn answer(driver: &Driver, from: InstanceId, source: SocketAddr, base: ContentHash) {
+    let delta = driver.with_state(|apply| apply.delta_from(&base));
+    if delta.is_some_and(|delta| send(driver, &from, &delta)) {
+        return;
     }
+    driver.metrics.count_delta("held");
+    let now = driver.hub.clock.now();
+    let until = now + MIN_HOLD_TIME.max(driver.hub.settings.config.max_age());
+    driver.held_requests.borrow_mut().hold(now, until, from, base);
+    send_current(driver, source);
 }
 
 /// Answers the held requests for which the configuration in force has a delta.
@@ -75,21 +113,45 @@
         driver.held_requests.borrow_mut().take_answerable(now, |base| apply.delta_from(base))
     });
     for (from, delta) in answers {
-        send(driver, &from, &delta);
+        if !send(driver, &from, &delta) {
+            if let Some(to) = address(driver, &from) {
+                send_current(driver, to);
+            }
+        }
     }
 }
 
-/// Sends `delta` to the member `to` if it fits into a datagram. It goes to the member's own address,
-/// so that nobody can have it sent elsewhere.
-fn send(driver: &Driver, to: &InstanceId, delta: &Delta) {
-    let to = driver.hub.members.borrow().members.get(to).map(|member| member.endpoints.peer);
-    match (to, delta.encode()) {
-        (Some(to), Some(encoded)) => {
-            driver.metrics.count_delta("sent");
-            driver.peers.send_delta(to, DeltaBody::Delta(encoded));
-        }
-        _ => driver.metrics.count_delta("not-sent"),
-    }
+/// Returns the peer address of the member `instance`; `None` if it is unknown.
+fn address(driver: &Driver, instance: &InstanceId) -> Option<SocketAddr> {
+    driver.hub.members.borrow().members.get(instance).map(|member| member.endpoints.peer)
+}
+
+/// Sends `delta` to the member `to` if it fits into a datagram; returns whether it did. It goes to
+/// the member's own address, so that nobody can have it sent elsewhere.
+fn send(driver: &Driver, to: &InstanceId, delta: &Delta) -> bool {
+    let encoded = encode(driver, delta).filter(|encoded| encoded.len() <= MAX_DATAGRAM_DELTA);
+    let (Some(to), Some(encoded)) = (address(driver, to), encoded) else {
+        driver.metrics.count_delta("not-sent");
+        return false;
+    };
+    driver.metrics.count_delta("sent");
+    driver.peers.send_delta(to, DeltaBody::Delta(encoded.to_vec()));
+    true
+}
+
+/// Encodes `delta`; `None` if it is too large for a peer's fetch.
+pub(super) fn encode(driver: &Driver, delta: &Delta) -> Option<Bytes> {
+    driver.encoded_deltas.borrow_mut().encode(delta)
+}
+
+/// Tells the peer at `to` what this node has in force and how old its knowledge is. It is no longer
+/// than a request, so that the address needs no check.
+fn send_current(driver: &Driver, to: SocketAddr) {
+    let Some(age) = driver.knowledge_age() else { return };
+    let revision = driver.complete_at.get().map_or(Revision::ABSENT, |(_, at)| at).0;
+    let head = driver.with_state(Apply::head);
+    driver.metrics.count_delta("current");
+    driver.peers.send_delta(to, DeltaBody::Current { head, revision, age });
 }
 
 fn receive(driver: &Driver, from: &InstanceId, encoded: &[u8]) {
--- a/crates/sycamore-node/src/config/driver.rs
+++ b/crates/sycamore-node/src/config/driver.rs
@@ -1,7 +1,8 @@
 //! Drives the configuration state machines: feeds them inputs and executes their actions.
 
-use super::delta;
+use super::delta::{self, DeltaCache};
 use super::metrics::Metrics;
+use super::role::watch_settings;
 use crate::hub::Hub;
 use crate::peers::Peers;
 use crate::platform::Platform;
@@ -9,13 +10,15 @@
 use slog::{info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use sycamore_config::delta::HeldRequests;
 use sycamore_config::{
     Action, Apply, ApplySettings, FetchAnswer, Floor, FloorSettings, Input, PeerHead, RejectReason,
-    Source,
+    Role, Source, Watch,
 };
+use sycamore_platform::Revision;
 use sycamore_types::prelude::*;
 use tokio::sync::{mpsc, Notify};
 
@@ -27,6 +30,9 @@
 /// Longest time a configuration takes from the platform's row to a node that watches it: 1 MB over
 /// the users' slowest link of 10 Mbit/s.
 const ROW_TRANSFER_TIME: Duration = Duration::from_millis(800);
+/// Longest time a difference takes to a node that has a request at a watcher; two datagrams may be
+/// lost in it.
+const DELTA_TRANSFER_TIME: Duration = Duration::from_millis(400);
 
 /// Fetch of configuration objects that the state machine requested.
 #[derive(Debug)]
@@ -56,6 +62,21 @@
     pub(super) objects_changed: Notify,
     /// Whether this node watches operators' rows itself and its last read of them succeeded.
     pub(super) watches_rows: Cell<bool>,
+    /// Knowledge of the operators' rows, and the requests for news of them.
+    pub(super) watch: RefCell<Watch>,
+    /// Role of this node in reading operators' rows; `None` before it is first determined.
+    pub(super) role: Cell<Option<Role>>,
+    /// Time until which a waiting watch counts as current; `None` while none is waiting.
+    pub(super) watching_until: Cell<Option<Time>>,
+    /// Revision of the platform's table up to which the configuration in force holds, with its
+    /// version; `None` while it is unknown.
+    pub(super) complete_at: Cell<Option<(ConfigVersion, Revision)>>,
+    /// Wakes the task that requests news of the rows.
+    pub(super) request_due: Notify,
+    /// Peer that offered a configuration too large for a datagram.
+    pub(super) offered_by: Cell<Option<(ConfigHead, SocketAddr)>>,
+    /// Latest encoded deltas.
+    pub(super) encoded_deltas: RefCell<DeltaCache>,
     /// Peers' requests for a delta that this node can't answer yet.
     pub(super) held_requests: RefCell<HeldRequests>,
     /// Latest head for which a peer lacked objects.
@@ -86,6 +107,13 @@
             state_changed: Notify::new(),
             objects_changed: Notify::new(),
             watches_rows: Cell::new(false),
+            watch: RefCell::new(Watch::new(watch_settings(hub), hub.clock.now())),
+            role: Cell::new(None),
+            watching_until: Cell::new(None),
+            complete_at: Cell::new(None),
+            request_due: Notify::new(),
+            offered_by: Cell::new(None),
+            encoded_deltas: RefCell::default(),
             held_requests: RefCell::default(),
             peer_miss: Cell::new(None),
             apply: RefCell::new(Apply::new(settings)),
@@ -140,13 +168,56 @@
         }
     }
 
-    /// Handles a head that peers spread. A node that watches operators' rows delays the fetch, as
-    /// the complete configuration is probably on its way from the platform.
+    /// Handles a head that peers spread. A node that watches operators' rows, or that has a request
+    /// at a peer, delays the fetch, as the configuration or a delta is probably on its way.
     pub(super) fn handle_spread_head(&self, head: ConfigHead) {
-        let fetch_delay = if self.watches_rows.get() { ROW_TRANSFER_TIME } else { Duration::ZERO };
+        let fetch_delay = match (self.watches_rows.get(), self.is_followed()) {
+            (true, _) => ROW_TRANSFER_TIME,
+            (false, true) => DELTA_TRANSFER_TIME,
+            (false, false) => Duration::ZERO,
+        };
         self.learn_head(head, Source::Peer, fetch_delay);
     }
 
+    fn is_followed(&self) -> bool {
+        self.watch.borrow().is_followed(self.hub.clock.now())
+    }
+
+    /// Handles the answer of the peer at `source` that it has `head` in force, complete up to
+    /// `revision` of the platform's table by knowledge of this `age`.
+    pub(super) fn handle_current(
+        &self,
+        source: SocketAddr,
+        head: Option<ConfigHead>,
+        revision: Revision,
+        age: Duration,
+    ) {
+        self.watch.borrow_mut().record_answer(self.hub.clock.now(), age);
+        if revision != Revision::ABSENT {
+            self.platform.http().observe_epoch(revision.epoch());
+        }
+        let Some(head) = head else { return };
+        if self.floor().is_none() && age <= self.hub.settings.config.max_age() {
+            let floor = self.floor.borrow_mut().on_head_row(Some(head));
+            self.apply_floor(floor);
+        }
+        if Some(head.version) > self.with_state(Apply::in_force) {
+            self.offered_by.set(Some((head, source)));
+            self.hub.facts.learn_from(Fact::Head(head), source);
+            self.learn_head(head, Source::Peer, Duration::ZERO);
+        }
+        self.record_complete(head.version, revision);
+    }
+
+    /// Records that the configuration in force holds up to `revision` if it has `version`.
+    pub(super) fn record_complete(&self, version: ConfigVersion, revision: Revision) {
+        let is_in_force = self.with_state(Apply::in_force) == Some(version);
+        let is_newer = self.complete_at.get().is_none_or(|(_, at)| at < revision);
+        if is_in_force && is_newer {
+            self.complete_at.set(Some((version, revision)));
+        }
+    }
+
     fn learn_head(&self, head: ConfigHead, from: Source, fetch_delay: Duration) {
         let (highest, in_force) = self.with_state(|apply| (apply.highest(), apply.in_force()));
         if Some(head) > highest {
@@ -199,6 +270,8 @@
                     "lag_ms" => millis(lag));
                 self.hub.publish_snapshot(snapshot);
                 delta::answer_held(self);
+                self.watch.borrow_mut().record_configuration(self.hub.clock.now());
+                self.request_due.notify_one();
             }
             Action::Reject { head, reason } => self.reject(head, &reason),
         }
--- a/crates/sycamore-node/src/config/fetch.rs
+++ b/crates/sycamore-node/src/config/fetch.rs
@@ -9,7 +9,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use sycamore_config::manifest::object_key;
-use sycamore_config::{FetchAnswer, Input, Source};
+use sycamore_config::{Apply, Delta, FetchAnswer, Input, Source};
+use sycamore_peer::{FetchRequest, Fetched};
 use sycamore_platform::Objects;
 use sycamore_types::prelude::*;
 use tokio::sync::mpsc;
@@ -18,7 +19,7 @@
 const WORKERS: usize = 4;
 /// Share of random fetches, in percent, that may go to a peer in any data centre; the others stay
 /// in this node's own.
-const ANY_DATA_CENTRE_PERCENT: u32 = 50;
+const ANY_DATA_CENTRE_PERCENT: u32 = 20;
 
 type Queue = Rc<tokio::sync::Mutex<mpsc::Receiver<Fetch>>>;
 
@@ -76,15 +77,25 @@
     hashes: &[ContentHash],
 ) -> Finished {
     let limit: Duration = driver.hub.settings.config.fetch_timeout;
-    let fetched = monoio::time::timeout(limit, driver.peers.calls().fetch(to, hashes)).await;
+    let base = Some(driver.with_state(Apply::delta_base));
+    let req = FetchRequest { hashes: hashes.to_vec(), base };
+    let fetched = monoio::time::timeout(limit, driver.peers.calls().fetch(to, &req)).await;
     let result = match fetched {
-        Ok(Ok(objects)) if !objects.is_empty() => {
+        Ok(Ok(Fetched::Delta(encoded))) => match Delta::decode(&encoded) {
+            Some(delta) => {
+                driver.metrics.count_peer_fetch();
+                let result = format!("delta:{}", encoded.len());
+                return Finished::new(FetchAnswer::Delta(delta), result);
+            }
+            None => "malformed delta".to_owned(),
+        },
+        Ok(Ok(Fetched::Objects(objects))) if !objects.is_empty() => {
             driver.metrics.count_peer_fetch();
             let bodies: Vec<Bytes> = objects.into_iter().map(|(_, body)| body).collect();
             let result = format!("objects:{}", bodies.len());
             return Finished::new(FetchAnswer::Objects(bodies), result);
         }
-        Ok(Ok(_)) => "none".to_owned(),
+        Ok(Ok(Fetched::Objects(_))) => "none".to_owned(),
         Ok(Err(report)) => report.current_context().to_string(),
         Err(_) => "timeout".to_owned(),
     };
@@ -104,14 +115,16 @@
     }
 }
 
-/// Chooses the peer from which `head` was learnt, as it holds a fetch until it has the objects
-/// itself. After a miss there, chooses a random peer, half of the time in this node's data centre.
+/// Chooses the peer that offered `head`, or else the one from which it was learnt, as that holds a
+/// fetch until it has the objects itself. After a miss there, chooses a random peer, mostly in this
+/// node's data centre.
 fn choose_peer(driver: &Driver, head: ConfigHead) -> Option<SocketAddr> {
-    let source = driver.hub.facts.head_source(&head);
+    let offered = driver.offered_by.get().filter(|(offered, _)| *offered == head);
+    let source = offered.map(|(_, by)| by).or_else(|| driver.hub.facts.head_source(&head));
     source.filter(|_| !driver.has_peer_miss(head)).or_else(|| random_peer(driver))
 }
 
-/// Chooses a random other node, half of the time in this node's data centre.
+/// Chooses a random other node, mostly in this node's data centre.
 pub(super) fn random_peer(driver: &Driver) -> Option<SocketAddr> {
     let view = driver.hub.members.borrow().clone();
     let own = &driver.hub.settings.node;
--- a/crates/sycamore-node/src/config/follow.rs
+++ b/crates/sycamore-node/src/config/follow.rs
@@ -1,11 +1,11 @@
 //! Watches the rows that operators write into the platform's table: configurations and release
 //! orders.
 //!
-//! Only some nodes watch; a configuration that one of them reads spreads to the others like any
-//! other head.
+//! Only some nodes of each data centre watch; the others get a configuration from them by deltas and
+//! fetches. A node whose peers don't keep it current reads the rows itself.
 
 use super::driver::{millis, Driver};
-use crate::edge::{OperatorEdge, OperatorRow};
+use crate::edge::{OperatorEdge, OperatorRow, ReleaseOrder};
 use crate::hub::Dependency;
 use crate::tasks::TaskGroup;
 use slog::{info, warn};
@@ -14,13 +14,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 use sycamore_config::follow::{NextRead, RowReads};
-use sycamore_config::{Bundle, Encoded};
+use sycamore_config::{Bundle, Encoded, Role};
 use sycamore_platform::backoff::{Backoff, BackoffSettings};
 use sycamore_platform::{Error, PageQuery, Result, Revision, Row, Table};
 use sycamore_types::prelude::*;
 
-/// Time between two checks of whether this node has become a watcher.
-const ROLE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two checks of this node's role.
+const ROLE_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest pause after a failed watch: a platform that is back must be used within 1 s.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(600);
 
@@ -34,7 +34,8 @@
     let mut backoff = Backoff::new(settings.clone(), rand::random());
     let mut watch = Watch::new(&driver, &*edge);
     loop {
-        if !is_watcher(&driver) {
+        watch.role = driver.update_role();
+        if watch.role == Role::Follower {
             watch.reads.restart();
             driver.watches_rows.set(false);
             monoio::time::sleep(ROLE_INTERVAL).await;
@@ -56,24 +57,11 @@
     }
 }
 
-/// Returns whether this node watches operators' rows. In a small fleet every node does, in a larger
-/// one those with the lowest hashes of their instance names; a node without a version floor always
-/// does.
-fn is_watcher(driver: &Driver) -> bool {
-    let watchers = driver.hub.settings.config.watchers as usize;
-    let view = driver.hub.members.borrow().clone();
-    if view.members.len() <= watchers || driver.floor().is_none() {
-        return true;
-    }
-    let rank = |instance: &InstanceId| ContentHash::of(instance.as_str().as_bytes());
-    let own = rank(&driver.hub.settings.node.instance);
-    view.members.keys().filter(|instance| rank(instance) < own).count() < watchers
-}
-
 /// Watch on the rows under the operators' prefix.
 struct Watch<'a> {
     driver: &'a Driver,
     edge: &'a dyn OperatorEdge,
+    role: Role,
     reads: RowReads,
     /// Revision up to which changes were handled.
     at: Revision,
@@ -81,14 +69,22 @@
 
 impl<'a> Watch<'a> {
     fn new(driver: &'a Driver, edge: &'a dyn OperatorEdge) -> Self {
-        Self { driver, edge, reads: RowReads::default(), at: Revision::ABSENT }
+        Self {
+            driver,
+            edge,
+            role: Role::Follower,
+            reads: RowReads::default(),
+            at: Revision::ABSENT,
+        }
     }
 
     /// Lists all rows, or waits for the changes after the last read, and handles what it brings.
     async fn step(&mut self) -> Result<()> {
         let started = self.driver.hub.clock.now();
+        self.resume();
         self.reads.begin(self.highest_spread_version());
         let Some((rows, at)) = self.read().await? else {
+            self.driver.complete_at.set(None);
             self.reads.restart();
             return Ok(());
         };
@@ -98,9 +94,30 @@
         rows.iter().for_each(|row| self.handle_row(row));
         self.at = at;
         self.reads.end(self.highest_spread_version());
+        self.driver.record_complete(self.reads.taken(), at);
         Ok(())
     }
 
+    /// Lets a node that is no watcher continue where its peers' knowledge ends: it needs no more
+    /// than the configuration, which is then read only if it has changed.
+    fn resume(&mut self) {
+        let complete_at = self.driver.complete_at.get().filter(|_| self.role == Role::Stale);
+        if let (NextRead::Rows, Some((version, at))) = (self.reads.next(), complete_at) {
+            self.at = at;
+            self.reads.resume(version);
+        }
+    }
+
+    /// Returns the longest time that a read waits for a change.
+    fn wait(&self) -> Duration {
+        let config = &self.driver.hub.settings.config;
+        match self.role {
+            Role::Watcher => config.watch_time,
+            // The next check of the role has to come before the node's knowledge is too old again.
+            Role::Stale | Role::Unconfigured | Role::Follower => config.max_age() / 2,
+        }
+    }
+
     /// Returns the rows of the next read with the revision up to which they are complete; `None` if
     /// the platform no longer holds the changes.
     async fn read(&self) -> Result<Option<(Vec<Row>, Revision)>> {
@@ -109,12 +126,17 @@
         match self.reads.next() {
             NextRead::Rows => {
                 let page = platform.list(PageQuery { prefix, ..PageQuery::default() }).await?;
-                self.remove_stale_orders(&page.rows);
+                self.remove_stale_orders(&page.rows, page.at);
                 Ok(Some((page.rows, page.at)))
             }
             NextRead::Changes => {
-                let wait = self.driver.hub.settings.config.watch_time;
-                match platform.changes(prefix, self.at, wait).await {
+                let wait = self.wait();
+                if self.driver.watches_rows.get() {
+                    self.driver.begin_watch(wait);
+                }
+                let read = platform.changes(prefix, self.at, wait).await;
+                self.driver.end_watch();
+                match read {
                     Ok(changes) => Ok(Some((changes.rows, changes.at))),
                     Err(report) if *report.current_context() == Error::HistoryLost => Ok(None),
                     Err(report) => Err(report),
@@ -134,6 +156,7 @@
     fn log_read(&self, started: Time, rows: usize, at: Revision) {
         let hub = &self.driver.hub;
         info!(hub.log, "operator rows read"; "read" => self.read_name(), "rows" => rows, "revision" => at.0,
+            "role" => self.role.as_str(),
             "took_ms" => millis(hub.clock.now().since(started)));
     }
 
@@ -180,10 +203,12 @@
         }
     }
 
-    fn handle_order(&self, row: &Row, order: crate::edge::ReleaseOrder) {
+    fn handle_order(&self, row: &Row, order: ReleaseOrder) {
         let orders = &self.driver.hub.orders;
-        let known = orders.borrow().get(&row.key).map(|(_, revision)| *revision);
-        if known.is_some_and(|known| known >= row.revision.0) {
+        let known = orders.borrow().get(&row.key).cloned();
+        if known.is_some_and(|(known, at)| {
+            at >= row.revision.0 || is_written_again(&known, at, &order, row)
+        }) {
             return;
         }
         info!(self.driver.hub.log, "release order read"; "service" => %order.service,
@@ -193,12 +218,15 @@
         });
     }
 
-    /// Removes the release orders whose rows are not among `rows`.
-    fn remove_stale_orders(&self, rows: &[Row]) {
+    /// Removes the release orders whose rows are not among `rows`, which were read at `at`. An order
+    /// of an earlier epoch stays: operators write again what the platform has lost.
+    fn remove_stale_orders(&self, rows: &[Row], at: Revision) {
         let keys: BTreeSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
         self.driver.hub.orders.send_if_modified(|orders| {
             let before = orders.len();
-            Arc::make_mut(orders).retain(|key, _| keys.contains(key.as_str()));
+            Arc::make_mut(orders).retain(|key, (_, revision)| {
+                keys.contains(key.as_str()) || Revision(*revision).epoch() < at.epoch()
+            });
             orders.len() != before
         });
     }
@@ -213,6 +241,7 @@
         self.driver.watches_rows.set(false);
         let hub = &self.driver.hub;
         warn!(hub.log, "operator rows not read"; "read" => self.read_name(), "why" => %error,
+            "role" => self.role.as_str(),
             "took_ms" => millis(took));
         hub.dependencies.record_lost(
             &hub.log,
@@ -225,7 +254,15 @@
     fn record_success(&self) {
         self.driver.watches_rows.set(true);
         let hub = &self.driver.hub;
+        self.driver.watch.borrow_mut().record_current(hub.clock.now(), Duration::ZERO);
         hub.dependencies.record_reached(&hub.log, hub.clock.now(), Dependency::Platform);
         self.driver.metrics.record_rows_read(hub.clock.wall());
     }
 }
+
+/// Returns whether `row` holds the `known` order of revision `at` once more, written again after the
+/// platform came back from an older copy. It is no new order, whose move would start anew.
+fn is_written_again(known: &ReleaseOrder, at: u64, order: &ReleaseOrder, row: &Row) -> bool {
+    let is_later_epoch = Revision(at).epoch() < row.revision.epoch();
+    is_later_epoch && known.service == order.service && known.to == order.to
+}
--- a/crates/sycamore-node/src/config/metrics.rs
+++ b/crates/sycamore-node/src/config/metrics.rs
@@ -1,8 +1,11 @@
 //! Metrics of configurations and of requests to the platform.
 
 use crate::hub::{raise_to, Meter};
-use prometheus::{Gauge, Histogram, IntCounter, IntCounterVec, IntGauge, Registry, Result};
+use prometheus::{
+    Gauge, Histogram, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry, Result,
+};
 use std::time::Duration;
+use sycamore_config::Role;
 use sycamore_platform::http::Traffic;
 use sycamore_types::prelude::*;
 
@@ -16,6 +19,7 @@
     rejected: IntCounter,
     fetches: IntCounterVec,
     deltas: IntCounterVec,
+    role: IntGaugeVec,
     requests: IntCounterVec,
     bytes: IntCounterVec,
 }
@@ -54,6 +58,11 @@
                 "Datagrams about differences between configurations, by event",
                 &["event"],
             )?,
+            role: meter.gauges(
+                "config_reader_role",
+                "1 for this node's role in reading operators' rows, 0 for the others",
+                &["role"],
+            )?,
             requests: meter.counters(
                 "platform_requests_total",
                 "Requests to the platform, by kind",
@@ -85,6 +94,13 @@
         self.followed_at.set(seconds(at));
     }
 
+    /// Records this node's role in reading operators' rows.
+    pub(super) fn record_role(&self, role: Role) {
+        for each in [Role::Follower, Role::Watcher, Role::Stale, Role::Unconfigured] {
+            self.role.with_label_values(&[each.as_str()]).set(i64::from(each == role));
+        }
+    }
+
     /// Counts a rejected configuration or operator row.
     pub(super) fn count_rejected(&self) {
         self.rejected.inc();
--- a/crates/sycamore-node/src/config/mod.rs
+++ b/crates/sycamore-node/src/config/mod.rs
@@ -9,6 +9,8 @@
 mod follow;
 mod metrics;
 mod query;
+mod request;
+pub(crate) mod role;
 mod serve;
 
 use crate::edge::OperatorEdge;
@@ -58,7 +60,10 @@
     delta::start(&driver, tasks);
     find::follow(&driver, tasks);
     match operators {
-        Some(edge) => follow::start(&driver, tasks, edge),
+        Some(edge) => {
+            follow::start(&driver, tasks, edge);
+            request::start(&driver, tasks);
+        }
         None => find::poll(&driver, tasks),
     }
     floor::start(&driver, tasks);
--- a/crates/sycamore-node/src/config/serve.rs
+++ b/crates/sycamore-node/src/config/serve.rs
@@ -4,6 +4,7 @@
 //! fetch from the peer from which they learnt a head, so a change travels down that tree without
 //! retries.
 
+use super::delta::encode;
 use super::driver::Driver;
 use crate::tasks::TaskGroup;
 use futures::StreamExt;
@@ -11,7 +12,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use sycamore_peer::limits::MAX_FETCH_BYTES;
-use sycamore_peer::{Call, Objects};
+use sycamore_peer::{Call, FetchRequest, Fetched, Objects};
 use sycamore_types::prelude::*;
 
 /// Longest time for which a peer's fetch request is held until this node has a wanted object.
@@ -21,7 +22,7 @@
 /// Maximum number of held fetch requests; further ones are answered at once.
 const MAX_HELD: usize = 64;
 
-type FetchCall = Call<Vec<ContentHash>, Objects>;
+type FetchCall = Call<FetchRequest, Fetched>;
 
 /// Spawns the task that answers peers' fetch requests.
 pub(super) fn start(driver: &Rc<Driver>, tasks: &TaskGroup) {
@@ -59,12 +60,13 @@
 
 /// Answers `call`, or holds it if this node has none of its objects yet and is fetching one.
 fn answer_or_hold(driver: &Driver, call: FetchCall, held: &mut VecDeque<(Time, FetchCall)>) {
-    let objects = objects(driver, &call.body);
-    let wanted = call.body.iter().any(|hash| driver.with_state(|apply| apply.is_wanted(hash)));
-    if objects.is_empty() && wanted && held.len() < MAX_HELD {
+    let reply = reply(driver, &call.body);
+    let hashes = &call.body.hashes;
+    let wanted = hashes.iter().any(|hash| driver.with_state(|apply| apply.is_wanted(hash)));
+    if is_empty(&reply) && wanted && held.len() < MAX_HELD {
         held.push_back((driver.hub.clock.now() + MAX_HOLD, call));
     } else {
-        answer(call, objects);
+        answer(call, reply);
     }
 }
 
@@ -72,18 +74,37 @@
     let now = driver.hub.clock.now();
     for _ in 0..held.len() {
         let Some((until, call)) = held.pop_front() else { return };
-        let objects = objects(driver, &call.body);
-        if objects.is_empty() && until > now {
+        let reply = reply(driver, &call.body);
+        if is_empty(&reply) && until > now {
             held.push_back((until, call));
         } else {
-            answer(call, objects);
+            answer(call, reply);
         }
     }
 }
 
-fn answer(call: FetchCall, objects: Objects) {
+fn answer(call: FetchCall, reply: Fetched) {
     // The send fails if the caller has given up, which is harmless.
-    let _ = call.tx.send(objects);
+    let _ = call.tx.send(reply);
+}
+
+fn is_empty(reply: &Fetched) -> bool {
+    matches!(reply, Fetched::Objects(objects) if objects.is_empty())
+}
+
+/// Returns a delta if the request asks for the manifest in force and names a base that one starts
+/// from, else the objects.
+fn reply(driver: &Driver, req: &FetchRequest) -> Fetched {
+    let in_force = driver.with_state(|apply| apply.head()).map(|head| head.manifest);
+    let asks_for_it = in_force.is_some_and(|manifest| req.hashes.contains(&manifest));
+    let delta = req.base.filter(|_| asks_for_it).and_then(|base| {
+        let delta = driver.with_state(|apply| apply.delta_from(&base))?;
+        encode(driver, &delta)
+    });
+    match delta {
+        Some(encoded) => Fetched::Delta(encoded),
+        None => Fetched::Objects(objects(driver, &req.hashes)),
+    }
 }
 
 /// Collects the requested objects that this node has, up to [`MAX_FETCH_BYTES`].
--- a/crates/sycamore-node/src/moves/mod.rs
+++ b/crates/sycamore-node/src/moves/mod.rs
@@ -15,6 +15,7 @@
 use crate::platform::Platform;
 use crate::tasks::TaskGroup;
 use error_stack::Report;
+use rows::Pollers;
 use state::State;
 use std::rc::Rc;
 use std::time::Duration;
@@ -40,7 +41,11 @@
     operators: Option<Rc<dyn OperatorEdge>>,
 ) -> Result<Rc<Moves>, Report<std::io::Error>> {
     let state = Rc::new(State::new(hub.clone(), platform.clone(), peers.clone()));
-    tasks.spawn_until_stop(rows::poll(state.clone()));
+    let pollers = match &operators {
+        Some(_) => Pollers::Watchers,
+        None => Pollers::All,
+    };
+    tasks.spawn_until_stop(rows::poll(state.clone(), pollers));
     tasks.spawn_until_stop(rows::follow_facts(state.clone()));
     tasks.spawn_until_stop(evidence::collect(state.clone()));
     tasks.spawn_until_stop(evidence::watch_upstream(state.clone()));
--- a/crates/sycamore-node/src/moves/orders.rs
+++ b/crates/sycamore-node/src/moves/orders.rs
@@ -1,8 +1,10 @@
 //! Executes the release orders that operators write as rows: plans a move for each and writes its
 //! status back.
 
+use super::act;
 use super::rows;
 use super::state::{Entry, State};
+use crate::config::role::all_watchers;
 use crate::edge::{OperatorEdge, ReleaseOrder, ReleaseState};
 use rand::Rng;
 use slog::{info, warn};
@@ -23,9 +25,11 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Fraction of an order's duration that is reserved for writing its final status.
 const STATUS_RESERVE: f64 = 0.12;
-/// Maximum number of nodes that try to plan the move of an order, one after the other.
+/// Maximum number of nodes that try to plan the move of an order or to write its status, one after
+/// the other.
 const MAX_PLANNERS: usize = 4;
-/// Time each planner waits for every planner ranked before it.
+/// Time each planner waits for every planner ranked before it, which may be cut off from the
+/// platform.
 const PLANNER_DELAY: Duration = Duration::from_millis(400);
 /// Time from the end of a move, with the full share on the new version, to the order's status
 /// `Done`. Operators may then stop the old version, so its calls in flight must end first.
@@ -42,8 +46,24 @@
     attempted: Option<Time>,
     /// Status that was last found or written in the table.
     reported: Option<ReleaseState>,
+    /// Latest status with the time since which it holds.
+    status: Option<(ReleaseState, Time)>,
     /// Time at which the move was first seen as done.
     done_at: Option<Time>,
+    /// Epoch of the platform's table in which the status was reported.
+    epoch: u64,
+}
+
+impl Progress {
+    /// Returns whether `status` is to be written by a node whose turn comes after the time `turn`.
+    fn is_unreported(&mut self, status: ReleaseState, now: Time, turn: Duration) -> bool {
+        let since = match self.status {
+            Some((latest, since)) if latest == status => since,
+            _ => now,
+        };
+        self.status = Some((status, since));
+        self.reported != Some(status) && now.since(since) >= turn
+    }
 }
 
 /// Executes the known release orders until the task is stopped.
@@ -80,15 +100,24 @@
 ) {
     let now = state.hub.clock.now();
     let seen = *progress.seen.get_or_insert(now);
-    let rank = own_rank(state, mv);
     let status = state.moves.borrow().get(mv).map(|entry| status(entry, state, now, progress));
     let due = progress.attempted.is_none_or(|tried| now.since(tried) >= RETRY_INTERVAL);
+    let Some(turn) = own_turn(state, mv) else { return };
+    let epoch = state.platform.http().epochs().borrow().unwrap_or_default();
+    if progress.epoch < epoch {
+        // The table may have lost the status.
+        (progress.epoch, progress.reported) = (epoch, None);
+    }
+    if due && is_of_earlier_epoch(state, mv, epoch) {
+        progress.attempted = Some(now);
+        return restore(state, mv).await;
+    }
     match status {
-        None if due && rank < MAX_PLANNERS && now.since(seen) >= PLANNER_DELAY * rank as u32 => {
+        None if due && now.since(seen) >= turn => {
             progress.attempted = Some(now);
             plan(state, order, mv, now.since(seen)).await;
         }
-        Some(status) if due && rank == 0 && progress.reported != Some(status) => {
+        Some(status) if due && progress.is_unreported(status, now, turn) => {
             progress.attempted = Some(now);
             if write_status(state, edge, order, status).await {
                 progress.reported = Some(status);
@@ -98,14 +127,19 @@
     }
 }
 
-/// Returns the rank of this node among the known members for the move `mv` by rendezvous hashing; 0
-/// is first.
-fn own_rank(state: &State, mv: &MoveId) -> usize {
-    let view = state.hub.members.borrow().clone();
+/// Returns the time for which this node leaves the move `mv` to others: they come before it by
+/// rendezvous hashing among the nodes that know the orders. `None` if it isn't among the first.
+fn own_turn(state: &State, mv: &MoveId) -> Option<Duration> {
     let own = &state.hub.settings.node.instance;
+    let watchers = all_watchers(&state.hub);
+    if !watchers.contains(own) {
+        return None;
+    }
     let score = |instance: &InstanceId| ContentHash::of(format!("{mv}\n{instance}").as_bytes());
     let own_score = score(own);
-    view.members.keys().filter(|instance| *instance != own && score(instance) > own_score).count()
+    let rank = watchers.iter().filter(|instance| score(instance) > own_score).count();
+    let rank = u32::try_from(rank).ok().filter(|_| rank < MAX_PLANNERS)?;
+    Some(PLANNER_DELAY * rank)
 }
 
 /// Returns the status of an order whose move is `entry`. It becomes done [`OLD_VERSION_DRAIN`]
@@ -180,6 +214,45 @@
     version_before(&order.service, &order.to, known, serving)
 }
 
+/// Returns whether the row of the move `mv` was last read or written before the platform came back
+/// from an older copy of its table, which may have lost it.
+fn is_of_earlier_epoch(state: &State, mv: &MoveId, epoch: u64) -> bool {
+    let moves = state.moves.borrow();
+    moves.get(mv).is_some_and(|entry| Revision(entry.control.row().1).epoch() < epoch)
+}
+
+/// Writes the row of the move `mv` again as this node knows it, with the schedule that was agreed and
+/// its end, unless the table still holds it.
+async fn restore(state: &Rc<State>, mv: &MoveId) {
+    let row = state.moves.borrow().get(mv).map(|entry| entry.control.row().0.clone());
+    let Some(row) = row else { return };
+    let key = move_key(&row.plan, mv);
+    match create(state, &key, &row).await {
+        Ok(Some(revision)) => {
+            info!(state.hub.log, "move row restored"; "move" => %mv, "revision" => revision);
+            rows::learn(state, row, revision);
+        }
+        Ok(None) => end_again(state, &key, row).await,
+        Err(report) => {
+            warn!(state.hub.log, "move row not restored"; "move" => %mv,
+                "error" => %report.current_context());
+        }
+    }
+}
+
+/// Learns the row at `key`, after ending it like `known` if only its end is lost.
+async fn end_again(state: &Rc<State>, key: &str, known: MoveRow) {
+    let Ok(Some(stored)) = state.platform.http().get(key).await else { return };
+    match serde_json::from_value::<MoveRow>(stored.value.clone()) {
+        Ok(row) if known.is_ended() && !row.is_ended() => {
+            let op = known.op;
+            act::write_row(state, &stored, known, op).await;
+        }
+        Ok(row) => rows::learn(state, row, stored.revision.0),
+        Err(error) => warn!(state.hub.log, "move row rejected"; "key" => key, "error" => %error),
+    }
+}
+
 /// Creates a row and returns its revision; `None` if the row exists.
 async fn create(state: &State, key: &str, row: &MoveRow) -> sycamore_platform::Result<Option<u64>> {
     let transaction = Transaction {
--- a/crates/sycamore-node/src/moves/rows.rs
+++ b/crates/sycamore-node/src/moves/rows.rs
@@ -1,6 +1,8 @@
 //! Rows of moves: read from the platform's table within a fleet-wide budget, and spread as facts.
 
 use super::state::State;
+use crate::config::role::all_watchers;
+use crate::hub::Hub;
 use rand::Rng;
 use slog::debug;
 use std::rc::Rc;
@@ -15,7 +17,9 @@
 const READ_BUDGET_SHARE: f64 = 0.25;
 /// Shortest mean time between two polls of one node.
 const MIN_POLL_INTERVAL: Duration = Duration::from_secs(5);
-/// Longest random delay before the first poll.
+/// Time before the first poll, in which a node learns of its peers.
+const START_TIME: Duration = Duration::from_millis(500);
+/// Longest random delay of the first poll.
 const START_JITTER: Duration = Duration::from_secs(1);
 /// Number of move rows read per page.
 const PAGE_ROWS: usize = 100;
@@ -24,13 +28,39 @@
 /// Time after a move's deadline until the facts that hold its row expire.
 const FACT_RETENTION: Duration = Duration::from_secs(86_400);
 
+/// Nodes that poll the rows of moves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Pollers {
+    /// Every node polls.
+    All,
+    /// The nodes that watch the operators' rows poll, and tell the others by facts.
+    Watchers,
+}
+
+impl Pollers {
+    /// Returns the number of nodes that poll; `None` if this node doesn't.
+    fn count(self, hub: &Hub) -> Option<usize> {
+        match self {
+            Self::All => Some(hub.members.borrow().members.len()),
+            Self::Watchers => {
+                let watchers = all_watchers(hub);
+                watchers.contains(&hub.settings.node.instance).then_some(watchers.len())
+            }
+        }
+    }
+}
+
 /// Polls the rows of all moves at the start and then at long intervals; changes usually arrive
 /// sooner as facts.
-pub(super) async fn poll(state: Rc<State>) {
-    monoio::time::sleep(START_JITTER.mul_f64(rand::random())).await;
+pub(super) async fn poll(state: Rc<State>, pollers: Pollers) {
+    monoio::time::sleep(START_TIME + START_JITTER.mul_f64(rand::random())).await;
     loop {
+        let Some(nodes) = pollers.count(&state.hub) else {
+            monoio::time::sleep(MIN_POLL_INTERVAL).await;
+            continue;
+        };
         read_all(&state, MOVE_PREFIX).await;
-        let nodes = state.hub.members.borrow().members.len().max(1);
+        let nodes = nodes.max(1);
         let reads = f64::from(state.hub.settings.platform.fleet_reads_per_s) * READ_BUDGET_SHARE;
         let interval =
             Duration::from_secs_f64(nodes as f64 / reads.max(0.1)).max(MIN_POLL_INTERVAL);
--- a/crates/sycamore-node/src/peers/driver.rs
+++ b/crates/sycamore-node/src/peers/driver.rs
@@ -12,6 +12,7 @@
 use sycamore_member::message::{Body, ExchangeReply, ExchangeRequest, Packet};
 use sycamore_member::{Action, Input, LocalState, Membership, Now, Options};
 use sycamore_peer::{Datagrams, Peers};
+use sycamore_platform::Revision;
 use sycamore_types::prelude::*;
 use tokio::sync::mpsc;
 
@@ -28,6 +29,8 @@
     pub(super) metrics: Metrics,
     platform: Rc<Platform>,
     machine: RefCell<Membership>,
+    /// Revision of this node's row in the platform's table; `None` before it is registered.
+    pub(super) own_row: Cell<Option<Revision>>,
     /// Whether the view changed since it was last published.
     view_changed: Cell<bool>,
     send: mpsc::Sender<(SocketAddr, Packet)>,
@@ -62,6 +65,7 @@
             metrics,
             platform: platform.clone(),
             machine,
+            own_row: Cell::new(None),
             view_changed: Cell::new(true),
             send,
             exchanges,
--- a/crates/sycamore-node/src/peers/leave.rs
+++ b/crates/sycamore-node/src/peers/leave.rs
@@ -2,7 +2,7 @@
 //! table.
 
 use super::driver::Driver;
-use super::register::{decode_member, member_key};
+use super::register::member_key;
 use crate::hub::Phase;
 use crate::platform::Platform;
 use crate::tasks::TaskGroup;
@@ -31,16 +31,12 @@
     });
 }
 
-/// Deletes this node's row unless it belongs to another incarnation.
+/// Deletes the row that this node has written, unless another process has replaced it since.
 async fn delete_row(driver: &Driver, platform: &Platform) {
+    let Some(revision) = driver.own_row.get() else { return };
     let key = member_key(&driver.hub.settings.node.instance);
-    let Ok(Some(row)) = platform.http().get(&key).await else { return };
-    let is_own =
-        decode_member(&row).is_some_and(|member| member.incarnation == driver.hub.incarnation);
-    if is_own {
-        let conditions = vec![Condition { key: key.clone(), revision: row.revision }];
-        let writes = vec![Write { key, value: None }];
-        // Other nodes delete a row that stays once this node has been dead for long enough.
-        let _ = platform.http().transact(&Transaction { conditions, writes }).await;
-    }
+    let conditions = vec![Condition { key: key.clone(), revision }];
+    let writes = vec![Write { key, value: None }];
+    // Other nodes delete a row that stays once this node has been dead for long enough.
+    let _ = platform.http().transact(&Transaction { conditions, writes }).await;
 }
--- a/crates/sycamore-node/src/peers/mod.rs
+++ b/crates/sycamore-node/src/peers/mod.rs
@@ -20,12 +20,13 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 use sycamore_member::message::Body;
-use sycamore_peer::{Call, Counters, Datagrams, Evidence, Objects, PeersOptions};
+use sycamore_peer::{Call, Counters, Datagrams, Evidence, FetchRequest, Fetched, PeersOptions};
 use sycamore_types::prelude::*;
 
 /// Receiver of peers' requests for configuration objects.
-pub type FetchCalls = mpsc::Receiver<Call<Vec<ContentHash>, Objects>>;
+pub type FetchCalls = mpsc::Receiver<Call<FetchRequest, Fetched>>;
 /// Receiver of peers' requests for deltas of the configuration, and of the answers to this node's.
 pub type Deltas = tokio::sync::mpsc::Receiver<DeltaMessage>;
 /// Receiver of peers' requests that deliver evidence.
@@ -56,6 +57,8 @@
 pub struct DeltaMessage {
     /// Instance that sent the datagram.
     pub from: InstanceId,
+    /// Address that the datagram came from.
+    pub source: SocketAddr,
     /// Request or answer.
     pub body: DeltaBody,
 }
@@ -67,6 +70,15 @@
     Request(ContentHash),
     /// Encoded difference.
     Delta(Vec<u8>),
+    /// Answer without a difference.
+    Current {
+        /// Head of the sender's configuration in force; `None` if it has none.
+        head: Option<ConfigHead>,
+        /// Revision of the platform's table up to which it holds.
+        revision: u64,
+        /// Age of the sender's knowledge of the table.
+        age: Duration,
+    },
 }
 
 /// Handle to the running membership subsystem.
@@ -100,6 +112,7 @@
         let body = match body {
             DeltaBody::Request(base) => Body::DeltaRequest { base },
             DeltaBody::Delta(encoded) => Body::Delta { encoded },
+            DeltaBody::Current { head, revision, age } => Body::Current { head, revision, age },
         };
         self.driver.send(to, body);
     }
--- a/crates/sycamore-node/src/peers/register.rs
+++ b/crates/sycamore-node/src/peers/register.rs
@@ -5,12 +5,14 @@
 use crate::platform::Platform;
 use crate::tasks::TaskGroup;
 use rand::Rng;
+use slog::info;
 use std::rc::Rc;
 use std::time::Duration;
 use sycamore_member::Input;
 use sycamore_platform::backoff::{Backoff, BackoffSettings};
 use sycamore_platform::{
-    Condition, Page, PageQuery, Result, Revision, Row, Table, Transacted, Transaction, Write,
+    Condition, Conflict, Page, PageQuery, Result, Revision, Row, Table, Transacted, Transaction,
+    Write,
 };
 use sycamore_types::prelude::*;
 
@@ -22,11 +24,13 @@
 /// Number of members' rows read per refresh.
 const REFRESH_ROWS: usize = 64;
 /// Refreshes per second of the whole fleet.
-const FLEET_REFRESHES_PER_S: f64 = 2.0;
+const FLEET_REFRESHES_PER_S: f64 = 0.5;
 /// Shortest mean time between two refreshes of one node.
 const MIN_REFRESH_INTERVAL: Duration = Duration::from_secs(15);
 /// Longest random delay before the first read, so that nodes started together don't read at once.
 const START_JITTER: Duration = Duration::from_millis(300);
+/// Longest random delay before a node registers again in a new epoch of the table.
+const EPOCH_JITTER: Duration = Duration::from_secs(2);
 /// Time a member must be dead before its row is deleted.
 const DEAD_ROW_RETENTION: Duration = Duration::from_secs(600);
 
@@ -35,14 +39,28 @@
     let (driver, platform) = (driver.clone(), platform.clone());
     tasks.spawn_until_stop(async move {
         monoio::time::sleep(random_up_to(START_JITTER)).await;
+        // Of two nodes that start together, the one that registers last finds the other's row. A
+        // platform that takes no writes may still serve reads.
+        let is_registered = matches!(register(&driver, &platform).await, Ok(true));
         retry_until_done(|| read_contacts(&driver, &platform)).await;
-        retry_until_done(|| register(&driver, &platform)).await;
-        // Of two nodes that start together, the one that reads last here finds the other's row.
-        retry_until_done(|| read_contacts(&driver, &platform)).await;
+        if !is_registered {
+            retry_until_done(|| register(&driver, &platform)).await;
+            retry_until_done(|| read_contacts(&driver, &platform)).await;
+        }
+        let mut epochs = platform.http().epochs();
+        epochs.mark_unchanged();
         loop {
-            monoio::time::sleep(refresh_interval(&driver)).await;
-            // A failed refresh needs no retry: the next one replaces it.
-            let _ = refresh(&driver, &platform).await;
+            let interval = refresh_interval(&driver);
+            match monoio::time::timeout(interval, epochs.changed()).await {
+                Ok(_) => {
+                    info!(driver.hub.log, "platform back from an older copy, member registered again";
+                        "epoch" => epochs.borrow_and_update().unwrap_or_default());
+                    monoio::time::sleep(random_up_to(EPOCH_JITTER)).await;
+                    retry_until_done(|| register(&driver, &platform)).await;
+                }
+                // A failed refresh needs no retry: the next one replaces it.
+                Err(_) => drop(refresh(&driver, &platform).await),
+            }
         }
     });
 }
@@ -53,7 +71,7 @@
 }
 
 /// Decodes the member in `row`; `None` if the value is no member or belongs to another key.
-pub(super) fn decode_member(row: &Row) -> Option<Member> {
+fn decode_member(row: &Row) -> Option<Member> {
     let member: Member = serde_json::from_value(row.value.clone()).ok()?;
     (member_key(&member.instance) == row.key).then_some(member)
 }
@@ -81,29 +99,53 @@
     Ok(true)
 }
 
-/// Writes this node's row. Returns whether the table holds it; after a lost answer the next attempt
-/// finds out, as it reads the row first.
+/// Writes this node's row, which an earlier process of the instance may have left. Returns whether
+/// the table holds it; after a lost answer the next attempt finds out, as the write conflicts with
+/// the row.
 async fn register(driver: &Driver, platform: &Platform) -> Result<bool> {
-    let me = driver.me();
-    let key = member_key(&me.instance);
-    let row = platform.http().get(&key).await?;
-    let stored = row.as_ref().and_then(decode_member);
+    let key = member_key(&driver.hub.settings.node.instance);
+    let Some(found) = write_row(driver, platform, Revision::ABSENT).await? else { return Ok(true) };
+    let value = found.value.unwrap_or_default();
+    let row = Row { key, value, revision: found.revision };
+    let stored = decode_member(&row);
     if stored.as_ref().is_some_and(|stored| stored.incarnation >= driver.hub.incarnation) {
         // Written by this process, or by one with a later incarnation, which this process refutes
         // with a higher one.
+        driver.own_row.set(Some(row.revision));
         driver.input(Input::Rows(stored.into_iter().collect()));
         return Ok(true);
     }
-    let revision = row.map_or(Revision::ABSENT, |row| row.revision);
+    Ok(write_row(driver, platform, row.revision).await?.is_none())
+}
+
+/// Writes this node's row if it has `revision`, else returns what the table holds in its place.
+async fn write_row(
+    driver: &Driver,
+    platform: &Platform,
+    revision: Revision,
+) -> Result<Option<Conflict>> {
+    let me = driver.me();
+    let key = member_key(&me.instance);
     // The row only holds where to reach this process; peers learn its state by gossip.
     let record = Member { incarnation: driver.hub.incarnation, state: MemberState::Joining, ..me };
     let value = serde_json::to_value(record).ok();
     let transaction = Transaction {
         conditions: vec![Condition { key: key.clone(), revision }],
-        writes: vec![Write { key, value }],
+        writes: vec![Write { key: key.clone(), value }],
     };
-    let transacted = platform.http().transact(&transaction).await?;
-    Ok(matches!(transacted, Transacted::Committed { .. }))
+    match platform.http().transact(&transaction).await? {
+        Transacted::Committed { revisions } => {
+            driver.own_row.set(revisions.get(&key).copied());
+            Ok(None)
+        }
+        Transacted::Conflicted { conflicts } => {
+            let own = conflicts.into_iter().find(|conflict| conflict.key == key);
+            own.map(Some).ok_or_else(|| {
+                let why = format!("transaction on {key} conflicts without naming the row");
+                error_stack::Report::new(sycamore_platform::Error::Malformed(why))
+            })
+        }
+    }
 }
 
 /// Reads one page of members' rows from a random position, so that partitions of the fleet that
--- a/crates/sycamore-node/src/peers/tasks.rs
+++ b/crates/sycamore-node/src/peers/tasks.rs
@@ -65,12 +65,13 @@
     let body = match body {
         Body::DeltaRequest { base } => DeltaBody::Request(base),
         Body::Delta { encoded } => DeltaBody::Delta(encoded),
+        Body::Current { head, revision, age } => DeltaBody::Current { head, revision, age },
         body => {
             let packet = Packet { from, body, items: packet.items };
             return driver.input(Input::Packet { from: source, packet });
         }
     };
-    driver.queue_delta(DeltaMessage { from, body });
+    driver.queue_delta(DeltaMessage { from, source, body });
 }
 
 async fn answer(driver: Rc<Driver>, mut calls: ExchangeCalls) {
--- a/crates/sycamore-peer/src/client/mod.rs
+++ b/crates/sycamore-peer/src/client/mod.rs
@@ -7,7 +7,7 @@
 use crate::proto;
 use crate::proto::peer_client::PeerClient;
 use crate::server::Evidence;
-use crate::{Counters, Error, Result};
+use crate::{Counters, Error, FetchRequest, Fetched, Result};
 use bytes::Bytes;
 use connection::{Channel, ClosingConnection, Connection};
 use error_stack::{Report, ResultExt};
@@ -95,24 +95,28 @@
     }
 
     /// Fetches configuration objects by content hash from the node at `to`. The reply has those
-    /// that the node holds and that fit into [`crate::limits::MAX_FETCH_BYTES`]; each is verified
-    /// against its hash.
+    /// that the node holds and that fit into [`crate::limits::MAX_FETCH_BYTES`], each verified
+    /// against its hash, or a delta if the request names a base.
     ///
     /// # Errors
-    /// [`Error`] where the peer can't be reached or refuses; [`Error::Malformed`] where `hashes`
-    /// has more than [`MAX_FETCH_HASHES`] entries, or a returned object doesn't match its hash.
-    pub async fn fetch(
-        &self,
-        to: SocketAddr,
-        hashes: &[ContentHash],
-    ) -> Result<Vec<(ContentHash, Bytes)>> {
-        if hashes.len() > MAX_FETCH_HASHES {
+    /// [`Error`] where the peer can't be reached or refuses; [`Error::Malformed`] where `req` has
+    /// more than [`MAX_FETCH_HASHES`] hashes, or a returned object doesn't match its hash.
+    pub async fn fetch(&self, to: SocketAddr, req: &FetchRequest) -> Result<Fetched> {
+        if req.hashes.len() > MAX_FETCH_HASHES {
             return Err(malformed("more than MAX_FETCH_HASHES hashes to fetch"));
         }
-        let hashes = hashes.iter().map(|hash| Bytes::copy_from_slice(&hash.0)).collect();
-        let req = proto::FetchRequest { hashes };
-        let reply = self.call(to, |mut client: Client| async move { client.fetch(req).await });
-        reply.await?.objects.into_iter().map(verify_object).collect()
+        let bytes = |hash: &ContentHash| Bytes::copy_from_slice(&hash.0);
+        let wire = proto::FetchRequest {
+            hashes: req.hashes.iter().map(bytes).collect(),
+            base: req.base.as_ref().map(bytes).unwrap_or_default(),
+        };
+        let reply = self.call(to, |mut client: Client| async move { client.fetch(wire).await });
+        let reply = reply.await?;
+        if !reply.delta.is_empty() {
+            return Ok(Fetched::Delta(reply.delta));
+        }
+        let objects = reply.objects.into_iter().map(verify_object).collect::<Result<_>>()?;
+        Ok(Fetched::Objects(objects))
     }
 
     /// Asks the node at `to` for the highest configuration head that it has seen; `None` where it
--- a/crates/sycamore-peer/src/codec/packet.rs
+++ b/crates/sycamore-peer/src/codec/packet.rs
@@ -1,5 +1,6 @@
 //! Encodes and decodes the datagrams that carry membership packets.
 
+use super::fact::{head_from_wire, head_to_wire};
 use super::item::{item_to_wire, items_from_wire};
 use super::{malformed, parse_id};
 use crate::limits::{MAX_PACKET_BYTES, MAX_PACKET_ITEMS};
@@ -9,6 +10,7 @@
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
 use prost::Message;
+use std::time::Duration;
 use sycamore_member::message::{Body, Packet};
 use sycamore_types::prelude::*;
 
@@ -83,6 +85,11 @@
         Body::Delta { encoded } => {
             WireBody::Delta(proto::Delta { encoded: Bytes::copy_from_slice(encoded) })
         }
+        Body::Current { head, revision, age } => WireBody::Current(proto::Current {
+            head: head.as_ref().map(head_to_wire),
+            revision: *revision,
+            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        }),
     }
 }
 
@@ -100,5 +107,10 @@
             Body::DeltaRequest { base: base.map_err(|_| malformed("manifest hash of a request"))? }
         }
         WireBody::Delta(delta) => Body::Delta { encoded: delta.encoded.to_vec() },
+        WireBody::Current(current) => {
+            let head = current.head.as_ref().map(head_from_wire).transpose()?;
+            let age = Duration::from_millis(current.age_ms);
+            Body::Current { head, revision: current.revision, age }
+        }
     })
 }
--- a/crates/sycamore-peer/src/lib.rs
+++ b/crates/sycamore-peer/src/lib.rs
@@ -13,7 +13,9 @@
 pub use client::{Peers, PeersOptions};
 pub use counters::Counters;
 pub use datagram::{Datagrams, Received};
-pub use server::{serve, Call, Evidence, Inbox, Objects, Server, ServerOptions};
+pub use server::{
+    serve, Call, Evidence, FetchRequest, Fetched, Inbox, Objects, Server, ServerOptions,
+};
 
 /// Error of sending, answering or decoding a message between nodes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
--- a/crates/sycamore-peer/src/proto/sycamore.peer.v1.rs
+++ b/crates/sycamore-peer/src/proto/sycamore.peer.v1.rs
@@ -14,7 +14,7 @@
     /// The sender's hybrid logical clock.
     #[prost(message, optional, tag = "9")]
     pub at: ::core::option::Option<Stamp>,
-    #[prost(oneof = "packet::Body", tags = "3, 4, 5, 6, 7, 10, 11")]
+    #[prost(oneof = "packet::Body", tags = "3, 4, 5, 6, 7, 10, 11, 12")]
     pub body: ::core::option::Option<packet::Body>,
 }
 /// Nested message and enum types in `Packet`.
@@ -39,9 +39,12 @@
         /// Asks for a Delta.
         #[prost(message, tag = "10")]
         DeltaRequest(super::DeltaRequest),
-        /// Answers a DeltaRequest; the callee is silent where it has none that fits.
+        /// Answers a DeltaRequest.
         #[prost(message, tag = "11")]
         Delta(super::Delta),
+        /// Answers a DeltaRequest where there is no delta that fits.
+        #[prost(message, tag = "12")]
+        Current(super::Current),
     }
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -69,7 +72,7 @@
 pub struct Push {}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct DeltaRequest {
-    /// Manifest hash of the caller's configuration in force, 32 bytes.
+    /// Manifest hash of the caller's configuration in force, 32 bytes; zero where it has none.
     #[prost(bytes = "bytes", tag = "1")]
     pub base: ::prost::bytes::Bytes,
 }
@@ -79,6 +82,16 @@
     #[prost(bytes = "bytes", tag = "1")]
     pub encoded: ::prost::bytes::Bytes,
 }
+/// What the callee has in force, and how old its knowledge of the platform's table is.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Current {
+    #[prost(message, optional, tag = "1")]
+    pub head: ::core::option::Option<Head>,
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+}
 /// A member or a fact.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Item {
@@ -259,6 +272,10 @@
     /// Content hashes, 32 bytes each.
     #[prost(bytes = "bytes", repeated, tag = "1")]
     pub hashes: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
+    /// Manifest hash of the caller's configuration in force, 32 bytes; zero where it has none, absent
+    /// where the caller takes no delta.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub base: ::prost::bytes::Bytes,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Object {
@@ -272,6 +289,9 @@
     /// Those of the objects that the callee holds, as far as they fit.
     #[prost(message, repeated, tag = "1")]
     pub objects: ::prost::alloc::vec::Vec<Object>,
+    /// Encoded difference from the caller's configuration to the callee's, in place of objects.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub delta: ::prost::bytes::Bytes,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct HeadRequest {}
--- a/crates/sycamore-peer/src/server/mod.rs
+++ b/crates/sycamore-peer/src/server/mod.rs
@@ -3,7 +3,7 @@
 
 mod service;
 
-pub use service::{Call, Evidence, Inbox, Objects, Server};
+pub use service::{Call, Evidence, FetchRequest, Fetched, Inbox, Objects, Server};
 
 use crate::io::CountedStream;
 use crate::limits::MAX_MESSAGE_BYTES;
--- a/crates/sycamore-peer/src/server/service.rs
+++ b/crates/sycamore-peer/src/server/service.rs
@@ -21,6 +21,26 @@
 /// Configuration objects with their content hashes.
 pub type Objects = Vec<(ContentHash, Bytes)>;
 
+/// Request for configuration objects.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FetchRequest {
+    /// Content hashes of the objects.
+    pub hashes: Vec<ContentHash>,
+    /// Manifest hash of the caller's configuration in force, from which a delta may start; zero
+    /// where the caller has none, `None` where it takes no delta.
+    pub base: Option<ContentHash>,
+}
+
+/// Answer to a [`FetchRequest`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Fetched {
+    /// The requested objects that the node holds.
+    Objects(Objects),
+    /// Encoded difference from the caller's configuration to the node's, at most
+    /// [`MAX_FETCH_BYTES`].
+    Delta(Bytes),
+}
+
 /// Call from another node that waits for an answer; it fails at the caller where `tx` is dropped
 /// unused.
 #[derive(Debug)]
@@ -47,9 +67,9 @@
 pub struct Inbox {
     /// Comparisons of membership tables.
     pub exchange: mpsc::Receiver<Call<ExchangeRequest, ExchangeReply>>,
-    /// Requests for configuration objects by content hash; the reply has the first objects of the
-    /// answer that together fit into [`MAX_FETCH_BYTES`].
-    pub fetch: mpsc::Receiver<Call<Vec<ContentHash>, Objects>>,
+    /// Requests for configuration objects; the reply has the first objects of the answer that
+    /// together fit into [`MAX_FETCH_BYTES`].
+    pub fetch: mpsc::Receiver<Call<FetchRequest, Fetched>>,
     /// Requests for the highest configuration head seen.
     pub head: mpsc::Receiver<Call<(), Option<ConfigHead>>>,
     /// Deliveries of evidence summaries.
@@ -62,7 +82,7 @@
     deployment: Deployment,
     counters: Arc<Counters>,
     exchange: CallQueue<ExchangeRequest, ExchangeReply>,
-    fetch: CallQueue<Vec<ContentHash>, Objects>,
+    fetch: CallQueue<FetchRequest, Fetched>,
     head: CallQueue<(), Option<ConfigHead>>,
     evidence: CallQueue<Evidence, Bytes>,
 }
@@ -159,9 +179,14 @@
         req: Request<proto::FetchRequest>,
     ) -> Result<Response<proto::FetchReply>, Status> {
         let from = self.identify_caller(&req)?;
-        let hashes = parse_hashes(&req.into_inner()).ok_or_else(|| self.malformed("hashes"))?;
-        let objects = self.fetch.call(from, hashes).await?;
-        Ok(Response::new(proto::FetchReply { objects: take_fitting(objects) }))
+        let body = parse_fetch(&req.into_inner()).ok_or_else(|| self.malformed("hashes"))?;
+        let reply = match self.fetch.call(from, body).await? {
+            Fetched::Objects(objects) => {
+                proto::FetchReply { objects: take_fitting(objects), delta: Bytes::new() }
+            }
+            Fetched::Delta(delta) => proto::FetchReply { objects: Vec::new(), delta },
+        };
+        Ok(Response::new(reply))
     }
 
     async fn head(
@@ -187,13 +212,18 @@
     }
 }
 
-/// Returns the hashes of a fetch request, or `None` where there are more than [`MAX_FETCH_HASHES`]
-/// or one is not 32 bytes long.
-fn parse_hashes(req: &proto::FetchRequest) -> Option<Vec<ContentHash>> {
+/// Decodes a fetch request; `None` where it has more than [`MAX_FETCH_HASHES`] hashes or one is not
+/// 32 bytes long.
+fn parse_fetch(req: &proto::FetchRequest) -> Option<FetchRequest> {
     if req.hashes.len() > MAX_FETCH_HASHES {
         return None;
     }
-    req.hashes.iter().map(|hash| hash.as_ref().try_into().ok().map(ContentHash)).collect()
+    let parse = |hash: &Bytes| hash.as_ref().try_into().ok().map(ContentHash);
+    let base = match req.base.is_empty() {
+        true => None,
+        false => Some(parse(&req.base)?),
+    };
+    Some(FetchRequest { hashes: req.hashes.iter().map(parse).collect::<Option<_>>()?, base })
 }
 
 /// Converts the first objects that together fit into [`MAX_FETCH_BYTES`].
--- a/crates/sycamore-peer/tests/transport.rs
+++ b/crates/sycamore-peer/tests/transport.rs
@@ -13,8 +13,8 @@
 use sycamore_member::message::{Body, Digest, ExchangeReply, ExchangeRequest, Packet};
 use sycamore_peer::limits::{MAX_FETCH_BYTES, MAX_FETCH_HASHES, MAX_PACKET_BYTES};
 use sycamore_peer::{
-    serve, Counters, Datagrams, Error, Evidence, Inbox, Peers, PeersOptions, Received, Server,
-    ServerOptions,
+    serve, Counters, Datagrams, Error, Evidence, FetchRequest, Fetched, Inbox, Peers, PeersOptions,
+    Received, Server, ServerOptions,
 };
 use sycamore_types::prelude::*;
 
@@ -79,7 +79,12 @@
     monoio::spawn(async move {
         while let Some(call) = inbox.fetch.next().await {
             let held = store.iter().map(|body| (ContentHash::of(body), body.clone()));
-            let _ = call.tx.send(held.filter(|(hash, _)| call.body.contains(hash)).collect());
+            let wanted = held.filter(|(hash, _)| call.body.hashes.contains(hash));
+            let reply = match call.body.base {
+                Some(base) => Fetched::Delta(Bytes::copy_from_slice(&base.0)),
+                None => Fetched::Objects(wanted.collect()),
+            };
+            let _ = call.tx.send(reply);
         }
     });
     monoio::spawn(async move {
@@ -108,9 +113,15 @@
         assert_eq!(peers.head(node.address).await.unwrap(), Some(head()));
         let evidence = Evidence { kind: 1, body: Bytes::from("counts") };
         assert_eq!(peers.evidence(node.address, evidence).await.unwrap(), "counts");
-        let hashes = [ContentHash::of(b"two"), ContentHash::of(b"three")];
-        let held = peers.fetch(node.address, &hashes).await.unwrap();
-        assert_eq!(held, [(ContentHash::of(b"two"), Bytes::from("two"))]);
+        let hashes = vec![ContentHash::of(b"two"), ContentHash::of(b"three")];
+        let req = FetchRequest { hashes, base: None };
+        let held = peers.fetch(node.address, &req).await.unwrap();
+        let expected = vec![(ContentHash::of(b"two"), Bytes::from("two"))];
+        assert_eq!(held, Fetched::Objects(expected));
+        let base = ContentHash::of(b"base");
+        let req = FetchRequest { base: Some(base), ..req };
+        let delta = peers.fetch(node.address, &req).await.unwrap();
+        assert_eq!(delta, Fetched::Delta(Bytes::copy_from_slice(&base.0)));
         assert_eq!(node.counters.connections_in(), 1, "calls share a connection");
         assert_eq!(node.counters.bytes_in(), peers.counters().bytes_out());
         peers.close().await;
@@ -145,8 +156,13 @@
         answer_calls(node.inbox.take().unwrap(), large.clone());
         let peers = client("klupa");
         let hashes: Vec<ContentHash> = large.iter().map(|body| ContentHash::of(body)).collect();
-        assert_eq!(peers.fetch(node.address, &hashes).await.unwrap().len(), 2);
-        let many = vec![ContentHash::of(b""); MAX_FETCH_HASHES + 1];
+        let req = FetchRequest { hashes, base: None };
+        let Fetched::Objects(held) = peers.fetch(node.address, &req).await.unwrap() else {
+            panic!("a delta without a base");
+        };
+        assert_eq!(held.len(), 2);
+        let hashes = vec![ContentHash::of(b""); MAX_FETCH_HASHES + 1];
+        let many = FetchRequest { hashes, base: None };
         let refused = peers.fetch(node.address, &many).await.unwrap_err();
         assert_eq!(*refused.current_context(), Error::Malformed);
         peers.close().await;
--- a/crates/sycamore-platform/tests/epoch.rs
+++ b/crates/sycamore-platform/tests/epoch.rs
@@ -1,6 +1,8 @@
 //! Epochs of the table: the platform comes back from an older copy of it, in which revisions are
 //! given out again.
 
+#![allow(clippy::unwrap_used)]
+
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 use std::io::{Read, Write as _};
