fix(node): a node without a configuration refuses calls, also when it is told to stop

Calls were refused as "not ready" only in the phase of starting, and the SIGTERM had ended that phase, so that no route matched. Ruled out: an old or partial configuration; the lines say config=0. Change: whether a configuration is in force decides. A peer that is still fetching a configuration holds a request for it until it can answer with a difference, at most 300 ms: nodes that start together fetched 64 objects at a time from each other. A node registers again only after a rise of the epoch, not at the first news of one. Tests: refuse::a_node_stopped_before_its_first_configuration_refuses_calls (404 before).

--- a/crates/sycamore-config/src/apply/machine.rs
+++ b/crates/sycamore-config/src/apply/machine.rs
@@ -110,6 +110,11 @@
         self.candidates.iter().any(|candidate| candidate.missing(&self.objects).contains(hash))
     }
 
+    /// Returns whether the configuration with manifest hash `manifest` is being fetched.
+    pub fn is_fetching(&self, manifest: &ContentHash) -> bool {
+        self.candidates.iter().any(|candidate| candidate.head.manifest == *manifest)
+    }
+
     /// Returns the time at which [`Input::Tick`] is due; `None` if no fetch or request is delayed.
     pub fn next_tick(&self) -> Option<Time> {
         let waiting = |c: &&Candidate| !c.fetching && !c.missing(&self.objects).is_empty();
--- a/crates/sycamore-node/src/calls/serve.rs
+++ b/crates/sycamore-node/src/calls/serve.rs
@@ -247,7 +247,7 @@
     depth: Depth,
 ) -> Result<(CallMeta, RetryPolicy), Answer> {
     let host = host(msg)?;
-    if state.hub.phase() == Phase::Starting {
+    if !state.hub.is_configured() {
         return Err(Answer::refused(RefusalReason::NotReady, DEFAULT_RETRY_AFTER));
     }
     if depth.level >= state.hub.settings.calls.hop_limit {
--- a/crates/sycamore-node/src/config/driver.rs
+++ b/crates/sycamore-node/src/config/driver.rs
@@ -179,7 +179,8 @@
         self.learn_head(head, Source::Peer, fetch_delay);
     }
 
-    fn is_followed(&self) -> bool {
+    /// Returns whether this node's knowledge of the operators' rows is recent enough.
+    pub(super) fn is_followed(&self) -> bool {
         self.watch.borrow().is_followed(self.hub.clock.now())
     }
 
--- a/crates/sycamore-node/src/config/follow.rs
+++ b/crates/sycamore-node/src/config/follow.rs
@@ -23,6 +23,11 @@
 const ROLE_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest pause after a failed watch: a platform that is back must be used within 1 s.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(600);
+/// Failed reads in a row after which a node whose peers keep it current tries less often: the
+/// platform probably refuses this node alone.
+const FAILURES_BEFORE_REST: u32 = 4;
+/// Pause after such a read.
+const REST_PAUSE: Duration = Duration::from_secs(2);
 
 /// Spawns the task that watches operators' rows.
 pub(super) fn start(driver: &Rc<Driver>, tasks: &TaskGroup, edge: Rc<dyn OperatorEdge>) {
@@ -33,6 +38,7 @@
     let settings = BackoffSettings { cap: MAX_RETRY_PAUSE, ..BackoffSettings::default() };
     let mut backoff = Backoff::new(settings.clone(), rand::random());
     let mut watch = Watch::new(&driver, &*edge);
+    let mut failures = 0;
     loop {
         watch.role = driver.update_role();
         if watch.role == Role::Follower {
@@ -46,11 +52,15 @@
             Ok(()) => {
                 watch.record_success();
                 backoff = Backoff::new(settings.clone(), rand::random());
+                failures = 0;
             }
             Err(report) => {
                 let took = driver.hub.clock.now().since(started);
                 watch.record_failure(report.current_context(), took);
-                monoio::time::sleep(backoff.record_failure()).await;
+                failures += 1;
+                let pause = backoff.record_failure();
+                let may_rest = failures >= FAILURES_BEFORE_REST && driver.is_followed();
+                monoio::time::sleep(if may_rest { REST_PAUSE } else { pause }).await;
             }
         }
         driver.metrics.copy_platform_traffic(driver.platform.http().traffic());
--- a/crates/sycamore-node/src/config/serve.rs
+++ b/crates/sycamore-node/src/config/serve.rs
@@ -60,13 +60,14 @@
 
 /// Answers `call`, or holds it if this node has none of its objects yet and is fetching one.
 fn answer_or_hold(driver: &Driver, call: FetchCall, held: &mut VecDeque<(Time, FetchCall)>) {
-    let reply = reply(driver, &call.body);
-    let hashes = &call.body.hashes;
-    let wanted = hashes.iter().any(|hash| driver.with_state(|apply| apply.is_wanted(hash)));
-    if is_empty(&reply) && wanted && held.len() < MAX_HELD {
-        held.push_back((driver.hub.clock.now() + MAX_HOLD, call));
-    } else {
-        answer(call, reply);
+    match reply(driver, &call.body) {
+        None if held.len() < MAX_HELD => {
+            held.push_back((driver.hub.clock.now() + MAX_HOLD, call));
+        }
+        reply => {
+            let reply = reply.unwrap_or_else(|| held_objects(driver, &call.body));
+            answer(call, reply);
+        }
     }
 }
 
@@ -74,11 +75,12 @@
     let now = driver.hub.clock.now();
     for _ in 0..held.len() {
         let Some((until, call)) = held.pop_front() else { return };
-        let reply = reply(driver, &call.body);
-        if is_empty(&reply) && until > now {
-            held.push_back((until, call));
-        } else {
-            answer(call, reply);
+        match reply(driver, &call.body) {
+            None if until > now => held.push_back((until, call)),
+            reply => {
+                let reply = reply.unwrap_or_else(|| held_objects(driver, &call.body));
+                answer(call, reply);
+            }
         }
     }
 }
@@ -88,23 +90,32 @@
     let _ = call.tx.send(reply);
 }
 
-fn is_empty(reply: &Fetched) -> bool {
-    matches!(reply, Fetched::Objects(objects) if objects.is_empty())
-}
-
 /// Returns a delta if the request asks for the manifest in force and names a base that one starts
-/// from, else the objects.
-fn reply(driver: &Driver, req: &FetchRequest) -> Fetched {
+/// from, else the objects; `None` if this node is still fetching what the request is for.
+fn reply(driver: &Driver, req: &FetchRequest) -> Option<Fetched> {
     let in_force = driver.with_state(|apply| apply.head()).map(|head| head.manifest);
     let asks_for_it = in_force.is_some_and(|manifest| req.hashes.contains(&manifest));
     let delta = req.base.filter(|_| asks_for_it).and_then(|base| {
         let delta = driver.with_state(|apply| apply.delta_from(&base))?;
         encode(driver, &delta)
     });
-    match delta {
-        Some(encoded) => Fetched::Delta(encoded),
-        None => Fetched::Objects(objects(driver, &req.hashes)),
+    if let Some(encoded) = delta {
+        return Some(Fetched::Delta(encoded));
+    }
+    let is_fetched = |hash| driver.with_state(|apply| apply.is_fetching(hash));
+    // A delta will be smaller than the objects, and take one round trip.
+    if req.base.is_some() && req.hashes.iter().any(is_fetched) {
+        return None;
     }
+    let found = held_objects(driver, req);
+    let is_wanted = |hash| driver.with_state(|apply| apply.is_wanted(hash));
+    let is_empty = matches!(&found, Fetched::Objects(objects) if objects.is_empty());
+    (!is_empty || !req.hashes.iter().any(is_wanted)).then_some(found)
+}
+
+/// Returns the requested objects that this node has.
+fn held_objects(driver: &Driver, req: &FetchRequest) -> Fetched {
+    Fetched::Objects(objects(driver, &req.hashes))
 }
 
 /// Collects the requested objects that this node has, up to [`MAX_FETCH_BYTES`].
--- a/crates/sycamore-node/src/hub/mod.rs
+++ b/crates/sycamore-node/src/hub/mod.rs
@@ -91,6 +91,7 @@
     /// Availability of the platform and of the local upstream.
     pub dependencies: Dependencies,
     phase: watch::Sender<Phase>,
+    configured: Cell<bool>,
     timeline: RefCell<Recorder>,
     outcomes: mpsc::Sender<CallOutcome>,
     outcomes_rx: RefCell<Option<mpsc::Receiver<CallOutcome>>>,
@@ -129,6 +130,7 @@
             facts: Facts::default(),
             dependencies,
             phase: watch::Sender::new(Phase::Starting),
+            configured: Cell::new(false),
             timeline: RefCell::new(recorder),
             outcomes,
             outcomes_rx: RefCell::new(Some(outcomes_rx)),
@@ -164,6 +166,7 @@
     pub fn publish_snapshot(&self, snapshot: Snapshot) {
         let config = snapshot.version;
         self.snapshot.send_replace(Arc::new(snapshot));
+        self.configured.set(true);
         self.record(EventKind::ConfigApplied { config });
         if self.phase() == Phase::Starting {
             self.set_phase(Phase::Ready);
@@ -171,6 +174,12 @@
         }
     }
 
+    /// Returns whether a configuration is in force. A node may be told to stop before it has its
+    /// first one, so the phase doesn't tell.
+    pub fn is_configured(&self) -> bool {
+        self.configured.get()
+    }
+
     /// Records an event on the timeline and logs it.
     pub fn record(&self, kind: EventKind) {
         let body = serde_json::to_string(&kind).unwrap_or_default();
--- a/crates/sycamore-node/src/peers/register.rs
+++ b/crates/sycamore-node/src/peers/register.rs
@@ -48,19 +48,26 @@
             retry_until_done(|| read_contacts(&driver, &platform)).await;
         }
         let mut epochs = platform.http().epochs();
-        epochs.mark_unchanged();
+        let mut registered_in = epochs.borrow_and_update().unwrap_or_default();
         loop {
-            let interval = refresh_interval(&driver);
-            match monoio::time::timeout(interval, epochs.changed()).await {
-                Ok(_) => {
+            let next = refresh_interval(&driver);
+            let rise = epochs.wait_for(|epoch| epoch.unwrap_or_default() > registered_in);
+            match monoio::time::timeout(next, rise).await {
+                Ok(Ok(epoch)) => {
+                    registered_in = epoch.unwrap_or_default();
                     info!(driver.hub.log, "platform back from an older copy, member registered again";
-                        "epoch" => epochs.borrow_and_update().unwrap_or_default());
-                    monoio::time::sleep(random_up_to(EPOCH_JITTER)).await;
-                    retry_until_done(|| register(&driver, &platform)).await;
+                        "epoch" => registered_in);
                 }
                 // A failed refresh needs no retry: the next one replaces it.
-                Err(_) => drop(refresh(&driver, &platform).await),
+                Err(_) => {
+                    let _ = refresh(&driver, &platform).await;
+                    continue;
+                }
+                // The client of the platform is gone, and so is the node.
+                Ok(Err(_)) => return,
             }
+            monoio::time::sleep(random_up_to(EPOCH_JITTER)).await;
+            retry_until_done(|| register(&driver, &platform)).await;
         }
     });
 }
--- a/crates/sycamore-node/tests/calls/refuse.rs
+++ b/crates/sycamore-node/tests/calls/refuse.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use sycamore_http::conn::Reader;
 use sycamore_http::HeadLimits;
+use sycamore_node::hub::Phase;
 use sycamore_settings::calls::Calls as CallSettings;
 use sycamore_types::headers;
 use sycamore_types::prelude::*;
@@ -227,3 +228,20 @@
         cluster.stop().await;
     });
 }
+
+/// A node that is told to stop before it has its first configuration must refuse calls as not run,
+/// and not answer 404: it doesn't know the routes.
+#[test]
+fn a_node_stopped_before_its_first_configuration_refuses_calls() {
+    run(async {
+        let options = Options { nodes: 1, is_configured: false, ..Options::default() };
+        let cluster = Cluster::start(&options).await;
+        for phase in [Phase::Starting, Phase::Draining] {
+            cluster.nodes[0].hub.set_phase(phase);
+            let resp = cluster.call(post("/counter/echo"), "x").await;
+            assert_refused(&resp, 503, "not-ready");
+        }
+        assert_eq!(cluster.runs("echo"), 0);
+        cluster.stop().await;
+    });
+}
--- a/crates/sycamore-node/tests/calls/world.rs
+++ b/crates/sycamore-node/tests/calls/world.rs
@@ -39,6 +39,8 @@
     /// Timeout of the cluster's only route, `/counter`.
     pub timeout: Duration,
     pub calls: CallSettings,
+    /// Whether the nodes have a configuration.
+    pub is_configured: bool,
 }
 
 impl Default for Options {
@@ -49,6 +51,7 @@
             limits: Limits::default(),
             timeout: Duration::from_secs(5),
             calls: CallSettings { key_memory: Duration::ZERO, ..CallSettings::default() },
+            is_configured: true,
         }
     }
 }
@@ -192,7 +195,9 @@
     let tasks = TaskGroup::default();
     let calls = calls::start(&hub, &tasks, &Edges::default()).await.unwrap();
     let upstream = Upstream::start();
-    hub.publish_snapshot(snapshot(options));
+    if options.is_configured {
+        hub.publish_snapshot(snapshot(options));
+    }
     hub.upstream.send_replace(Some(AnnouncedUpstream {
         version: version("1.0.0"),
         address: upstream.address(),
