fix(config): a node that can't get a newer configuration from peers reads it itself

An answer that tells of a newer configuration counted as news, so that a node which gets that configuration from no peer took itself for current, told others so, and never read the rows. Change: the time for which a node knows of a newer configuration counts as age, for its own role and for what it tells. Beside it: starting nodes wait 450 ms for peers, and register within 150 ms; 600 and 300 ms delayed a whole fleet's return. Tests: watch::a_node_that_cannot_get_a_version_from_peers_reads_it (Follower before).

--- a/crates/sycamore-config/src/watch.rs
+++ b/crates/sycamore-config/src/watch.rs
@@ -30,7 +30,7 @@
         Self {
             per_data_centre: 2,
             max_age: Duration::from_secs(5),
-            start_wait: Duration::from_millis(600),
+            start_wait: Duration::from_millis(450),
         }
     }
 }
@@ -111,14 +111,19 @@
         self.next_request = now;
     }
 
-    /// Returns the age of the node's knowledge of the rows; `None` before the first.
-    pub fn age(&self, now: Time) -> Option<Duration> {
-        self.current_at.map(|at| now.since(at))
+    /// Returns the time since which the node can't tell whether its configuration is the newest;
+    /// `None` before its first news of the rows.
+    ///
+    /// `behind_since` is the time since which it knows of a newer one, `None` if it knows of none: a
+    /// node that can't get that one has old knowledge, however recent its news are.
+    pub fn age(&self, now: Time, behind_since: Option<Time>) -> Option<Duration> {
+        let behind = behind_since.map_or(Duration::ZERO, |since| now.since(since));
+        self.current_at.map(|at| now.since(at).max(behind))
     }
 
-    /// Returns whether the node's peers keep it current.
-    pub fn is_followed(&self, now: Time) -> bool {
-        self.age(now).is_some_and(|age| age <= self.settings.max_age)
+    /// Returns whether the node's peers keep it current; `behind_since` as in [`Watch::age`].
+    pub fn is_followed(&self, now: Time, behind_since: Option<Time>) -> bool {
+        self.age(now, behind_since).is_some_and(|age| age <= self.settings.max_age)
     }
 
     /// Returns whether the time in which the node waits for its peers is over.
@@ -132,11 +137,17 @@
     }
 
     /// Returns the node's role. `is_chosen` tells whether it is among its data centre's watchers,
-    /// `None` while it doesn't know its peers yet.
-    pub fn role(&self, now: Time, is_chosen: Option<bool>, is_configured: bool) -> Role {
+    /// `None` while it doesn't know its peers yet; `behind_since` is as in [`Watch::age`].
+    pub fn role(
+        &self,
+        now: Time,
+        is_chosen: Option<bool>,
+        is_configured: bool,
+        behind_since: Option<Time>,
+    ) -> Role {
         match (is_chosen, is_configured) {
             (Some(true), _) => Role::Watcher,
-            _ if self.is_followed(now) => Role::Follower,
+            _ if self.is_followed(now, behind_since) => Role::Follower,
             (_, true) => Role::Stale,
             (_, false) if self.is_started(now) => Role::Unconfigured,
             (_, false) => Role::Follower,
--- a/crates/sycamore-config/tests/watch.rs
+++ b/crates/sycamore-config/tests/watch.rs
@@ -195,7 +195,7 @@
         let node = &self.nodes[at];
         match node.watching_until {
             Some(until) if self.now < until => Some(Duration::ZERO),
-            _ => node.watch.age(self.now),
+            _ => node.watch.age(self.now, node.apply.behind_since()),
         }
     }
 
@@ -304,7 +304,8 @@
             Event::Check => {
                 let is_chosen = self.watchers_of(at).contains(&at);
                 let node = &mut self.nodes[at];
-                node.role = node.watch.role(self.now, Some(is_chosen), true);
+                node.role =
+                    node.watch.role(self.now, Some(is_chosen), true, node.apply.behind_since());
                 if node.role != Role::Follower && node.reading == NOT_READING {
                     self.read(at);
                 }
@@ -336,7 +337,8 @@
                 }
             }
             Event::Head(head) => {
-                let is_followed = self.nodes[at].watch.is_followed(self.now);
+                let node = &self.nodes[at];
+                let is_followed = node.watch.is_followed(self.now, node.apply.behind_since());
                 let delay = if is_followed { Duration::from_millis(400) } else { Duration::ZERO };
                 self.learn(at, head, delay);
                 if self.nodes[at].heads_pushed.insert(head.version.0) {
@@ -514,3 +516,18 @@
     let longest = fleet.storm(5, Duration::from_millis(700));
     assert!(longest <= APPLY_WITHIN, "in force after {longest:?}");
 }
+
+/// Guards against a node that knows of a newer configuration, gets it from no peer, and takes the
+/// news of it for being current: it would stay behind for ever.
+#[test]
+fn a_node_that_cannot_get_a_version_from_peers_reads_it() {
+    let (start, max_age) = (Time::from_secs(10), settings().max_age);
+    let mut watch = Watch::new(settings(), Time::default());
+    watch.record_answer(start, Duration::ZERO);
+    assert_eq!(watch.role(start, Some(false), true, Some(start)), Role::Follower);
+    let later = start + max_age + Duration::from_millis(10);
+    watch.record_answer(later, Duration::ZERO);
+    assert_eq!(watch.role(later, Some(false), true, None), Role::Follower);
+    assert_eq!(watch.role(later, Some(false), true, Some(start)), Role::Stale);
+    assert!(watch.age(later, Some(start)) > Some(max_age), "told as current to others");
+}
--- a/crates/sycamore-node/src/config/driver.rs
+++ b/crates/sycamore-node/src/config/driver.rs
@@ -181,7 +181,8 @@
 
     /// Returns whether this node's knowledge of the operators' rows is recent enough.
     pub(super) fn is_followed(&self) -> bool {
-        self.watch.borrow().is_followed(self.hub.clock.now())
+        let behind_since = self.with_state(Apply::behind_since);
+        self.watch.borrow().is_followed(self.hub.clock.now(), behind_since)
     }
 
     /// Handles the answer of the peer at `source` that it has `head` in force, complete up to
--- a/crates/sycamore-node/src/config/role.rs
+++ b/crates/sycamore-node/src/config/role.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 use sycamore_config::watch::watchers;
-use sycamore_config::{Role, WatchSettings};
+use sycamore_config::{Apply, Role, WatchSettings};
 use sycamore_types::prelude::*;
 
 /// Time over its wait after which a watch without an answer no longer counts as current.
@@ -48,7 +48,8 @@
         let is_chosen = is_known
             .then(|| local_watchers(&self.hub).iter().any(|member| member.instance == *own));
         let is_configured = self.with_state(|apply| apply.in_force().is_some());
-        let role = self.watch.borrow().role(now, is_chosen, is_configured);
+        let behind = self.with_state(Apply::behind_since);
+        let role = self.watch.borrow().role(now, is_chosen, is_configured, behind);
         if self.role.replace(Some(role)) != Some(role) {
             let age = self.knowledge_age();
             info!(self.hub.log, "row reader role changed"; "role" => role.as_str(),
@@ -69,12 +70,16 @@
         self.watching_until.set(None);
     }
 
-    /// Returns the age of this node's knowledge of the operators' rows; `None` before the first.
+    /// Returns the time since which this node can't tell whether its configuration is the newest;
+    /// `None` before its first news of the operators' rows.
     pub(super) fn knowledge_age(&self) -> Option<Duration> {
         let now = self.hub.clock.now();
+        let behind_since = self.with_state(Apply::behind_since);
         match self.watching_until.get() {
-            Some(until) if now < until => Some(Duration::ZERO),
-            _ => self.watch.borrow().age(now),
+            Some(until) if now < until => {
+                Some(behind_since.map_or(Duration::ZERO, |since| now.since(since)))
+            }
+            _ => self.watch.borrow().age(now, behind_since),
         }
     }
 }
--- a/crates/sycamore-node/src/peers/register.rs
+++ b/crates/sycamore-node/src/peers/register.rs
@@ -28,7 +28,7 @@
 /// Shortest mean time between two refreshes of one node.
 const MIN_REFRESH_INTERVAL: Duration = Duration::from_secs(15);
 /// Longest random delay before the first read, so that nodes started together don't read at once.
-const START_JITTER: Duration = Duration::from_millis(300);
+const START_JITTER: Duration = Duration::from_millis(150);
 /// Longest random delay before a node registers again in a new epoch of the table.
 const EPOCH_JITTER: Duration = Duration::from_secs(2);
 /// Time a member must be dead before its row is deleted.
