--- a/crates/sycamore-node/src/config/follow.rs
+++ b/crates/sycamore-node/src/config/follow.rs
@@ -88,7 +88,8 @@
         }
     }
 
-    /// Lists all rows, or waits for the changes after the last read, and handles what it brings.
+    /// Lists all rows, or waits for the changes after the last read, and handles what it brings. A
+    /// read that finds the history lost leads to a listing.
     async fn step(&mut self) -> Result<()> {
         let started = self.driver.hub.clock.now();
         self.resume();
--- a/crates/sycamore-node/src/config/request.rs
+++ b/crates/sycamore-node/src/config/request.rs
@@ -44,8 +44,9 @@
     let own = &driver.hub.settings.node.instance;
     let mut watchers = local_watchers(&driver.hub);
     watchers.retain(|member| member.instance != *own);
-    let first = watchers
-        .get(usize::from(ContentHash::of(own.as_str().as_bytes()).0[31]) % watchers.len().max(1));
+    // The hash's first bytes decide who watches, its last one spreads the others over the watchers.
+    let spread = ContentHash::of(own.as_str().as_bytes()).0.last().copied().unwrap_or_default();
+    let first = watchers.get(usize::from(spread) % watchers.len().max(1));
     match (ask, first) {
         (Ask::Watcher, Some(first)) => BTreeSet::from([first.endpoints.peer]),
         _ => watchers.iter().map(|m| m.endpoints.peer).chain(random_peer(driver)).collect(),
--- a/crates/sycamore-peer/src/proto/sycamore.peer.v1.rs
+++ b/crates/sycamore-peer/src/proto/sycamore.peer.v1.rs
@@ -85,6 +85,7 @@
 /// What the callee has in force, and how old its knowledge of the platform's table is.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Current {
+    /// Absent where the callee has no configuration.
     #[prost(message, optional, tag = "1")]
     pub head: ::core::option::Option<Head>,
     #[prost(uint64, tag = "2")]
