feat(node): show rejected versions and the size of a configuration

Of an operator's row that every node rejected, only the lines of the nodes that read it told. Their metrics did not: config_known_version stayed at the version in force, as if the fleet were current. Nothing told how near a configuration is to a limit, and the line of the rejection named neither the version that stays in force nor, but for the text of the fault, the number of entries.

Added: gauges config_rejected_version (highest rejected version above the one in force, else 0), config_resources and config_bytes (entries in force and their encoded size, without the manifest); config_known_version counts rejected versions. "configuration applied" has resources and bytes, "operator configuration rejected" has in_force and resources. What is accepted, applied, fetched or answered is as before.

Left out: bytes of "operator rows read". Only parsed values are at hand there, whose size would take encoding them once more on the event loop. Not told either: the version of a row that can't be parsed (it has none), and a rejected row at followers that don't read it themselves.

--- a/crates/sycamore-config/src/apply/machine.rs
+++ b/crates/sycamore-config/src/apply/machine.rs
@@ -2,7 +2,7 @@
 
 use super::behind::Behind;
 use super::candidate::{Assembled, Candidate, ObjectMap};
-use super::{Action, ApplySettings, FetchAnswer, Input, RejectReason, Source};
+use super::{Action, ApplySettings, ConfigSize, FetchAnswer, Input, RejectReason, Source};
 use crate::delta::{Delta, History, NO_CONFIGURATION};
 use crate::manifest::{unpack, Manifest};
 use bytes::Bytes;
@@ -59,6 +59,16 @@
         self.in_force
     }
 
+    /// Returns the size of the configuration in force; zero before the first one.
+    pub fn size(&self) -> ConfigSize {
+        let manifest = self.delta_base();
+        let resources = self.objects.iter().filter(|(hash, _)| **hash != manifest);
+        resources.fold(ConfigSize::default(), |size, (_, body)| ConfigSize {
+            resources: size.resources + 1,
+            bytes: size.bytes + body.len(),
+        })
+    }
+
     /// Returns the highest head that is in force or being fetched.
     pub fn highest(&self) -> Option<ConfigHead> {
         self.candidates.first().map(|candidate| candidate.head).max(self.head)
--- a/crates/sycamore-config/src/apply/mod.rs
+++ b/crates/sycamore-config/src/apply/mod.rs
@@ -14,6 +14,15 @@
 use sycamore_platform::backoff::BackoffSettings;
 use sycamore_types::prelude::*;
 
+/// Size of a configuration, counted in entries and in bytes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ConfigSize {
+    /// Number of entries: services, routes and limits of callers.
+    pub resources: usize,
+    /// Size of the encoded resources, in bytes, without the manifest.
+    pub bytes: usize,
+}
+
 /// Limits and delays of [`Apply`].
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct ApplySettings {
--- a/crates/sycamore-config/src/lib.rs
+++ b/crates/sycamore-config/src/lib.rs
@@ -17,7 +17,9 @@
 pub mod poll;
 pub mod watch;
 
-pub use crate::apply::{Action, Apply, ApplySettings, FetchAnswer, Input, RejectReason, Source};
+pub use crate::apply::{
+    Action, Apply, ApplySettings, ConfigSize, FetchAnswer, Input, RejectReason, Source,
+};
 pub use crate::bundle::{Bundle, Fault};
 pub use crate::delta::Delta;
 pub use crate::diff::Diff;
--- a/crates/sycamore-node/src/config/driver.rs
+++ b/crates/sycamore-node/src/config/driver.rs
@@ -15,8 +15,8 @@
 use std::time::Duration;
 use sycamore_config::delta::HeldRequests;
 use sycamore_config::{
-    Action, Apply, ApplySettings, FetchAnswer, Floor, FloorSettings, Input, PeerHead, RejectReason,
-    Role, Source, Watch,
+    Action, Apply, ApplySettings, ConfigSize, FetchAnswer, Floor, FloorSettings, Input, PeerHead,
+    RejectReason, Role, Source, Watch,
 };
 use sycamore_platform::Revision;
 use sycamore_types::prelude::*;
@@ -79,6 +79,8 @@
     pub(super) encoded_deltas: RefCell<DeltaCache>,
     /// Peers' requests for a delta that this node can't answer yet.
     pub(super) held_requests: RefCell<HeldRequests>,
+    /// Highest rejected version above the one in force; `None` if there is none.
+    highest_rejected: Cell<Option<ConfigVersion>>,
     /// Latest head for which a peer lacked objects.
     peer_miss: Cell<Option<ConfigHead>>,
     apply: RefCell<Apply>,
@@ -115,6 +117,7 @@
             offered_by: Cell::new(None),
             encoded_deltas: RefCell::default(),
             held_requests: RefCell::default(),
+            highest_rejected: Cell::new(None),
             peer_miss: Cell::new(None),
             apply: RefCell::new(Apply::new(settings)),
             floor: RefCell::new(Floor::new(FloorSettings::default())),
@@ -128,9 +131,7 @@
         let now = self.hub.clock.now();
         let behind_since = self.with_state(Apply::behind_since).unwrap_or(now);
         let actions = self.apply.borrow_mut().step(now, input);
-        if let Some(highest) = self.with_state(Apply::highest) {
-            self.metrics.record_known(highest.version);
-        }
+        self.record_versions();
         for action in actions {
             self.execute(action, now.since(behind_since));
         }
@@ -236,6 +237,26 @@
         self.peer_miss.set(Some(head));
     }
 
+    /// Counts the rejection of configuration `version`, a head's or an operator's row's, and records
+    /// it as known.
+    pub(super) fn record_rejected(&self, version: ConfigVersion) {
+        self.metrics.count_rejected();
+        self.highest_rejected.set(self.highest_rejected.get().max(Some(version)));
+        self.record_versions();
+    }
+
+    /// Copies the highest known and the highest rejected version to the metrics. A rejected version
+    /// counts until one at or above it is in force.
+    fn record_versions(&self) {
+        let (highest, in_force) = self.with_state(|apply| (apply.highest(), apply.in_force()));
+        let rejected = self.highest_rejected.get().filter(|version| Some(*version) > in_force);
+        self.highest_rejected.set(rejected);
+        self.metrics.record_rejected(rejected.unwrap_or_default());
+        if let Some(known) = highest.map(|head| head.version).max(rejected) {
+            self.metrics.record_known(known);
+        }
+    }
+
     /// Returns whether the latest recorded peer miss was for `head`.
     pub(super) fn has_peer_miss(&self, head: ConfigHead) -> bool {
         self.peer_miss.get() == Some(head)
@@ -267,8 +288,10 @@
             }
             Action::RequestDelta { base } => delta::request(self, base),
             Action::Apply(snapshot) => {
-                self.metrics.record_applied(snapshot.version, self.hub.clock.wall(), lag);
+                let size = self.size_of(&snapshot);
+                self.metrics.record_applied(snapshot.version, size, self.hub.clock.wall(), lag);
                 info!(self.hub.log, "configuration applied"; "version" => snapshot.version.0,
+                    "resources" => size.resources, "bytes" => size.bytes,
                     "lag_ms" => millis(lag));
                 self.hub.publish_snapshot(snapshot);
                 delta::answer_held(self);
@@ -279,6 +302,15 @@
         }
     }
 
+    /// Returns the size of the configuration that an action applies.
+    fn size_of(&self, snapshot: &Snapshot) -> ConfigSize {
+        // The step that applies the empty configuration may have put a complete one in force too.
+        match snapshot.version == ConfigVersion::default() {
+            true => ConfigSize::default(),
+            false => self.with_state(Apply::size),
+        }
+    }
+
     fn queue_fetch(&self, fetch: Fetch) {
         let head = fetch.head;
         if self.fetches.try_send(fetch).is_err() {
@@ -291,7 +323,7 @@
         let reason = reason.to_string();
         warn!(self.hub.log, "configuration rejected"; "version" => head.version.0,
             "reason" => &reason);
-        self.metrics.count_rejected();
+        self.record_rejected(head.version);
         let mut rejected = self.rejected.borrow_mut();
         rejected.retain(|earlier| earlier.head != head);
         rejected.push_back(Rejected { head, reason: reason.clone() });
--- a/crates/sycamore-node/src/config/follow.rs
+++ b/crates/sycamore-node/src/config/follow.rs
@@ -194,9 +194,11 @@
 
     fn handle_config(&self, version: ConfigVersion, resources: Vec<Resource>) {
         let driver = self.driver;
-        if version <= driver.hub.snapshot.borrow().version {
+        let in_force = driver.hub.snapshot.borrow().version;
+        if version <= in_force {
             return;
         }
+        let count = resources.len();
         match Bundle::new(resources) {
             Ok(bundle) => {
                 let encoded = Encoded::new(bundle.resources(), version);
@@ -208,8 +210,8 @@
             Err(faults) => {
                 let why: Vec<String> = faults.iter().map(ToString::to_string).collect();
                 warn!(driver.hub.log, "operator configuration rejected"; "version" => version.0,
-                    "faults" => why.join("; "));
-                driver.metrics.count_rejected();
+                    "in_force" => in_force.0, "resources" => count, "faults" => why.join("; "));
+                driver.record_rejected(version);
             }
         }
     }
--- a/crates/sycamore-node/src/config/metrics.rs
+++ b/crates/sycamore-node/src/config/metrics.rs
@@ -5,7 +5,7 @@
     Gauge, Histogram, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry, Result,
 };
 use std::time::Duration;
-use sycamore_config::Role;
+use sycamore_config::{ConfigSize, Role};
 use sycamore_platform::http::Traffic;
 use sycamore_types::prelude::*;
 
@@ -13,6 +13,9 @@
 pub(super) struct Metrics {
     version: IntGauge,
     known_version: IntGauge,
+    rejected_version: IntGauge,
+    resources: IntGauge,
+    config_bytes: IntGauge,
     lag: Histogram,
     applied_at: Gauge,
     followed_at: Gauge,
@@ -34,6 +37,15 @@
                 "config_known_version",
                 "Highest version known from peers or the platform, in force or not",
             )?,
+            rejected_version: meter.gauge(
+                "config_rejected_version",
+                "Highest rejected version above the one in force, 0 if there is none",
+            )?,
+            resources: meter.gauge("config_resources", "Entries of the configuration in force")?,
+            config_bytes: meter.gauge(
+                "config_bytes",
+                "Size of the encoded entries of the configuration in force, in bytes",
+            )?,
             lag: meter.times(
                 "config_lag_seconds",
                 "Time from learning of a newer configuration to applying one, in seconds",
@@ -81,11 +93,25 @@
         self.known_version.set(gauge_value(version));
     }
 
-    /// Records that configuration `version` was applied at `at`, `lag` after this node learned of a
-    /// newer version than the one in force before.
-    pub(super) fn record_applied(&self, version: ConfigVersion, at: WallTime, lag: Duration) {
+    /// Records that `version` is the highest rejected one above the one in force; version 0 if
+    /// there is none.
+    pub(super) fn record_rejected(&self, version: ConfigVersion) {
+        self.rejected_version.set(gauge_value(version));
+    }
+
+    /// Records that configuration `version` of this `size` was applied at `at`, `lag` after this
+    /// node learned of a newer version than the one in force before.
+    pub(super) fn record_applied(
+        &self,
+        version: ConfigVersion,
+        size: ConfigSize,
+        at: WallTime,
+        lag: Duration,
+    ) {
         self.applied_at.set(seconds(at));
         self.version.set(gauge_value(version));
+        self.resources.set(i64::try_from(size.resources).unwrap_or(i64::MAX));
+        self.config_bytes.set(i64::try_from(size.bytes).unwrap_or(i64::MAX));
         self.lag.observe(lag.as_secs_f64());
     }
 
--- /dev/null
+++ b/crates/sycamore-node/tests/config/main.rs
@@ -0,0 +1,204 @@
+//! Tests of the configuration metrics of a node that reads operators' rows.
+#![allow(clippy::unwrap_used, reason = "tests")]
+
+mod store;
+
+use monoio::{LegacyDriver, RuntimeBuilder};
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use store::{Protocol, Store, PREFIX};
+use sycamore_config::bundle::MAX_RESOURCES;
+use sycamore_node::edge::{OperatorEdge, OperatorRow, ReleaseOrder, ReleaseState};
+use sycamore_node::hub::Hub;
+use sycamore_node::platform::Platform;
+use sycamore_node::tasks::TaskGroup;
+use sycamore_node::{config, peers};
+use sycamore_settings::{node, Settings};
+use sycamore_types::prelude::*;
+
+/// Maximum duration of a test.
+const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Edge whose rows hold a version and the number of entries, of which the first is a service and
+/// the others are its routes.
+struct Rows;
+
+impl OperatorEdge for Rows {
+    fn prefix(&self) -> &'static str {
+        PREFIX
+    }
+
+    fn read(&self, _: &str, value: &Value) -> OperatorRow {
+        let version = ConfigVersion(value["version"].as_u64().unwrap());
+        let entries = usize::try_from(value["entries"].as_u64().unwrap()).unwrap();
+        OperatorRow::Config(Ok((version, resources(entries))))
+    }
+
+    fn status(&self, _: &ReleaseOrder, _: ReleaseState) -> (String, Value) {
+        unreachable!("the tests give no orders")
+    }
+}
+
+fn resources(entries: usize) -> Vec<Resource> {
+    let name = ServiceName::new("counter").unwrap();
+    let route = |i: usize| Route {
+        name: RouteName::new(format!("route-{i}")).unwrap(),
+        host: None,
+        prefix: format!("/route-{i}"),
+        service: name.clone(),
+        split: Vec::new(),
+        timeout: Duration::from_secs(1),
+        policy: RoutePolicy::default(),
+    };
+    let service =
+        Service { name: name.clone(), limits: Limits::default(), retry: RetryPolicy::default() };
+    let routes = (1..entries).map(|i| Resource::Route(route(i)));
+    std::iter::once(Resource::Service(service)).chain(routes).collect()
+}
+
+/// Returns the size of the encoded entries of a row, in bytes.
+fn encoded_bytes(entries: usize) -> i64 {
+    let bodies = resources(entries).into_iter().map(|entry| serde_json::to_vec(&entry).unwrap());
+    i64::try_from(bodies.map(|body| body.len()).sum::<usize>()).unwrap()
+}
+
+fn free_addr() -> SocketAddr {
+    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// Node that reads the rows of a store of its own.
+struct Node {
+    hub: Rc<Hub>,
+    store: Store,
+    tasks: TaskGroup,
+}
+
+impl Node {
+    async fn start() -> Self {
+        let store = Store::default();
+        let mut settings = Settings::default();
+        settings.listen = node::Listen { peer: free_addr(), ..settings.listen };
+        settings.platform.table = store.serve();
+        settings.platform.objects = settings.platform.table;
+        let hub = Hub::new(settings);
+        let tasks = TaskGroup::default();
+        let platform = Platform::new(&hub.settings.platform, Rc::new(Protocol), &hub.registry);
+        let platform = Rc::new(platform.unwrap());
+        let peers = peers::start(&hub, &tasks, &platform).await.unwrap();
+        let rows: Rc<dyn OperatorEdge> = Rc::new(Rows);
+        config::start(&hub, &tasks, &platform, &peers, Some(rows)).await.unwrap();
+        Self { hub, store, tasks }
+    }
+
+    fn write_row(&self, version: u64, entries: usize) {
+        self.store.write(json!({"version": version, "entries": entries}));
+    }
+
+    /// Returns the value of the counter or gauge `name`, without its prefix.
+    fn metric(&self, name: &str) -> i64 {
+        let name = format!("sycamoreshift_{name}");
+        let families = self.hub.registry.gather();
+        let family = families.iter().find(|family| family.name() == name).unwrap();
+        let metric = &family.get_metric()[0];
+        (metric.get_gauge().get_value() + metric.get_counter().get_value()) as i64
+    }
+
+    /// Returns the versions in force, known and rejected.
+    fn versions(&self) -> [i64; 3] {
+        ["config_version", "config_known_version", "config_rejected_version"]
+            .map(|name| self.metric(name))
+    }
+
+    /// Waits until the metric `name` has the `value`.
+    async fn wait_for(&self, name: &str, value: i64) {
+        while self.metric(name) != value {
+            monoio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+
+    async fn stop(self) {
+        self.tasks.stop();
+        self.tasks.join().await;
+    }
+}
+
+/// Runs `test` on a node; panics after [`TEST_TIMEOUT`].
+fn run(test: impl AsyncFnOnce(&Node)) {
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build().unwrap();
+    runtime.block_on(async {
+        let ended = monoio::time::timeout(TEST_TIMEOUT, async {
+            let node = Node::start().await;
+            test(&node).await;
+            node.stop().await;
+        });
+        ended.await.expect("the test ends in time");
+    });
+}
+
+/// Guards against a node that rejects the newest row and looks current: its known version stays at
+/// the one in force.
+#[test]
+fn a_rejected_row_raises_the_known_and_the_rejected_version_until_it_or_a_higher_one_is_applied() {
+    run(async |node| {
+        node.write_row(14, 3);
+        node.wait_for("config_version", 14).await;
+        assert_eq!(node.versions(), [14, 14, 0]);
+
+        node.write_row(16, MAX_RESOURCES + 1);
+        node.wait_for("config_rejected_total", 1).await;
+        assert_eq!(node.versions(), [14, 16, 16]);
+        node.write_row(19, MAX_RESOURCES + 2);
+        node.wait_for("config_rejected_total", 2).await;
+        assert_eq!(node.versions(), [14, 19, 19]);
+
+        // A version between the one in force and the rejected one, as from a peer that lags.
+        node.write_row(17, 4);
+        node.wait_for("config_version", 17).await;
+        assert_eq!(node.versions(), [17, 19, 19]);
+
+        node.write_row(19, 5);
+        node.wait_for("config_version", 19).await;
+        assert_eq!(node.versions(), [19, 19, 0]);
+
+        node.write_row(21, MAX_RESOURCES + 1);
+        node.wait_for("config_rejected_total", 3).await;
+        assert_eq!(node.versions(), [19, 21, 21]);
+        node.write_row(22, 6);
+        node.wait_for("config_version", 22).await;
+        assert_eq!(node.versions(), [22, 22, 0]);
+    });
+}
+
+/// A node that starts while the newest row is one that it rejects has no version in force.
+#[test]
+fn a_rejected_first_row_is_known_and_rejected() {
+    run(async |node| {
+        node.write_row(16, MAX_RESOURCES + 1);
+        node.wait_for("config_rejected_total", 1).await;
+        assert_eq!(node.versions(), [0, 16, 16]);
+    });
+}
+
+/// Guards against a size that counts the manifest or a rejected row, so that nobody can tell how
+/// near a configuration is to a limit.
+#[test]
+fn the_size_metrics_are_those_of_the_configuration_in_force() {
+    run(async |node| {
+        node.write_row(2, 7);
+        node.wait_for("config_version", 2).await;
+        assert_eq!(node.metric("config_resources"), 7);
+        assert_eq!(node.metric("config_bytes"), encoded_bytes(7));
+
+        node.write_row(3, MAX_RESOURCES + 1);
+        node.wait_for("config_rejected_total", 1).await;
+        assert_eq!(node.metric("config_resources"), 7);
+        assert_eq!(node.metric("config_bytes"), encoded_bytes(7));
+
+        node.write_row(4, 2);
+        node.wait_for("config_version", 4).await;
+        assert_eq!(node.metric("config_resources"), 2);
+        assert_eq!(node.metric("config_bytes"), encoded_bytes(2));
+    });
+}
