--- a/crates/sycamore-node/tests/config/main.rs
+++ b/crates/sycamore-node/tests/config/main.rs
@@ -1,6 +1,7 @@
-//! Tests of the configuration metrics of a node that reads operators' rows.
+//! Tests of a node that reads operators' rows: its configuration, its orders and its metrics.
 #![allow(clippy::unwrap_used, reason = "tests")]
 
+mod reads;
 mod store;
 
 use monoio::{LegacyDriver, RuntimeBuilder};
@@ -21,8 +22,11 @@
 /// Maximum duration of a test.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Edge whose rows hold a version and the number of entries, of which the first is a service and
-/// the others are its routes.
+/// Key of the row with the configuration.
+const CONFIG_KEY: &str = "config";
+
+/// Edge whose row of the configuration holds a version and the number of entries, of which the
+/// first is a service and the others are its routes. Other rows are orders, named by their service.
 struct Rows;
 
 impl OperatorEdge for Rows {
@@ -30,7 +34,15 @@
         PREFIX
     }
 
-    fn read(&self, _: &str, value: &Value) -> OperatorRow {
+    fn read(&self, key: &str, value: &Value) -> OperatorRow {
+        let name = key.strip_prefix(PREFIX).unwrap();
+        if name != CONFIG_KEY {
+            return OperatorRow::Release(Ok(ReleaseOrder {
+                service: ServiceName::new(name).unwrap(),
+                to: UpstreamVersion::new("v2").unwrap(),
+                duration: Duration::from_secs(60),
+            }));
+        }
         let version = ConfigVersion(value["version"].as_u64().unwrap());
         let entries = usize::try_from(value["entries"].as_u64().unwrap()).unwrap();
         OperatorRow::Config(Ok((version, resources(entries))))
@@ -76,8 +88,7 @@
 }
 
 impl Node {
-    async fn start() -> Self {
-        let store = Store::default();
+    async fn start(store: Store) -> Self {
         let mut settings = Settings::default();
         settings.listen = node::Listen { peer: free_addr(), ..settings.listen };
         settings.platform.table = store.serve();
@@ -93,7 +104,7 @@
     }
 
     fn write_row(&self, version: u64, entries: usize) {
-        self.store.write(json!({"version": version, "entries": entries}));
+        self.store.write(CONFIG_KEY, json!({"version": version, "entries": entries}));
     }
 
     /// Returns the value of the counter or gauge `name`, without its prefix.
@@ -126,10 +137,15 @@
 
 /// Runs `test` on a node; panics after [`TEST_TIMEOUT`].
 fn run(test: impl AsyncFnOnce(&Node)) {
+    run_on(Store::default(), test);
+}
+
+/// Runs `test` on a node that starts with the rows in `store`; panics after [`TEST_TIMEOUT`].
+fn run_on(store: Store, test: impl AsyncFnOnce(&Node)) {
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build().unwrap();
     runtime.block_on(async {
         let ended = monoio::time::timeout(TEST_TIMEOUT, async {
-            let node = Node::start().await;
+            let node = Node::start(store).await;
             test(&node).await;
             node.stop().await;
         });
--- /dev/null
+++ b/crates/sycamore-node/tests/config/reads.rs
@@ -0,0 +1,57 @@
+//! Reads of operators' rows that are larger than one answer of the platform.
+
+use super::store::Store;
+use super::{run, run_on, Node, CONFIG_KEY};
+use serde_json::json;
+use std::time::Duration;
+
+impl Node {
+    /// Writes a configuration whose row has at least `bytes`.
+    fn write_large_row(&self, version: u64, bytes: usize) {
+        let row = json!({"version": version, "entries": 3, "padding": "x".repeat(bytes)});
+        self.store.write(CONFIG_KEY, row);
+    }
+
+    /// Waits until the orders with these `keys`, without their prefix, are those that the node
+    /// knows.
+    async fn wait_for_orders(&self, keys: &[&str]) {
+        loop {
+            let known: Vec<String> = self.hub.orders.borrow().keys().cloned().collect();
+            if known.iter().map(|key| key.rsplit('/').next().unwrap()).eq(keys.iter().copied()) {
+                return;
+            }
+            monoio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+}
+
+/// Guards against release orders that are lost behind a large configuration: it fills the first
+/// page of a listing, and the orders are on the next.
+#[test]
+fn orders_behind_the_first_page_of_a_listing_are_read() {
+    let store = Store::default();
+    store.write(CONFIG_KEY, json!({"version": 2, "entries": 3}));
+    store.write("counter", json!({}));
+    store.write("intake", json!({}));
+    store.set_page_rows(1);
+    run_on(store, async |node| {
+        node.wait_for("config_version", 2).await;
+        node.wait_for_orders(&["counter", "intake"]).await;
+    });
+}
+
+/// Guards against a node that asks for the same changes for ever: the versions written during an
+/// outage are together larger than an answer may be.
+#[test]
+fn changes_too_large_for_one_answer_are_skipped_by_a_listing() {
+    run(async |node| {
+        node.write_row(2, 3);
+        node.wait_for("config_version", 2).await;
+        node.store.set_out(true);
+        for version in 3..=6 {
+            node.write_large_row(version, 6 << 20);
+        }
+        node.store.set_out(false);
+        node.wait_for("config_version", 6).await;
+    });
+}
--- a/crates/sycamore-node/tests/config/store.rs
+++ b/crates/sycamore-node/tests/config/store.rs
@@ -3,9 +3,10 @@
 use bytes::Bytes;
 use http::StatusCode;
 use serde_json::{json, Value};
+use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use sycamore_platform::{
     Changes, NativeProtocol, Page, PageQuery, Result, Revision, Row, StoreProtocol, StoreRequest,
@@ -17,9 +18,48 @@
 /// Longest time that the store keeps a request for changes.
 const MAX_WAIT: Duration = Duration::from_millis(100);
 
-/// Table with one row, of the operators, or none.
+/// Table of operators' rows, with the feed of all their versions.
+#[derive(Default)]
+struct Rows {
+    revision: u64,
+    /// Written values with their keys, in the order of their revisions, which start at 1.
+    written: Vec<(String, Value)>,
+    /// Number of rows of a page; 0 for all.
+    page_rows: usize,
+    /// Whether the store refuses all requests.
+    is_out: bool,
+}
+
+impl Rows {
+    fn row(&self, at: usize) -> Value {
+        let (key, value) = &self.written[at];
+        json!({"key": format!("{PREFIX}{key}"), "value": value, "revision": at + 1})
+    }
+
+    /// Returns the page of the newest rows whose keys follow `after`.
+    fn page(&self, after: &str) -> Value {
+        let newest: BTreeMap<&str, usize> =
+            self.written.iter().enumerate().map(|(at, (key, _))| (key.as_str(), at)).collect();
+        let after = after.strip_prefix(PREFIX).unwrap_or_default();
+        let found: Vec<Value> =
+            newest.iter().filter(|(key, _)| **key > after).map(|(_, at)| self.row(*at)).collect();
+        let limit = if self.page_rows == 0 { found.len() } else { self.page_rows };
+        let more = found.len() > limit;
+        let rows: Vec<Value> = found.into_iter().take(limit).collect();
+        json!({"rows": rows, "more": more, "at": self.revision})
+    }
+
+    /// Returns every version written after revision `after`.
+    fn changes(&self, after: u64) -> Value {
+        let after = usize::try_from(after).unwrap();
+        let rows: Vec<Value> = (after..self.written.len()).map(|at| self.row(at)).collect();
+        json!({"rows": rows, "more": false, "at": self.revision})
+    }
+}
+
+/// Store that serves operators' rows.
 #[derive(Clone, Default)]
-pub struct Store(Arc<Mutex<(u64, Option<Value>)>>);
+pub struct Store(Arc<Mutex<Rows>>);
 
 impl Store {
     /// Starts to serve the table; returns its address.
@@ -36,20 +76,25 @@
         address
     }
 
-    /// Writes the operators' row.
-    pub fn write(&self, value: Value) {
-        let mut table = self.0.lock().unwrap();
-        *table = (table.0 + 1, Some(value));
+    fn rows(&self) -> MutexGuard<'_, Rows> {
+        self.0.lock().unwrap()
+    }
+
+    /// Writes the operators' row `key`.
+    pub fn write(&self, key: &str, value: Value) {
+        let mut rows = self.rows();
+        rows.revision += 1;
+        rows.written.push((key.to_owned(), value));
     }
 
-    /// Returns the table's revision and its rows changed after revision `after`.
-    fn page(&self, after: u64) -> Value {
-        let (revision, value) = self.0.lock().unwrap().clone();
-        let row = value.filter(|_| revision > after).map(
-            |value| json!({"key": format!("{PREFIX}row"), "value": value, "revision": revision}),
-        );
-        let rows: Vec<Value> = row.into_iter().collect();
-        json!({"rows": rows, "more": false, "at": revision})
+    /// Lets a page of a listing hold at most `rows`.
+    pub fn set_page_rows(&self, rows: usize) {
+        self.rows().page_rows = rows;
+    }
+
+    /// Lets the store refuse all requests, or answer them again.
+    pub fn set_out(&self, is_out: bool) {
+        self.rows().is_out = is_out;
     }
 
     fn answer_all(&self, mut stream: TcpStream) {
@@ -64,16 +109,24 @@
     }
 
     fn answer(&self, target: &str) -> (&'static str, String) {
+        if self.rows().is_out {
+            return ("503 Service Unavailable", String::new());
+        }
         if let Some(after) = target.strip_prefix("/changes?after=") {
             let (after, started) = (after.parse().unwrap(), Instant::now());
-            while self.0.lock().unwrap().0 <= after && started.elapsed() < MAX_WAIT {
+            while self.rows().revision <= after && started.elapsed() < MAX_WAIT {
                 std::thread::sleep(Duration::from_millis(2));
             }
-            return ("200 OK", self.page(after).to_string());
+            return ("200 OK", self.rows().changes(after).to_string());
         }
-        match target.starts_with("/table/rows?prefix=operators") {
-            true => ("200 OK", self.page(0).to_string()),
-            false => ("404 Not Found", String::new()),
+        match target.split_once("?prefix=operators") {
+            Some(("/table/rows", query)) => {
+                let after =
+                    query.split_once("&after=").and_then(|(_, rest)| rest.split('&').next());
+                let after = after.unwrap_or_default().replace("%2F", "/");
+                ("200 OK", self.rows().page(&after).to_string())
+            }
+            _ => ("404 Not Found", String::new()),
         }
     }
 }
