fix(config): list operators' rows to the last page

What callers saw: nothing yet; a release order behind a large configuration is never carried out, and an order that is under way is forgotten by the nodes that list the rows. Cause: a listing took its first page, which the platform ends at 1 MB; the configuration's row comes first. Orders that were not on that page were removed as stale, and the changes before the page's revision are never read. Change: pages are read to the last one, from the first one's revision on. Whether the users' store ends a page after a row of over 1 MB was not tried.

--- a/crates/sycamore-node/src/config/follow.rs
+++ b/crates/sycamore-node/src/config/follow.rs
@@ -136,9 +136,9 @@
         let prefix = self.edge.prefix();
         match self.reads.next() {
             NextRead::Rows => {
-                let page = platform.list(PageQuery { prefix, ..PageQuery::default() }).await?;
-                self.remove_stale_orders(&page.rows, page.at);
-                Ok(Some((page.rows, page.at)))
+                let (rows, at) = self.list().await?;
+                self.remove_stale_orders(&rows, at);
+                Ok(Some((rows, at)))
             }
             NextRead::Changes => {
                 let wait = self.wait();
@@ -156,6 +156,21 @@
         }
     }
 
+    /// Lists all rows, page by page, with the revision of the first page: what changes while the
+    /// others are read is among the changes after it.
+    async fn list(&self) -> Result<(Vec<Row>, Revision)> {
+        let (platform, prefix) = (self.driver.platform.http(), self.edge.prefix());
+        let first = platform.list(PageQuery { prefix, ..PageQuery::default() }).await?;
+        let (mut rows, mut more, at) = (first.rows, first.more, first.at);
+        while let Some(last) = rows.last().filter(|_| more) {
+            let query = PageQuery { prefix, after: &last.key, ..PageQuery::default() };
+            let page = platform.list(query).await?;
+            more = page.more && !page.rows.is_empty();
+            rows.extend(page.rows);
+        }
+        Ok((rows, at))
+    }
+
     /// Returns the kind of the next read as logged.
     fn read_name(&self) -> &'static str {
         match self.reads.next() {
