fix(config): skip changes that are too large for one answer by a listing

What callers saw: nothing yet; a node that was cut off from the platform during a storm of large versions stays on an old one, for as long as the platform keeps the changes. Found by reading, beside the incident of routes answered 404. Cause: a read of changes holds every version in full. Where they exceed the client's largest answer the read fails, and the next one asks for the same changes and more. Change: an answer that is too large has an error of its own, and leads to a listing, which holds the newest version only. Test: changes_too_large_for_one_answer_are_skipped_by_a_listing failed before (not there after 20 s), also with its sizes of now (six versions of 3 MB: before, one version of 6 MB was too large for a listing as well, so it could not pass by this change alone); passes now.

--- a/crates/sycamore-node/src/config/follow.rs
+++ b/crates/sycamore-node/src/config/follow.rs
@@ -57,6 +57,7 @@
             Err(report) => {
                 let took = driver.hub.clock.now().since(started);
                 watch.record_failure(report.current_context(), took);
+                watch.skip_large_changes(report.current_context());
                 failures += 1;
                 let pause = backoff.record_failure();
                 let may_rest = failures >= FAILURES_BEFORE_REST && driver.is_followed();
@@ -171,6 +172,14 @@
         Ok((rows, at))
     }
 
+    /// Continues with a listing if the answer to a read of changes was too large: the changes hold
+    /// each version in full, the rows only the newest, and the same read would fail again.
+    fn skip_large_changes(&mut self, error: &Error) {
+        if matches!(error, Error::AnswerTooLarge { .. }) {
+            self.reads.restart();
+        }
+    }
+
     /// Returns the kind of the next read as logged.
     fn read_name(&self) -> &'static str {
         match self.reads.next() {
--- a/crates/sycamore-node/tests/config/reads.rs
+++ b/crates/sycamore-node/tests/config/reads.rs
@@ -48,10 +48,10 @@
         node.write_row(2, 3);
         node.wait_for("config_version", 2).await;
         node.store.set_out(true);
-        for version in 3..=6 {
-            node.write_large_row(version, 6 << 20);
+        for version in 3..=8 {
+            node.write_large_row(version, 3 << 20);
         }
         node.store.set_out(false);
-        node.wait_for("config_version", 6).await;
+        node.wait_for("config_version", 8).await;
     });
 }
--- a/crates/sycamore-platform/src/error.rs
+++ b/crates/sycamore-platform/src/error.rs
@@ -27,6 +27,12 @@
     /// No complete answer arrived after the request was sent; the request may have taken effect.
     #[error("no complete answer from the platform; the request may have taken effect")]
     NoAnswer,
+    /// The answer's body is larger than the client allows; the request may have taken effect.
+    #[error("answer of the platform has more than {max} bytes")]
+    AnswerTooLarge {
+        /// Largest allowed size in bytes, from the client's settings.
+        max: usize,
+    },
     /// The answer violates the protocol or exceeds a limit; the request may have taken effect.
     #[error("malformed answer from the platform: {0}")]
     Malformed(String),
@@ -59,7 +65,7 @@
     /// Returns whether the request may have taken effect.
     pub fn may_have_run(&self) -> bool {
         match self {
-            Error::NoAnswer | Error::Malformed(_) => true,
+            Error::NoAnswer | Error::AnswerTooLarge { .. } | Error::Malformed(_) => true,
             Error::Throttled { .. }
             | Error::Unreachable
             | Error::Refused { .. }
--- a/crates/sycamore-platform/src/http/connection.rs
+++ b/crates/sycamore-platform/src/http/connection.rs
@@ -7,7 +7,7 @@
 use futures::future::{select, Either};
 use futures::FutureExt;
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use monoio::io::IntoPollIo;
@@ -69,8 +69,9 @@
     /// the connection as well unless it was closed.
     ///
     /// # Errors
-    /// [`Error::NoAnswer`] if the connection fails or a timeout passes, [`Error::Malformed`] if the
-    /// body is too large or breaks the protocol. The request may have taken effect.
+    /// [`Error::NoAnswer`] if the connection fails or a timeout passes, [`Error::AnswerTooLarge`] if
+    /// the body has more than `max` bytes, [`Error::Malformed`] if it breaks the protocol. The
+    /// request may have taken effect.
     pub(super) async fn exchange(
         mut self,
         request: Request<Full<Bytes>>,
@@ -111,6 +112,9 @@
         match frame.map_err(|_| Report::new(Error::NoAnswer))? {
             None => return Ok(Response::from_parts(head, bytes.freeze())),
             Some(Ok(frame)) => bytes.extend(frame.into_data().ok()),
+            Some(Err(e)) if e.is::<LengthLimitError>() => {
+                return Err(Report::new(Error::AnswerTooLarge { max }));
+            }
             Some(Err(e)) => return Err(Report::new(Error::Malformed(e.to_string()))),
         }
     }
