fix(config): one capacity for configurations, which every way between nodes has room for

Cause: the platform accepts a row of any number of entries, the nodes rejected one of more than 4,096, for good and all at once. Behind that bound stood others: manifests of 160 KiB (4,818 entries), a history of 8,192 hashes, answers of peers of 512 KiB, packs, the object cache and the platform's answers of 4 MiB (about 15,000 entries, computed). Change: 32,768 entries; manifests and history are derived from it; packs, cache and the platform's answers have 16 MiB; a fetch 4 MiB, which the compiler checks against the bound on deltas and manifests.

--- a/crates/sycamore-config/src/bundle/mod.rs
+++ b/crates/sycamore-config/src/bundle/mod.rs
@@ -9,8 +9,10 @@
 use std::fmt;
 use sycamore_types::prelude::*;
 
-/// Upper bound on the number of resources in one configuration.
-pub const MAX_RESOURCES: usize = 4_096;
+/// Upper bound on the number of resources in one configuration. The bounds on manifests, packs,
+/// deltas and messages between nodes leave room for that many, because operators may write a row of
+/// this size without asking a node: one that can't be passed on would leave the fleet behind.
+pub const MAX_RESOURCES: usize = 32_768;
 /// Upper bound on the length of a route's path prefix, in bytes.
 pub const MAX_PREFIX_BYTES: usize = 256;
 /// Upper bound on a route's call timeout, in milliseconds.
--- a/crates/sycamore-config/src/delta.rs
+++ b/crates/sycamore-config/src/delta.rs
@@ -5,6 +5,7 @@
 //! has in force. The answer takes one datagram each way and no connection, so it arrives also over
 //! a link that is too full for a manifest or an operator's row.
 
+use crate::bundle::MAX_RESOURCES;
 use crate::manifest::{Manifest, MAX_PACK_BYTES};
 use bytes::Bytes;
 use flate2::read::{DeflateDecoder, DeflateEncoder};
@@ -20,13 +21,14 @@
 /// largest datagram between nodes.
 pub const MAX_DATAGRAM_DELTA: usize = 5 << 10;
 /// Upper bound on an encoded delta that answers a fetch, in bytes.
-pub const MAX_FETCHED_DELTA: usize = 512 << 10;
+pub const MAX_FETCHED_DELTA: usize = 4 << 20;
 /// Upper bound on held requests. The oldest is dropped first; its sender asks again.
 const MAX_HELD: usize = 512;
 /// Upper bound on the steps that a [`History`] keeps.
 const MAX_STEPS: usize = 32;
-/// Upper bound on the hashes of all steps, which limits the memory of a [`History`] to 256 KiB.
-const MAX_HISTORY_HASHES: usize = 8_192;
+/// Upper bound on the hashes of all steps, which limits the memory of a [`History`] to 2 MiB. A step
+/// that replaces every resource fits.
+const MAX_HISTORY_HASHES: usize = 2 * MAX_RESOURCES;
 
 /// Difference from one configuration to a later one.
 ///
--- a/crates/sycamore-config/src/manifest.rs
+++ b/crates/sycamore-config/src/manifest.rs
@@ -11,12 +11,16 @@
 use prost::Message;
 use sycamore_types::prelude::*;
 
+/// Size of a resource's hash in an encoded manifest, in bytes: tag, length and hash.
+const ENTRY_BYTES: usize = 34;
+/// Size of the version in an encoded manifest, in bytes, at most.
+const VERSION_BYTES: usize = 11;
 /// Upper bound on the size of an encoded manifest, in bytes.
-pub const MAX_MANIFEST_BYTES: usize = 160 << 10;
+pub const MAX_MANIFEST_BYTES: usize = VERSION_BYTES + MAX_RESOURCES * ENTRY_BYTES;
 /// Upper bound on the size of an encoded resource, in bytes.
 pub const MAX_RESOURCE_BYTES: usize = 16 << 10;
 /// Upper bound on the size of a pack, in bytes.
-pub const MAX_PACK_BYTES: usize = 4 << 20;
+pub const MAX_PACK_BYTES: usize = 16 << 20;
 
 /// Version of a configuration and the content hashes of its resources.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
--- a/crates/sycamore-node/src/config/serve.rs
+++ b/crates/sycamore-node/src/config/serve.rs
@@ -11,6 +11,8 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
+use sycamore_config::delta::MAX_FETCHED_DELTA;
+use sycamore_config::manifest::MAX_MANIFEST_BYTES;
 use sycamore_peer::limits::MAX_FETCH_BYTES;
 use sycamore_peer::{Call, FetchRequest, Fetched, Objects};
 use sycamore_types::prelude::*;
@@ -22,6 +24,10 @@
 /// Maximum number of held fetch requests; further ones are answered at once.
 const MAX_HELD: usize = 64;
 
+// A reply holds a whole delta, or else at least the manifest.
+const _: () =
+    assert!(MAX_FETCHED_DELTA <= MAX_FETCH_BYTES && MAX_MANIFEST_BYTES <= MAX_FETCH_BYTES);
+
 type FetchCall = Call<FetchRequest, Fetched>;
 
 /// Spawns the task that answers peers' fetch requests.
--- a/crates/sycamore-node/src/operator/serve.rs
+++ b/crates/sycamore-node/src/operator/serve.rs
@@ -23,9 +23,10 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use sycamore_config::manifest::MAX_PACK_BYTES;
 
-/// Largest accepted body of a command, in bytes.
-const MAX_BODY_BYTES: usize = 4 << 20;
+/// Largest accepted body of a command, in bytes: a configuration of the largest size.
+const MAX_BODY_BYTES: usize = MAX_PACK_BYTES;
 /// Largest accepted request head, in bytes.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 /// Maximum number of connections served concurrently; further ones are closed.
--- a/crates/sycamore-platform/src/http/mod.rs
+++ b/crates/sycamore-platform/src/http/mod.rs
@@ -60,7 +60,7 @@
             objects: address,
             timeout: Duration::from_secs(2),
             connections: 2,
-            body_bytes: 4 << 20,
+            body_bytes: 16 << 20,
             budget: BudgetSettings::default(),
             nodes: 64,
         }
--- a/crates/sycamore-settings/src/config.rs
+++ b/crates/sycamore-settings/src/config.rs
@@ -44,7 +44,7 @@
     fn default() -> Self {
         Self {
             fetch_timeout: Duration::from_millis(500),
-            object_cache: 4 << 20,
+            object_cache: 16 << 20,
             watchers_per_data_centre: 2,
             apply_within: Duration::from_secs(14),
             watch_time: Duration::from_secs(20),
