perf(config): keep encoded deltas to the configuration in force only

A peer's fetch may be answered with up to 4 MB now, and a node kept the last eight encodings also for heads that are superseded, up to 32 MB.

--- a/crates/sycamore-node/src/config/delta.rs
+++ b/crates/sycamore-node/src/config/delta.rs
@@ -27,7 +27,8 @@
 /// Latest encoded deltas to the configuration in force. Most peers ask from the same base.
 #[derive(Default)]
 pub(super) struct DeltaCache {
-    /// Base and head of each delta with its encoding, oldest first; `None` if it is too large.
+    /// Base and head of each delta with its encoding, oldest first; `None` if it is too large. All
+    /// have the head of the latest, as deltas to an earlier one are no longer asked for.
     encoded: VecDeque<(ContentHash, ConfigHead, Option<Bytes>)>,
 }
 
@@ -39,6 +40,7 @@
             return found.clone();
         }
         let encoded = delta.encode(MAX_FETCHED_DELTA).map(Bytes::from);
+        self.encoded.retain(|(_, head, _)| *head == delta.head);
         if self.encoded.len() == CACHED_DELTAS {
             self.encoded.pop_front();
         }
