fix(config): a stale node lists the rows after changes too large for one answer

What callers saw: nothing yet. Change: the listing stays due until it succeeds. Changes are bounded by 8 MB, half of another answer: they may hold several versions, and decoding takes several times their size on nodes of 160 MB. A listing ends where a page brings no further key, and starts again if the platform came back from an older copy between pages. Tests: changes_too_large_for_a_stale_node_are_skipped_by_a_listing fails without that flag (not there after 20 s), the one of watchers without the restart; the store of the tests refuses watches that wait as well, and eight versions are written, since five that are left over would fit into one answer.

--- a/crates/sycamore-node/src/config/follow.rs
+++ b/crates/sycamore-node/src/config/follow.rs
@@ -76,6 +76,8 @@
     reads: RowReads,
     /// Revision up to which changes were handled.
     at: Revision,
+    /// Whether the next read has to be a listing, as the changes are too large for one answer.
+    must_list: bool,
 }
 
 impl<'a> Watch<'a> {
@@ -86,6 +88,7 @@
             role: Role::Follower,
             reads: RowReads::default(),
             at: Revision::ABSENT,
+            must_list: false,
         }
     }
 
@@ -105,6 +108,7 @@
         }
         rows.iter().for_each(|row| self.handle_row(row));
         self.at = at;
+        self.must_list = false;
         self.reads.end(self.highest_spread_version());
         self.driver.record_complete(self.reads.taken(), at);
         Ok(())
@@ -113,6 +117,9 @@
     /// Lets a node that is no watcher continue where its peers' knowledge ends: it needs no more
     /// than the configuration, which is then read only if it has changed.
     fn resume(&mut self) {
+        if self.must_list {
+            return;
+        }
         let complete_at = self.driver.complete_at.get().filter(|_| self.role == Role::Stale);
         if let (NextRead::Rows, Some((version, at))) = (self.reads.next(), complete_at) {
             self.at = at;
@@ -137,9 +144,11 @@
         let prefix = self.edge.prefix();
         match self.reads.next() {
             NextRead::Rows => {
-                let (rows, at) = self.list().await?;
-                self.remove_stale_orders(&rows, at);
-                Ok(Some((rows, at)))
+                let listed = self.list().await?;
+                if let Some((rows, at)) = &listed {
+                    self.remove_stale_orders(rows, *at);
+                }
+                Ok(listed)
             }
             NextRead::Changes => {
                 let wait = self.wait();
@@ -158,18 +167,22 @@
     }
 
     /// Lists all rows, page by page, with the revision of the first page: what changes while the
-    /// others are read is among the changes after it.
-    async fn list(&self) -> Result<(Vec<Row>, Revision)> {
+    /// others are read is among the changes after it. Returns `None` if the platform came back from
+    /// an older copy meanwhile, whose revisions are others.
+    async fn list(&self) -> Result<Option<(Vec<Row>, Revision)>> {
         let (platform, prefix) = (self.driver.platform.http(), self.edge.prefix());
         let first = platform.list(PageQuery { prefix, ..PageQuery::default() }).await?;
         let (mut rows, mut more, at) = (first.rows, first.more, first.at);
         while let Some(last) = rows.last().filter(|_| more) {
             let query = PageQuery { prefix, after: &last.key, ..PageQuery::default() };
             let page = platform.list(query).await?;
-            more = page.more && !page.rows.is_empty();
+            if page.at.epoch() != at.epoch() {
+                return Ok(None);
+            }
+            more = page.more && page.rows.first().is_some_and(|next| next.key > last.key);
             rows.extend(page.rows);
         }
-        Ok((rows, at))
+        Ok(Some((rows, at)))
     }
 
     /// Continues with a listing if the answer to a read of changes was too large: the changes hold
@@ -177,6 +190,7 @@
     fn skip_large_changes(&mut self, error: &Error) {
         if matches!(error, Error::AnswerTooLarge { .. }) {
             self.reads.restart();
+            self.must_list = true;
         }
     }
 
--- a/crates/sycamore-node/tests/config/main.rs
+++ b/crates/sycamore-node/tests/config/main.rs
@@ -16,7 +16,7 @@
 use sycamore_node::platform::Platform;
 use sycamore_node::tasks::TaskGroup;
 use sycamore_node::{config, peers};
-use sycamore_settings::{node, Settings};
+use sycamore_settings::{config::Config as ConfigSettings, node, Settings};
 use sycamore_types::prelude::*;
 
 /// Maximum duration of a test.
@@ -25,8 +25,8 @@
 /// Key of the row with the configuration.
 const CONFIG_KEY: &str = "config";
 
-/// Edge whose row of the configuration holds a version and the number of entries, of which the
-/// first is a service and the others are its routes. Other rows are orders, named by their service.
+/// Edge whose row of the configuration holds a version, the number of entries, of which the first
+/// is a service and the others are its routes, and the parts of each route's split. Other rows are orders, named by their service.
 struct Rows;
 
 impl OperatorEdge for Rows {
@@ -45,7 +45,8 @@
         }
         let version = ConfigVersion(value["version"].as_u64().unwrap());
         let entries = usize::try_from(value["entries"].as_u64().unwrap()).unwrap();
-        OperatorRow::Config(Ok((version, resources(entries))))
+        let parts = usize::try_from(value["parts"].as_u64().unwrap_or_default()).unwrap();
+        OperatorRow::Config(Ok((version, resources(entries, parts))))
     }
 
     fn status(&self, _: &ReleaseOrder, _: ReleaseState) -> (String, Value) {
@@ -53,14 +54,17 @@
     }
 }
 
-fn resources(entries: usize) -> Vec<Resource> {
+/// Returns a service and its routes, `entries` in all; the split of each route has this number of
+/// `parts`.
+fn resources(entries: usize, parts: usize) -> Vec<Resource> {
     let name = ServiceName::new("counter").unwrap();
+    let part = WeightedService { service: name.clone(), weight: 1 };
     let route = |i: usize| Route {
         name: RouteName::new(format!("route-{i}")).unwrap(),
         host: None,
         prefix: format!("/route-{i}"),
         service: name.clone(),
-        split: Vec::new(),
+        split: vec![part.clone(); parts],
         timeout: Duration::from_secs(1),
         policy: RoutePolicy::default(),
     };
@@ -72,7 +76,7 @@
 
 /// Returns the size of the encoded entries of a row, in bytes.
 fn encoded_bytes(entries: usize) -> i64 {
-    let bodies = resources(entries).into_iter().map(|entry| serde_json::to_vec(&entry).unwrap());
+    let bodies = resources(entries, 0).into_iter().map(|entry| serde_json::to_vec(&entry).unwrap());
     i64::try_from(bodies.map(|body| body.len()).sum::<usize>()).unwrap()
 }
 
@@ -88,8 +92,8 @@
 }
 
 impl Node {
-    async fn start(store: Store) -> Self {
-        let mut settings = Settings::default();
+    async fn start(store: Store, config: ConfigSettings) -> Self {
+        let mut settings = Settings { config, ..Settings::default() };
         settings.listen = node::Listen { peer: free_addr(), ..settings.listen };
         settings.platform.table = store.serve();
         settings.platform.objects = settings.platform.table;
@@ -137,15 +141,16 @@
 
 /// Runs `test` on a node; panics after [`TEST_TIMEOUT`].
 fn run(test: impl AsyncFnOnce(&Node)) {
-    run_on(Store::default(), test);
+    run_on(Store::default(), ConfigSettings::default(), test);
 }
 
-/// Runs `test` on a node that starts with the rows in `store`; panics after [`TEST_TIMEOUT`].
-fn run_on(store: Store, test: impl AsyncFnOnce(&Node)) {
+/// Runs `test` on a node with the settings `config` that starts with the rows in `store`; panics
+/// after [`TEST_TIMEOUT`].
+fn run_on(store: Store, config: ConfigSettings, test: impl AsyncFnOnce(&Node)) {
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build().unwrap();
     runtime.block_on(async {
         let ended = monoio::time::timeout(TEST_TIMEOUT, async {
-            let node = Node::start(store).await;
+            let node = Node::start(store, config).await;
             test(&node).await;
             node.stop().await;
         });
--- a/crates/sycamore-node/tests/config/reads.rs
+++ b/crates/sycamore-node/tests/config/reads.rs
@@ -1,7 +1,7 @@
 //! Reads of operators' rows that are larger than one answer of the platform.
 
 use super::store::Store;
-use super::{run, run_on, Node, CONFIG_KEY};
+use super::{run, run_on, ConfigSettings, Node, CONFIG_KEY};
 use serde_json::json;
 use std::time::Duration;
 
@@ -34,24 +34,39 @@
     store.write("counter", json!({}));
     store.write("intake", json!({}));
     store.set_page_rows(1);
-    run_on(store, async |node| {
+    run_on(store, ConfigSettings::default(), async |node| {
         node.wait_for("config_version", 2).await;
         node.wait_for_orders(&["counter", "intake"]).await;
     });
 }
 
-/// Guards against a node that asks for the same changes for ever: the versions written during an
-/// outage are together larger than an answer may be.
+/// Writes versions during an outage that are together larger than an answer may be, and waits until
+/// the newest is in force.
+async fn skip_large_changes(node: &Node) {
+    node.write_row(2, 3);
+    node.wait_for("config_version", 2).await;
+    node.store.set_out(true);
+    for version in 3..=10 {
+        node.write_large_row(version, 3 << 20);
+    }
+    node.store.set_out(false);
+    node.wait_for("config_version", 10).await;
+}
+
+/// Guards against a watcher that asks for the same changes for ever.
 #[test]
 fn changes_too_large_for_one_answer_are_skipped_by_a_listing() {
-    run(async |node| {
-        node.write_row(2, 3);
-        node.wait_for("config_version", 2).await;
-        node.store.set_out(true);
-        for version in 3..=8 {
-            node.write_large_row(version, 3 << 20);
-        }
-        node.store.set_out(false);
-        node.wait_for("config_version", 8).await;
-    });
+    run(skip_large_changes);
+}
+
+/// Guards against a node without news from its peers that asks for the same changes for ever: it
+/// continues at the revision up to which it knows the rows, unless it has to list them.
+#[test]
+fn changes_too_large_for_a_stale_node_are_skipped_by_a_listing() {
+    let nobody_watches = ConfigSettings {
+        watchers_per_data_centre: 0,
+        apply_within: Duration::from_millis(500),
+        ..ConfigSettings::default()
+    };
+    run_on(Store::default(), nobody_watches, skip_large_changes);
 }
--- a/crates/sycamore-node/tests/config/store.rs
+++ b/crates/sycamore-node/tests/config/store.rs
@@ -117,6 +117,9 @@
             while self.rows().revision <= after && started.elapsed() < MAX_WAIT {
                 std::thread::sleep(Duration::from_millis(2));
             }
+            if self.rows().is_out {
+                return ("503 Service Unavailable", String::new());
+            }
             return ("200 OK", self.rows().changes(after).to_string());
         }
         match target.split_once("?prefix=operators") {
--- a/crates/sycamore-platform/src/http/mod.rs
+++ b/crates/sycamore-platform/src/http/mod.rs
@@ -46,6 +46,9 @@
     pub connections: usize,
     /// Largest request or answer body in bytes.
     pub body_bytes: usize,
+    /// Largest answer to a request for changes, in bytes. It may hold several versions of a row,
+    /// each as large as the answer to a read, and decoding it takes several times its size.
+    pub changes_bytes: usize,
     /// Request budget of the whole fleet.
     pub budget: BudgetSettings,
     /// Number of nodes that share the budget until [`HttpPlatform::set_nodes`] is called.
@@ -61,6 +64,7 @@
             timeout: Duration::from_secs(2),
             connections: 2,
             body_bytes: 16 << 20,
+            changes_bytes: 8 << 20,
             budget: BudgetSettings::default(),
             nodes: 64,
         }
@@ -135,7 +139,9 @@
         let traffic = Rc::new(Traffic::default());
         let pool = |address| Pool::new(address, &settings, Rc::clone(&traffic));
         let (table, objects) = (pool(settings.table), pool(settings.objects));
-        let (watches, timeout) = (pool(settings.table), settings.timeout);
+        let of_changes = HttpSettings { body_bytes: settings.changes_bytes, ..settings.clone() };
+        let watches = Pool::new(settings.table, &of_changes, Rc::clone(&traffic));
+        let timeout = settings.timeout;
         let budget = Budget::new(settings.budget, settings.nodes, Time::default());
         let (started, body_bytes) = (Instant::now(), settings.body_bytes);
         let budget = RefCell::new(budget);
