fix(config): reject a row whose pack no node can read, before its head is spread

What callers saw: nothing yet; by reading. A configuration of more than 16 MB was accepted from the row, its head went to all nodes, and each fetched it for ever without a line: a pack beyond the bound is taken for an empty one. Change: the reader rejects it with its size, as it does one with too many entries.

--- a/crates/sycamore-config/tests/growth.rs
+++ b/crates/sycamore-config/tests/growth.rs
@@ -12,6 +12,7 @@
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
+use sycamore_config::bundle::MAX_RESOURCES;
 use sycamore_config::delta::{
     HeldRequests, MAX_DATAGRAM_DELTA, MAX_FETCHED_DELTA, NO_CONFIGURATION,
 };
@@ -333,6 +334,19 @@
     require_history_of_rewrite(LARGE);
 }
 
+/// Guards against bounds that don't follow from the one on entries: a configuration of the largest
+/// size must pass each of them.
+#[test]
+fn the_largest_configuration_fits_every_bound() {
+    require_valid_bundle(MAX_RESOURCES);
+    require_decodable_manifest(MAX_RESOURCES);
+    require_fetchable_manifest(MAX_RESOURCES);
+    require_unpackable_pack(MAX_RESOURCES);
+    require_delta_from_nothing(MAX_RESOURCES);
+    require_rewrite_delta(MAX_RESOURCES);
+    require_history_of_rewrite(MAX_RESOURCES);
+}
+
 /// Operator's row as a reader takes it.
 struct OperatorRow {
     time: Duration,
--- a/crates/sycamore-node/src/config/follow.rs
+++ b/crates/sycamore-node/src/config/follow.rs
@@ -8,12 +8,14 @@
 use crate::edge::{OperatorEdge, OperatorRow, ReleaseOrder};
 use crate::hub::Dependency;
 use crate::tasks::TaskGroup;
+use bytes::Bytes;
 use slog::{info, warn};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use sycamore_config::follow::{NextRead, RowReads};
+use sycamore_config::manifest::MAX_PACK_BYTES;
 use sycamore_config::{Bundle, Encoded, Role};
 use sycamore_platform::backoff::{Backoff, BackoffSettings};
 use sycamore_platform::{Error, PageQuery, Result, Revision, Row, Table};
@@ -239,18 +241,16 @@
             return;
         }
         let count = resources.len();
-        match Bundle::new(resources) {
-            Ok(bundle) => {
-                let encoded = Encoded::new(bundle.resources(), version);
+        match encode_config(version, resources) {
+            Ok((head, pack)) => {
                 info!(driver.hub.log, "operator configuration read"; "version" => version.0,
-                    "bytes" => encoded.pack().len());
-                driver.accept_pack(encoded.head, encoded.pack());
-                driver.handle_stored_head(Some(encoded.head));
+                    "bytes" => pack.len());
+                driver.accept_pack(head, pack);
+                driver.handle_stored_head(Some(head));
             }
             Err(faults) => {
-                let why: Vec<String> = faults.iter().map(ToString::to_string).collect();
                 warn!(driver.hub.log, "operator configuration rejected"; "version" => version.0,
-                    "in_force" => in_force.0, "resources" => count, "faults" => why.join("; "));
+                    "in_force" => in_force.0, "resources" => count, "faults" => faults);
                 driver.record_rejected(version);
             }
         }
@@ -318,6 +318,27 @@
     }
 }
 
+/// Validates and encodes a configuration.
+///
+/// # Errors
+/// Returns the faults as text. A pack that is too large to be read is one, so that its head isn't
+/// spread to nodes that could never get it.
+fn encode_config(
+    version: ConfigVersion,
+    resources: Vec<Resource>,
+) -> std::result::Result<(ConfigHead, Bytes), String> {
+    let bundle = Bundle::new(resources).map_err(|faults| {
+        let why: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        why.join("; ")
+    })?;
+    let encoded = Encoded::new(bundle.resources(), version);
+    let pack = encoded.pack();
+    match pack.len() <= MAX_PACK_BYTES {
+        true => Ok((encoded.head, pack)),
+        false => Err(format!("has {} bytes; at most {MAX_PACK_BYTES} are allowed", pack.len())),
+    }
+}
+
 /// Returns whether `row` holds the `known` order of revision `at` once more, written again after the
 /// platform came back from an older copy. It is no new order, whose move would start anew.
 fn is_written_again(known: &ReleaseOrder, at: u64, order: &ReleaseOrder, row: &Row) -> bool {
--- a/crates/sycamore-node/tests/config/reads.rs
+++ b/crates/sycamore-node/tests/config/reads.rs
@@ -4,6 +4,8 @@
 use super::{run, run_on, ConfigSettings, Node, CONFIG_KEY};
 use serde_json::json;
 use std::time::Duration;
+use sycamore_config::bundle::MAX_RESOURCES;
+use sycamore_types::prelude::*;
 
 impl Node {
     /// Writes a configuration whose row has at least `bytes`.
@@ -70,3 +72,19 @@
     };
     run_on(Store::default(), nobody_watches, skip_large_changes);
 }
+
+/// Guards against a head that is spread though nobody can read its pack: the nodes would fetch it
+/// for ever, and none would say why.
+#[test]
+fn a_configuration_whose_pack_is_too_large_is_rejected() {
+    run(async |node| {
+        node.write_row(2, 3);
+        node.wait_for("config_version", 2).await;
+        let row = json!({"version": 3, "entries": MAX_RESOURCES, "parts": 16});
+        node.store.write(CONFIG_KEY, row);
+        node.wait_for("config_rejected_total", 1).await;
+        assert_eq!(node.versions(), [2, 3, 3]);
+        let head = node.hub.facts.known().get(&FactKey::Head).cloned();
+        assert!(matches!(head, Some(Fact::Head(head)) if head.version == ConfigVersion(2)));
+    });
+}
