perf(config): format paths of resources for faults alone

It formatted the path of each resource, copied it into three sorted maps, and compared names in the order of content hashes.

Change: the validator keeps resources by index in hash maps and formats a path when it reports a fault. The maps are only searched, so the order and the text of the faults stay.

--- a/crates/sycamore-config/src/bundle/check.rs
+++ b/crates/sycamore-config/src/bundle/check.rs
@@ -4,19 +4,19 @@
     Fault, MAX_ATTEMPTS, MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_PREFIX_BYTES, MAX_QUEUE, MAX_QUEUE_MS,
     MAX_RESOURCES, MAX_TIMEOUT_MS,
 };
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{HashMap, HashSet};
 use sycamore_types::prelude::*;
 
 /// Returns every fault of `resources`, in their order.
-pub(super) fn validate(resources: &[Resource]) -> Vec<Fault> {
-    let mut validator = Validator { services: service_names(resources), ..Validator::default() };
+pub(super) fn validate(resources: &[&Resource]) -> Vec<Fault> {
+    let mut validator = Validator::new(resources);
     if resources.len() > MAX_RESOURCES {
         let reason =
             format!("has {} entries; at most {MAX_RESOURCES} are allowed", resources.len());
         validator.faults.push(Fault { place: "resources".to_owned(), reason });
     }
-    for (i, resource) in resources.iter().enumerate() {
-        validator.place = format!("resources[{i}]");
+    for (at, resource) in resources.iter().enumerate() {
+        validator.at = at;
         match resource {
             Resource::Service(service) => validator.check_service(service),
             Resource::Route(route) => validator.check_route(route),
@@ -26,7 +26,7 @@
     validator.faults
 }
 
-fn service_names(resources: &[Resource]) -> BTreeSet<&ServiceName> {
+fn service_names<'a>(resources: &[&'a Resource]) -> HashSet<&'a ServiceName> {
     let names = resources.iter().filter_map(|resource| match resource {
         Resource::Service(service) => Some(&service.name),
         Resource::Route(_) | Resource::Callers(_) => None,
@@ -34,29 +34,46 @@
     names.collect()
 }
 
+/// Returns the path of the resource at index `at`, such as `resources[3]`.
+fn place(at: usize) -> String {
+    format!("resources[{at}]")
+}
+
 /// Accumulates faults while it visits the resources of one configuration in order.
-#[derive(Default)]
+///
+/// Resources are kept by index: paths are formatted for faults alone, since a configuration of
+/// thousands of resources has none as a rule.
 struct Validator<'a> {
     /// Names of all services in the configuration, which routes may refer to.
-    services: BTreeSet<&'a ServiceName>,
-    /// Place of the last definition of each service visited so far.
-    seen_services: BTreeMap<&'a ServiceName, String>,
-    seen_routes: BTreeMap<&'a RouteName, String>,
-    /// Place of the last route of each pair of host and prefix; the host is empty for any host.
-    seen_prefixes: BTreeMap<(&'a str, &'a str), String>,
-    seen_callers: Option<String>,
-    /// Path of the resource being visited, such as `resources[3]`.
-    place: String,
+    services: HashSet<&'a ServiceName>,
+    /// Index of the last definition of each service visited so far.
+    seen_services: HashMap<&'a ServiceName, usize>,
+    seen_routes: HashMap<&'a RouteName, usize>,
+    /// Index of the last route of each pair of host and prefix; the host is empty for any host.
+    seen_prefixes: HashMap<(&'a str, &'a str), usize>,
+    seen_callers: Option<usize>,
+    /// Index of the resource being visited.
+    at: usize,
     faults: Vec<Fault>,
 }
 
 impl<'a> Validator<'a> {
+    fn new(resources: &[&'a Resource]) -> Self {
+        Self {
+            services: service_names(resources),
+            seen_services: HashMap::new(),
+            seen_routes: HashMap::with_capacity(resources.len()),
+            seen_prefixes: HashMap::with_capacity(resources.len()),
+            seen_callers: None,
+            at: 0,
+            faults: Vec::new(),
+        }
+    }
+
     fn check_service(&mut self, service: &'a Service) {
-        if let Some(first) = self.seen_services.insert(&service.name, self.place.clone()) {
-            self.add_fault(
-                "name",
-                format!("service {} is already defined by {first}", service.name),
-            );
+        if let Some(first) = self.seen_services.insert(&service.name, self.at) {
+            let reason = format!("service {} is already defined by {}", service.name, place(first));
+            self.add_fault("name", reason);
         }
         self.check_limits(&service.limits);
         self.check_retry(&service.retry);
@@ -75,8 +92,9 @@
     }
 
     fn check_route(&mut self, route: &'a Route) {
-        if let Some(first) = self.seen_routes.insert(&route.name, self.place.clone()) {
-            self.add_fault("name", format!("route {} is already defined by {first}", route.name));
+        if let Some(first) = self.seen_routes.insert(&route.name, self.at) {
+            let reason = format!("route {} is already defined by {}", route.name, place(first));
+            self.add_fault("name", reason);
         }
         if !self.services.contains(&route.service) {
             let reason = format!("service {} is not defined in the configuration", route.service);
@@ -110,8 +128,9 @@
     }
 
     fn check_callers(&mut self, limits: &CallerLimits) {
-        if let Some(first) = self.seen_callers.replace(self.place.clone()) {
-            self.add_fault("kind", format!("caller limits are already defined by {first}"));
+        if let Some(first) = self.seen_callers.replace(self.at) {
+            let reason = format!("caller limits are already defined by {}", place(first));
+            self.add_fault("kind", reason);
         }
         self.check_range("head_bytes", limits.head_bytes, 1_024, MAX_HEAD_BYTES);
         self.check_range("body_bytes", limits.body_bytes, 0, MAX_BODY_BYTES);
@@ -126,13 +145,14 @@
                 format!("has {} bytes; at most {MAX_PREFIX_BYTES} are allowed", prefix.len());
             self.add_fault("prefix", reason);
         }
-        if let Some(c) = prefix.chars().find(|c| !c.is_ascii_graphic() || "?#".contains(*c)) {
+        if let Some(c) = prefix.chars().find(|c| !c.is_ascii_graphic() || matches!(c, '?' | '#')) {
             self.add_fault("prefix", format!("character {c:?} is not allowed in a path prefix"));
         }
         // "/a" and "/a/" match the same path segments, so neither would take precedence.
         let segments = prefix.trim_end_matches('/');
-        if let Some(first) = self.seen_prefixes.insert((host, segments), self.place.clone()) {
-            self.add_fault("prefix", format!("prefix {prefix} is already used by {first}"));
+        if let Some(first) = self.seen_prefixes.insert((host, segments), self.at) {
+            let reason = format!("prefix {prefix} is already used by {}", place(first));
+            self.add_fault("prefix", reason);
         }
     }
 
@@ -154,6 +174,6 @@
 
     /// Adds a fault at `field` of the resource being visited.
     fn add_fault(&mut self, field: &str, reason: String) {
-        self.faults.push(Fault { place: format!("{}.{field}", self.place), reason });
+        self.faults.push(Fault { place: format!("{}.{field}", place(self.at)), reason });
     }
 }
--- a/crates/sycamore-config/src/bundle/mod.rs
+++ b/crates/sycamore-config/src/bundle/mod.rs
@@ -55,7 +55,7 @@
     /// # Errors
     /// Returns every fault found.
     pub fn new(resources: Vec<Resource>) -> Result<Self, Vec<Fault>> {
-        let faults = check::validate(&resources);
+        let faults = check::validate(&resources.iter().collect::<Vec<_>>());
         match faults.is_empty() {
             true => Ok(Self { resources }),
             false => Err(faults),
