perf(config): decode new resources alone when a version is applied

Cause: for each version, also a change of one route, `Apply` decoded the JSON of every resource, searched every hash in two maps up to six times, decoded the manifest in force twice and the new one twice with an allocation for each hash, and rebuilt sets of all hashes.

Change: an object in force keeps its decoded resource, shared by `Arc`; it is left out of `Eq` and `Hash`, as the body determines it. A new version decodes the objects that are not in force, validates all resources as before, and changes the map of objects in place. Lookups walk along both sorted sides, the manifest in force is kept decoded, the difference for the history comes from one merge, and hashes of a manifest are slices of one buffer. Routes are sorted as references before they are copied. Bodies of a pack are copied only if they are missing. It fails if removed objects stay, if one resource is left out, and if a version without new resources isn't validated (each tried).

Ruled out: counting the size incrementally (`Apply::size` takes 0.2 ms at 16,000 entries). A node's first version still decodes everything.

--- a/crates/sycamore-config/src/apply/candidate.rs
+++ b/crates/sycamore-config/src/apply/candidate.rs
@@ -1,17 +1,21 @@
 //! Configuration that is being fetched.
 
+use super::object::{find_objects, Object, ObjectMap};
 use super::{ApplySettings, RejectReason, Source};
-use crate::bundle::Bundle;
+use crate::bundle::validated_snapshot;
 use crate::manifest::{decode_resource, Manifest};
 use bytes::Bytes;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use sycamore_types::prelude::*;
 
-/// Verified objects by content hash.
-pub(super) type ObjectMap = BTreeMap<ContentHash, Bytes>;
-
-/// Decoded configuration with its objects, or the reason why it is invalid.
-pub(super) type Assembled = Result<(Snapshot, ObjectMap), RejectReason>;
+/// Decoded and validated configuration.
+pub(super) struct Assembled {
+    pub(super) snapshot: Snapshot,
+    pub(super) manifest: Manifest,
+    /// Objects of the configuration that are not among those in force, resources decoded.
+    pub(super) new_objects: ObjectMap,
+}
 
 /// Configuration that is being fetched, with the objects received so far.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -95,15 +99,21 @@
     pub(super) fn missing(&self, in_force: &ObjectMap) -> Vec<ContentHash> {
         match &self.manifest {
             None => vec![self.head.manifest],
-            Some(manifest) => manifest
-                .resources
-                .iter()
-                .filter(|hash| !self.objects.contains_key(hash) && !in_force.contains_key(hash))
-                .copied()
+            Some(manifest) => find_objects(&manifest.resources, [&self.objects, in_force])
+                .filter(|(_, object)| object.is_none())
+                .map(|(hash, _)| hash)
                 .collect(),
         }
     }
 
+    /// Returns whether neither the manifest nor any other object is missing.
+    pub(super) fn is_complete(&self, in_force: &ObjectMap) -> bool {
+        self.manifest.as_ref().is_some_and(|manifest| {
+            find_objects(&manifest.resources, [&self.objects, in_force])
+                .all(|(_, object)| object.is_some())
+        })
+    }
+
     /// Stores those of `bodies` whose hash is missing; returns whether there were any.
     ///
     /// # Errors
@@ -115,16 +125,16 @@
         in_force: &ObjectMap,
         settings: &ApplySettings,
     ) -> Result<bool, RejectReason> {
-        let received: ObjectMap =
-            bodies.iter().map(|body| (ContentHash::of(body), body)).map(copy_body).collect();
+        let received: BTreeMap<ContentHash, &Bytes> =
+            bodies.iter().map(|body| (ContentHash::of(body), body)).collect();
         let mut any_added = self.add_manifest(&received)?;
         for hash in self.missing(in_force) {
             if let Some(body) = received.get(&hash) {
-                self.objects.insert(hash, body.clone());
+                self.objects.insert(hash, Object::copy_of(body));
                 any_added = true;
             }
         }
-        let bytes: usize = self.objects.values().map(Bytes::len).sum();
+        let bytes: usize = self.objects.values().map(|object| object.body.len()).sum();
         match bytes > settings.max_bytes {
             true => Err(RejectReason::TooLarge(settings.max_bytes)),
             false => Ok(any_added),
@@ -133,7 +143,10 @@
 
     /// Decodes and stores the manifest if it is missing and among `received`; returns whether it
     /// was.
-    fn add_manifest(&mut self, received: &ObjectMap) -> Result<bool, RejectReason> {
+    fn add_manifest(
+        &mut self,
+        received: &BTreeMap<ContentHash, &Bytes>,
+    ) -> Result<bool, RejectReason> {
         if self.manifest.is_some() {
             return Ok(false);
         }
@@ -144,38 +157,41 @@
         if manifest.version != self.head.version {
             return Err(RejectReason::OtherVersion(manifest.version));
         }
-        self.objects.insert(self.head.manifest, body.clone());
+        self.objects.insert(self.head.manifest, Object::copy_of(body));
         self.manifest = Some(manifest);
         Ok(true)
     }
 
-    /// Decodes and validates the configuration; `None` while objects are missing.
-    pub(super) fn assemble(&self, in_force: &ObjectMap) -> Option<Assembled> {
-        let manifest = self.manifest.as_ref()?;
-        if !self.missing(in_force).is_empty() {
-            return None;
-        }
-        let mut objects = ObjectMap::new();
-        for hash in manifest.resources.iter().chain([&self.head.manifest]) {
-            let body = self.objects.get(hash).or_else(|| in_force.get(hash))?;
-            objects.insert(*hash, body.clone());
-        }
-        Some(decode_snapshot(manifest, &objects).map(|snapshot| (snapshot, objects)))
+    /// Decodes and validates the configuration, or returns the reason why it is invalid; `None`
+    /// while objects are missing.
+    ///
+    /// Resources in force are not decoded again, so that the cost follows the size of the change.
+    pub(super) fn assemble(&self, in_force: &ObjectMap) -> Option<Result<Assembled, RejectReason>> {
+        let manifest = self.manifest.as_ref().filter(|_| self.is_complete(in_force))?;
+        Some(self.decode(manifest, in_force))
     }
-}
 
-/// Copies `body`, so that it doesn't keep the larger receive buffer alive.
-fn copy_body((hash, body): (ContentHash, &Bytes)) -> (ContentHash, Bytes) {
-    (hash, Bytes::copy_from_slice(body))
-}
-
-/// Decodes and validates the resources of `manifest`.
-fn decode_snapshot(manifest: &Manifest, objects: &ObjectMap) -> Result<Snapshot, RejectReason> {
-    let mut resources = Vec::with_capacity(manifest.resources.len());
-    for hash in &manifest.resources {
-        let resource = objects.get(hash).and_then(|body| decode_resource(body));
-        resources.push(resource.ok_or(RejectReason::BadResource(*hash))?);
+    fn decode(&self, manifest: &Manifest, in_force: &ObjectMap) -> Result<Assembled, RejectReason> {
+        let mut resources = Vec::with_capacity(manifest.resources.len());
+        let mut new_objects = ObjectMap::new();
+        for (hash, object) in find_objects(&manifest.resources, [in_force, &self.objects]) {
+            let object = object.ok_or(RejectReason::BadResource(hash))?;
+            let resource = match &object.resource {
+                Some(resource) => resource.clone(),
+                None => decode_resource(&object.body)
+                    .map(Arc::new)
+                    .ok_or(RejectReason::BadResource(hash))?,
+            };
+            if object.resource.is_none() {
+                new_objects.insert(hash, object.with_resource(resource.clone()));
+            }
+            resources.push(resource);
+        }
+        let resources: Vec<&Resource> = resources.iter().map(AsRef::as_ref).collect();
+        let snapshot =
+            validated_snapshot(&resources, manifest.version).map_err(RejectReason::Faulty)?;
+        let body = self.objects.get(&self.head.manifest);
+        new_objects.extend(body.map(|body| (self.head.manifest, body.clone())));
+        Ok(Assembled { snapshot, manifest: manifest.clone(), new_objects })
     }
-    let bundle = Bundle::new(resources).map_err(RejectReason::Faulty)?;
-    Ok(bundle.to_snapshot(manifest.version))
 }
--- a/crates/sycamore-config/src/apply/machine.rs
+++ b/crates/sycamore-config/src/apply/machine.rs
@@ -1,9 +1,11 @@
 //! State machine that fetches, verifies and applies configurations.
 
 use super::behind::Behind;
-use super::candidate::{Assembled, Candidate, ObjectMap};
+use super::candidate::{Assembled, Candidate};
+use super::object::ObjectMap;
 use super::{Action, ApplySettings, ConfigSize, FetchAnswer, Input, RejectReason, Source};
 use crate::delta::{Delta, History, NO_CONFIGURATION};
+use crate::diff::Diff;
 use crate::manifest::{unpack, Manifest};
 use bytes::Bytes;
 use std::collections::VecDeque;
@@ -23,6 +25,9 @@
     /// Version in force; `None` before the first one.
     in_force: Option<ConfigVersion>,
     head: Option<ConfigHead>,
+    /// Manifest in force; without resources while `head` is `None`.
+    manifest: Manifest,
+    /// Objects of the manifest in force, and its own.
     objects: ObjectMap,
     /// Configurations being fetched, highest head first.
     candidates: Vec<Candidate>,
@@ -41,6 +46,7 @@
             floor: None,
             in_force: None,
             head: None,
+            manifest: Manifest::default(),
             objects: ObjectMap::new(),
             candidates: Vec::new(),
             behind: None,
@@ -63,9 +69,9 @@
     pub fn size(&self) -> ConfigSize {
         let manifest = self.delta_base();
         let resources = self.objects.iter().filter(|(hash, _)| **hash != manifest);
-        resources.fold(ConfigSize::default(), |size, (_, body)| ConfigSize {
+        resources.fold(ConfigSize::default(), |size, (_, object)| ConfigSize {
             resources: size.resources + 1,
-            bytes: size.bytes + body.len(),
+            bytes: size.bytes + object.body.len(),
         })
     }
 
@@ -88,7 +94,8 @@
         }
         let changes = self.history.since(base)?;
         let removed = changes.removed.into_iter().filter(|hash| !self.objects.contains_key(hash));
-        let added = changes.added.iter().filter_map(|hash| self.objects.get(hash)).cloned();
+        let added = changes.added.iter().filter_map(|hash| self.objects.get(hash));
+        let added = added.map(|object| object.body.clone());
         let (removed, added) = (removed.collect(), added.collect());
         Some(Delta { base: *base, head: self.head?, removed, added })
     }
@@ -97,7 +104,7 @@
     fn whole(&self) -> Option<Delta> {
         let head = self.head?;
         let resources = self.objects.iter().filter(|(hash, _)| **hash != head.manifest);
-        let added = resources.map(|(_, body)| body.clone()).collect();
+        let added = resources.map(|(_, object)| object.body.clone()).collect();
         Some(Delta { base: NO_CONFIGURATION, head, removed: Vec::new(), added })
     }
 
@@ -112,7 +119,7 @@
     pub fn object(&self, hash: &ContentHash) -> Option<&Bytes> {
         let of_candidate =
             || self.candidates.iter().find_map(|candidate| candidate.objects.get(hash));
-        self.objects.get(hash).or_else(of_candidate)
+        self.objects.get(hash).or_else(of_candidate).map(|object| &object.body)
     }
 
     /// Returns whether the object is missing for a configuration that is being fetched.
@@ -127,7 +134,7 @@
 
     /// Returns the time at which [`Input::Tick`] is due; `None` if no fetch or request is delayed.
     pub fn next_tick(&self) -> Option<Time> {
-        let waiting = |c: &&Candidate| !c.fetching && !c.missing(&self.objects).is_empty();
+        let waiting = |c: &&Candidate| !c.fetching && !c.is_complete(&self.objects);
         let fetches = self.candidates.iter().filter(waiting).map(|c| c.due);
         // Without a configuration in force there is no base to ask a delta from.
         let request = self.behind.filter(|_| self.head.is_some()).map(|b| b.next_request);
@@ -220,11 +227,7 @@
         if self.delta_base() != delta.base {
             return;
         }
-        let base = match self.head {
-            Some(head) => self.objects.get(&head.manifest).and_then(|body| Manifest::decode(body)),
-            None => Some(Manifest { version: ConfigVersion::default(), resources: Vec::new() }),
-        };
-        let Some(manifest) = base.and_then(|base| delta.manifest(&base)) else { return };
+        let Some(manifest) = delta.manifest(&self.manifest) else { return };
         self.add_candidate(now, now, delta.head, Source::Peer, actions);
         let Some(candidate) = self.candidates.iter_mut().find(|c| c.head == delta.head) else {
             return;
@@ -309,36 +312,39 @@
         };
         while let Some((head, assembled)) = self.next_complete(floor) {
             match assembled {
-                Ok((snapshot, objects)) => {
-                    self.record_change(head, &objects);
-                    self.in_force = Some(head.version);
-                    self.head = Some(head);
-                    self.objects = objects;
-                    self.candidates.retain(|candidate| candidate.head.version > head.version);
+                Ok(assembled) => {
+                    actions.push(Action::Apply(self.put_in_force(head, assembled)));
                     let learned = self.candidates.iter().map(|c| c.learned).min();
                     self.behind = learned.map(|since| Behind::new(since, &self.settings));
-                    actions.push(Action::Apply(snapshot));
                 }
                 Err(reason) => self.reject(head, reason, actions),
             }
         }
     }
 
-    /// Records the change from the configuration in force to `new`, whose objects are `objects`.
-    fn record_change(&mut self, new: ConfigHead, objects: &ObjectMap) {
-        let Some(old) = self.head else { return };
-        let decode = |body: &Bytes| Manifest::decode(body);
-        let before = self.objects.get(&old.manifest).and_then(decode);
-        let after = objects.get(&new.manifest).and_then(decode);
-        match (before, after) {
-            (Some(before), Some(after)) => self.history.record(old.manifest, &before, &after),
-            // No manifest is in force without its object.
-            _ => self.history = History::default(),
+    /// Puts the candidate for `head` into force, drops those with lower versions, and returns the
+    /// snapshot.
+    fn put_in_force(&mut self, head: ConfigHead, assembled: Assembled) -> Snapshot {
+        let change = Diff::between(&self.manifest, &assembled.manifest);
+        for hash in &change.removed {
+            self.objects.remove(hash);
+        }
+        if let Some(old) = self.head.replace(head) {
+            self.objects.remove(&old.manifest);
+            self.history.record(old.manifest, change);
         }
+        self.objects.extend(assembled.new_objects);
+        self.manifest = assembled.manifest;
+        self.in_force = Some(head.version);
+        self.candidates.retain(|candidate| candidate.head.version > head.version);
+        assembled.snapshot
     }
 
     /// Returns the highest complete candidate that isn't below `floor`.
-    fn next_complete(&self, floor: ConfigVersion) -> Option<(ConfigHead, Assembled)> {
+    fn next_complete(
+        &self,
+        floor: ConfigVersion,
+    ) -> Option<(ConfigHead, Result<Assembled, RejectReason>)> {
         self.candidates
             .iter()
             .filter(|candidate| candidate.head.version >= floor)
--- a/crates/sycamore-config/src/apply/mod.rs
+++ b/crates/sycamore-config/src/apply/mod.rs
@@ -3,6 +3,7 @@
 mod behind;
 mod candidate;
 mod machine;
+mod object;
 mod reject;
 
 pub use machine::Apply;
--- a/crates/sycamore-config/src/bundle/mod.rs
+++ b/crates/sycamore-config/src/bundle/mod.rs
@@ -78,22 +78,43 @@
 
     /// Converts the configuration to the form that nodes route by, longest path prefix first.
     pub fn to_snapshot(&self, version: ConfigVersion) -> Snapshot {
-        let mut services = BTreeMap::new();
-        let mut routes = Vec::new();
-        let mut callers = CallerLimits::default();
-        for resource in &self.resources {
-            match resource {
-                Resource::Service(service) => {
-                    services.insert(service.name.clone(), service.clone());
-                }
-                Resource::Route(route) => routes.push(route.clone()),
-                Resource::Callers(limits) => callers = limits.clone(),
+        build_snapshot(&self.resources.iter().collect::<Vec<_>>(), version)
+    }
+}
+
+/// Validates `resources` as [`Bundle::new`] does, and converts them to the form that nodes route by.
+///
+/// # Errors
+/// Returns every fault found.
+pub(crate) fn validated_snapshot(
+    resources: &[&Resource],
+    version: ConfigVersion,
+) -> Result<Snapshot, Vec<Fault>> {
+    let faults = check::validate(resources);
+    match faults.is_empty() {
+        true => Ok(build_snapshot(resources, version)),
+        false => Err(faults),
+    }
+}
+
+fn build_snapshot(resources: &[&Resource], version: ConfigVersion) -> Snapshot {
+    let mut services = BTreeMap::new();
+    let mut routes = Vec::with_capacity(resources.len());
+    let mut callers = CallerLimits::default();
+    for resource in resources {
+        match resource {
+            Resource::Service(service) => {
+                services.insert(service.name.clone(), service.clone());
             }
+            Resource::Route(route) => routes.push(route),
+            Resource::Callers(limits) => callers = limits.clone(),
         }
-        routes.sort_by(|a: &Route, b| {
-            let key = |route: &Route| (route.prefix.len(), route.host.is_some());
-            key(b).cmp(&key(a)).then_with(|| (&a.prefix, &a.host).cmp(&(&b.prefix, &b.host)))
-        });
-        Snapshot { version, services, routes, callers }
     }
+    routes.sort_by(|a, b| {
+        let key = |route: &Route| (route.prefix.len(), route.host.is_some());
+        key(b).cmp(&key(a)).then_with(|| (&a.prefix, &a.host).cmp(&(&b.prefix, &b.host)))
+    });
+    // References are sorted, since moving whole routes costs more than their comparison.
+    let routes = routes.into_iter().cloned().collect();
+    Snapshot { version, services, routes, callers }
 }
--- a/crates/sycamore-config/src/delta.rs
+++ b/crates/sycamore-config/src/delta.rs
@@ -6,6 +6,7 @@
 //! a link that is too full for a manifest or an operator's row.
 
 use crate::bundle::MAX_RESOURCES;
+use crate::diff::Diff;
 use crate::manifest::{Manifest, MAX_PACK_BYTES};
 use bytes::Bytes;
 use flate2::read::{DeflateDecoder, DeflateEncoder};
@@ -105,12 +106,12 @@
     /// Returns the encoded manifest of the configuration that the delta leads to from `base`;
     /// `None` if its hash isn't the one that the delta names.
     pub(crate) fn manifest(&self, base: &Manifest) -> Option<Bytes> {
-        let mut resources: BTreeSet<ContentHash> = base.resources.iter().copied().collect();
-        for hash in &self.removed {
-            resources.remove(hash);
-        }
-        resources.extend(self.added.iter().map(|body| ContentHash::of(body)));
-        let resources = resources.into_iter().collect();
+        let removed: BTreeSet<&ContentHash> = self.removed.iter().collect();
+        let kept = base.resources.iter().filter(|hash| !removed.contains(hash)).copied();
+        let added = self.added.iter().map(|body| ContentHash::of(body));
+        let mut resources: Vec<ContentHash> = kept.chain(added).collect();
+        resources.sort();
+        resources.dedup();
         let manifest = Manifest { version: self.head.version, resources }.encode();
         (ContentHash::of(&manifest) == self.head.manifest).then_some(manifest)
     }
@@ -175,13 +176,10 @@
 }
 
 impl History {
-    /// Records that `new` replaces `old`, whose manifest hash is `base`, and drops the oldest steps
-    /// beyond the bounds.
-    pub(crate) fn record(&mut self, base: ContentHash, old: &Manifest, new: &Manifest) {
-        let before: BTreeSet<ContentHash> = old.resources.iter().copied().collect();
-        let after: BTreeSet<ContentHash> = new.resources.iter().copied().collect();
-        let removed: Vec<ContentHash> = before.difference(&after).copied().collect();
-        let added: Vec<ContentHash> = after.difference(&before).copied().collect();
+    /// Records the change of the configuration whose manifest hash is `base`, and drops the oldest
+    /// steps beyond the bounds.
+    pub(crate) fn record(&mut self, base: ContentHash, change: Diff) {
+        let Diff { removed, added, .. } = change;
         self.steps.push_back(Step { base, removed, added });
         while self.steps.len() > MAX_STEPS || self.hashes() > MAX_HISTORY_HASHES {
             self.steps.pop_front();
--- a/crates/sycamore-config/src/diff.rs
+++ b/crates/sycamore-config/src/diff.rs
@@ -1,7 +1,8 @@
 //! Resource-level difference between two manifests.
 
 use crate::manifest::Manifest;
-use std::collections::BTreeSet;
+use std::cmp::Ordering;
+use std::iter::Peekable;
 use sycamore_types::prelude::*;
 
 /// Resource hashes that differ between two manifests.
@@ -20,12 +21,23 @@
 impl Diff {
     /// Computes which resources differ between the manifests `old` and `new`.
     pub fn between(old: &Manifest, new: &Manifest) -> Self {
-        let old_hashes: BTreeSet<ContentHash> = old.resources.iter().copied().collect();
-        let new_hashes: BTreeSet<ContentHash> = new.resources.iter().copied().collect();
-        Self {
-            added: new_hashes.difference(&old_hashes).copied().collect(),
-            removed: old_hashes.difference(&new_hashes).copied().collect(),
-            kept: old_hashes.intersection(&new_hashes).count(),
+        let mut diff = Self::default();
+        let (mut old, mut new) = (distinct(old), distinct(new));
+        // Both are ascending, so the smaller of the two next hashes can't follow in the other.
+        loop {
+            let order = match (old.peek(), new.peek()) {
+                (Some(old), Some(new)) => old.cmp(new),
+                (Some(_), None) => Ordering::Less,
+                (None, Some(_)) => Ordering::Greater,
+                (None, None) => return diff,
+            };
+            let removed = if order.is_le() { old.next() } else { None };
+            let added = if order.is_ge() { new.next() } else { None };
+            match order {
+                Ordering::Less => diff.removed.extend(removed),
+                Ordering::Equal => diff.kept += 1,
+                Ordering::Greater => diff.added.extend(added),
+            }
         }
     }
 
@@ -34,3 +46,8 @@
         self.added.is_empty() && self.removed.is_empty()
     }
 }
+
+/// Returns the hashes of the manifest, ascending and each one once.
+fn distinct(manifest: &Manifest) -> Peekable<impl Iterator<Item = ContentHash> + '_> {
+    manifest.resources.chunk_by(|a, b| a == b).filter_map(|same| same.first()).copied().peekable()
+}
--- a/crates/sycamore-config/src/manifest.rs
+++ b/crates/sycamore-config/src/manifest.rs
@@ -23,7 +23,7 @@
 pub const MAX_PACK_BYTES: usize = 16 << 20;
 
 /// Version of a configuration and the content hashes of its resources.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Manifest {
     /// Version of the configuration.
     pub version: ConfigVersion,
@@ -36,8 +36,9 @@
 struct WireManifest {
     #[prost(uint64, tag = "1")]
     version: u64,
-    #[prost(bytes = "vec", repeated, tag = "2")]
-    resources: Vec<Vec<u8>>,
+    /// Slices of one buffer: an allocation for each hash costs more than the rest of the decoding.
+    #[prost(bytes = "bytes", repeated, tag = "2")]
+    resources: Vec<Bytes>,
 }
 
 /// Protobuf encoding of a pack.
@@ -56,17 +57,18 @@
         if bytes.len() > MAX_MANIFEST_BYTES {
             return None;
         }
-        let wire = WireManifest::decode(bytes).ok()?;
+        let wire = WireManifest::decode(Bytes::copy_from_slice(bytes)).ok()?;
         if wire.resources.len() > MAX_RESOURCES {
             return None;
         }
-        let hash = |bytes: Vec<u8>| bytes.try_into().ok().map(ContentHash);
-        let resources = wire.resources.into_iter().map(hash).collect::<Option<Vec<_>>>()?;
+        let hash = |bytes: &Bytes| bytes.as_ref().try_into().ok().map(ContentHash);
+        let resources = wire.resources.iter().map(hash).collect::<Option<Vec<_>>>()?;
         resources.is_sorted().then_some(Self { version: ConfigVersion(wire.version), resources })
     }
 
     pub(crate) fn encode(&self) -> Bytes {
-        let resources = self.resources.iter().map(|hash| hash.0.to_vec()).collect();
+        let mut hashes: Bytes = self.resources.iter().flat_map(|hash| hash.0).collect();
+        let resources = self.resources.iter().map(|hash| hashes.split_to(hash.0.len())).collect();
         WireManifest { version: self.version.0, resources }.encode_to_vec().into()
     }
 }
