perf(config): compute the delta for held requests once for each base

Cause: a watcher holds the requests of its followers and computed a delta for each of them when a version was applied, though nearly all ask from the same base: sets of all changed hashes and a search for each, within one pass of the event loop.

Change: the deltas of one pass are kept by base and shared. Answers, their order and the requests that stay held are as before.

--- a/crates/sycamore-config/src/delta.rs
+++ b/crates/sycamore-config/src/delta.rs
@@ -12,8 +12,9 @@
 use flate2::read::{DeflateDecoder, DeflateEncoder};
 use flate2::Compression;
 use prost::Message;
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::Read;
+use std::rc::Rc;
 use sycamore_types::prelude::*;
 
 /// Base of the delta for a node without a configuration, which then holds all resources.
@@ -136,19 +137,22 @@
     }
 
     /// Removes and returns the requests for which `delta_from` has a delta, with that delta.
+    ///
+    /// Most requests are from the same base, so each base's delta is computed once.
     pub fn take_answerable(
         &mut self,
         now: Time,
         delta_from: impl Fn(&ContentHash) -> Option<Delta>,
-    ) -> Vec<(InstanceId, Delta)> {
+    ) -> Vec<(InstanceId, Rc<Delta>)> {
         let mut answers = Vec::new();
-        self.requests.retain(|(until, from, base)| match delta_from(base) {
-            _ if *until <= now => false,
-            Some(delta) => {
-                answers.push((from.clone(), delta));
-                false
+        let mut deltas: BTreeMap<ContentHash, Option<Rc<Delta>>> = BTreeMap::new();
+        self.requests.retain(|(until, from, base)| {
+            if *until <= now {
+                return false;
             }
-            None => true,
+            let delta = deltas.entry(*base).or_insert_with(|| delta_from(base).map(Rc::new));
+            answers.extend(delta.clone().map(|delta| (from.clone(), delta)));
+            delta.is_none()
         });
         answers
     }
