test: each test program has loopback addresses of its own

Cause: the tests bound port 0, released it, and let a node bind it later. Until then another test, or an outgoing connection, can get the same port, and the nodes share the address (SO_REUSEPORT), so that none fails to start and each gets a part of the other's connections.

Change: `sycamore_testing::unused_addr` returns addresses that no other test has: a host for each process, and ports below those of outgoing connections. It replaces five copies of the same function, and closed ports in three tests.

--- a/crates/sycamore-bench/tests/load.rs
+++ b/crates/sycamore-bench/tests/load.rs
@@ -6,9 +6,7 @@
 
 /// Generates a load on a closed port and returns each call's token and kind, sorted.
 fn calls_to_a_closed_port(seed: u64) -> Vec<(String, usize)> {
-    let closed = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let addr = closed.local_addr().expect("a bound address");
-    drop(closed);
+    let addr = sycamore_testing::unused_addr();
     let options = load::Options {
         seed,
         rate: 500.0,
--- a/crates/sycamore-bench/tests/proxy.rs
+++ b/crates/sycamore-bench/tests/proxy.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use sycamore_bench::proxy::{Direction, Fault, Link, Proxy, Route, Transport};
+use sycamore_testing::unused_addr;
 
 /// Delay that faults add, and wait for an echo that must not arrive.
 const SHORT_TIME: Duration = Duration::from_millis(150);
@@ -18,11 +19,6 @@
     _proxy: Proxy,
 }
 
-fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
-}
-
 /// Starts a server that echoes TCP connections and UDP datagrams, and a proxy before it.
 fn setup() -> Setup {
     let echo = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -46,7 +42,7 @@
             let _ = datagrams.send_to(&buf[..count], from);
         }
     });
-    let (link, front) = (Arc::<Link>::default(), free_addr());
+    let (link, front) = (Arc::<Link>::default(), unused_addr());
     let route = |transport| Route { transport, listen: front, target, link: link.clone() };
     let routes = vec![route(Transport::Tcp), route(Transport::Udp)];
     Setup { link: link.clone(), front, _proxy: Proxy::start(routes).expect("the proxy can listen") }
--- a/crates/sycamore-bench/tests/upstream.rs
+++ b/crates/sycamore-bench/tests/upstream.rs
@@ -9,18 +9,14 @@
 use sycamore_bench::load::{self, CallKind, Ended, Tally, Target};
 use sycamore_bench::stand_in::upstream::{self, Slots};
 use sycamore_bench::witness::{Ledger, UpstreamEvent, UpstreamEventKind, Witness};
-
-fn free_addr() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("a bound address")
-}
+use sycamore_testing::unused_addr;
 
 /// Runs `load` directly on one upstream for a second; returns the callers' tally and the ledger of
 /// what ran.
 fn load_upstream(options: upstream::Options, load: load::Options) -> (Tally, Ledger) {
     http::run(async move {
         let witness = Witness::start(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a free port");
-        let addr = free_addr();
+        let addr = unused_addr();
         let options = upstream::Options { listen: addr, witness: Some(witness.addr()), ..options };
         let targets = vec![Target { prefix: "/".into(), addrs: vec![addr] }];
         let load = load::Options { targets, time: Duration::from_secs(1), ..load };
--- a/crates/sycamore-http/tests/conn/client.rs
+++ b/crates/sycamore-http/tests/conn/client.rs
@@ -104,9 +104,7 @@
 // Guards against an unknown effect when no connection could be opened and nothing was sent.
 #[test]
 fn failed_connect_is_a_distinct_error() {
-    let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = free.local_addr().unwrap();
-    drop(free);
+    let address = sycamore_testing::unused_addr();
     let resp = run(async {
         let client = Client::new(address, ClientConfig::default());
         client.send(Request::get("/").body(Bytes::new()).unwrap()).await
--- a/crates/sycamore-node/tests/calls/refuse.rs
+++ b/crates/sycamore-node/tests/calls/refuse.rs
@@ -214,7 +214,7 @@
     run(async {
         let cluster = Cluster::start(&Options { nodes: 1, ..Options::default() }).await;
         settle().await;
-        let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let free = sycamore_testing::unused_addr();
         cluster.nodes[0].hub.upstream.send_modify(|up| up.as_mut().unwrap().address = free);
         let resp = cluster.call(post("/counter/echo"), "x").await;
         assert_refused(&resp, 503, "no-upstream");
--- a/crates/sycamore-node/tests/calls/world.rs
+++ b/crates/sycamore-node/tests/calls/world.rs
@@ -5,7 +5,6 @@
 use http::{Request, Response};
 use monoio::{LegacyDriver, RuntimeBuilder};
 use std::future::Future;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +16,7 @@
 use sycamore_settings::{
     calls::Calls as CallSettings, config::Config as ConfigSettings, node, Settings,
 };
+use sycamore_testing::unused_addr;
 use sycamore_types::prelude::*;
 
 /// Maximum duration of a test.
@@ -85,10 +85,6 @@
     UpstreamVersion::new(text).unwrap()
 }
 
-fn free_addr() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 impl Cluster {
     pub async fn start(options: &Options) -> Self {
         let mut nodes = Vec::new();
@@ -165,11 +161,11 @@
 
 async fn start_node(i: usize, options: &Options) -> Node {
     let listen = node::Listen {
-        caller: free_addr(),
-        upstream: free_addr(),
-        relay: free_addr(),
-        peer: free_addr(),
-        operator: free_addr(),
+        caller: unused_addr(),
+        upstream: unused_addr(),
+        relay: unused_addr(),
+        peer: unused_addr(),
+        operator: unused_addr(),
         ready: None,
         relay_advertised: None,
         peer_advertised: None,
--- a/crates/sycamore-node/tests/config/main.rs
+++ b/crates/sycamore-node/tests/config/main.rs
@@ -6,7 +6,6 @@
 
 use monoio::{LegacyDriver, RuntimeBuilder};
 use serde_json::{json, Value};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use store::{Protocol, Store, PREFIX};
@@ -17,6 +16,7 @@
 use sycamore_node::tasks::TaskGroup;
 use sycamore_node::{config, peers};
 use sycamore_settings::{config::Config as ConfigSettings, node, Settings};
+use sycamore_testing::unused_addr;
 use sycamore_types::prelude::*;
 
 /// Maximum duration of a test.
@@ -80,10 +80,6 @@
     i64::try_from(bodies.map(|body| body.len()).sum::<usize>()).unwrap()
 }
 
-fn free_addr() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 /// Node that reads the rows of a store of its own.
 struct Node {
     hub: Rc<Hub>,
@@ -94,7 +90,7 @@
 impl Node {
     async fn start(store: Store, config: ConfigSettings) -> Self {
         let mut settings = Settings { config, ..Settings::default() };
-        settings.listen = node::Listen { peer: free_addr(), ..settings.listen };
+        settings.listen = node::Listen { peer: unused_addr(), ..settings.listen };
         settings.platform.table = store.serve();
         settings.platform.objects = settings.platform.table;
         let hub = Hub::new(settings);
--- a/crates/sycamore-node/tests/newer.rs
+++ b/crates/sycamore-node/tests/newer.rs
@@ -17,6 +17,7 @@
 use sycamore_config::manifest::object_key;
 use sycamore_config::{Encoded, HeadRow};
 use sycamore_platform::settle::Stamped;
+use sycamore_testing::unused_addr;
 use sycamore_types::prelude::*;
 
 /// Longest time for the daemon to act on what the platform holds.
@@ -35,10 +36,6 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 /// Bodies that the platform answers by path; all other reads find nothing.
 type Store = Arc<Mutex<BTreeMap<String, Bytes>>>;
 
@@ -82,7 +79,7 @@
 /// Starts a daemon alone in its fleet.
 fn start_daemon(platform: SocketAddr, caller: SocketAddr) -> Daemon {
     let listeners = ["upstream", "relay", "peer", "operator"];
-    let listen: String = listeners.map(|name| format!("{name} = {}\n", free_address())).concat();
+    let listen: String = listeners.map(|name| format!("{name} = {}\n", unused_addr())).concat();
     let settings = format!(
         "[node]\ndeployment = mesh\ninstance = counter-1\nservice = counter\ndata_centre = a\n\
          region = r\n[listen]\ncaller = {caller}\n{listen}[platform]\ntable = {platform}\n\
@@ -155,7 +152,7 @@
 #[test]
 fn a_missing_route_is_not_final_while_a_newer_configuration_is_not_applied() {
     let store = Store::default();
-    let (platform, caller) = (start_platform(store.clone()), free_address());
+    let (platform, caller) = (start_platform(store.clone()), unused_addr());
     let _daemon = start_daemon(platform, caller);
     wait_for_answer(caller, 404, "no-route");
     write(&store, &Encoded::new(&[], ConfigVersion(1)), false);
