fix(node): a node whose address is in use does not start

With two nodes at one address both started, and the system handed each a part of the connections: callers got answers by another node's configuration, and neither log said so.

Cause: the library's default for listening sockets is SO_REUSEPORT.

Change: one function binds all listeners of the node, without SO_REUSEPORT. SO_REUSEADDR stays, so that a node can be restarted while connections of the one before are in TIME_WAIT. The platform starts a node again only after its process has ended, so nothing relies on two processes at an address.

a_node_whose_address_is_in_use_does_not_start failed before: the second node went on running (the listener for callers is the first that is tried).

--- a/crates/sycamore-node/src/calls/listen.rs
+++ b/crates/sycamore-node/src/calls/listen.rs
@@ -2,8 +2,9 @@
 
 use super::serve;
 use super::state::State;
+use crate::listen;
 use crate::tasks::TaskGroup;
-use error_stack::{Report, ResultExt};
+use error_stack::Report;
 use monoio::net::{TcpListener, TcpStream};
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -38,7 +39,7 @@
     kind: ListenerKind,
     address: SocketAddr,
 ) -> Result<(), Report<std::io::Error>> {
-    let listener = TcpListener::bind(address).attach_with(|| format!("address {address}"))?;
+    let listener = listen::bind(address)?;
     let state = state.clone();
     let mut stop = tasks.stop_signal();
     tasks.spawn(async move {
--- a/crates/sycamore-node/src/lib.rs
+++ b/crates/sycamore-node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod edge;
 pub mod hub;
+mod listen;
 pub mod moves;
 pub mod operator;
 pub mod peers;
--- a/crates/sycamore-node/src/operator/readiness.rs
+++ b/crates/sycamore-node/src/operator/readiness.rs
@@ -1,9 +1,10 @@
 //! Readiness endpoint on a listener of its own.
 
 use crate::hub::{Hub, Phase};
+use crate::listen;
 use crate::tasks::TaskGroup;
 use bytes::Bytes;
-use error_stack::{Report, ResultExt};
+use error_stack::Report;
 use http::{Request, Response, StatusCode};
 use monoio::net::TcpListener;
 use std::net::SocketAddr;
@@ -24,7 +25,7 @@
     addr: SocketAddr,
     path: &'static str,
 ) -> Result<(), Report<std::io::Error>> {
-    let listener = TcpListener::bind(addr).attach_with(|| format!("address {addr}"))?;
+    let listener = listen::bind(addr)?;
     let hub = hub.clone();
     let mut stop = tasks.stop_signal();
     tasks.spawn(async move {
--- a/crates/sycamore-node/src/operator/serve.rs
+++ b/crates/sycamore-node/src/operator/serve.rs
@@ -4,6 +4,7 @@
 use super::queries::Arguments;
 use super::{access, commands, queries, OperatorError};
 use crate::hub::Phase;
+use crate::listen;
 use crate::run::Node;
 use crate::tasks::TaskGroup;
 use bytes::Bytes;
@@ -54,7 +55,7 @@
 /// `ListenError` if the address can't be bound.
 pub async fn start(node: Rc<Node>, tasks: &TaskGroup) -> Result<(), Report<ListenError>> {
     let addr = node.hub.settings.listen.operator;
-    let listener = TcpListener::bind(addr).change_context(ListenError(addr))?;
+    let listener = listen::bind(addr).change_context(ListenError(addr))?;
     let mut stop = tasks.stop_signal();
     tasks.spawn(async move {
         let connections = Rc::new(TaskGroup::default());
--- a/crates/sycamore-node/src/peers/listener.rs
+++ b/crates/sycamore-node/src/peers/listener.rs
@@ -1,11 +1,11 @@
 //! Listener for requests of other nodes.
 
 use crate::hub::Hub;
+use crate::listen;
 use crate::tasks::TaskGroup;
 use error_stack::Report;
 use futures::channel::mpsc;
 use futures::StreamExt;
-use monoio::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
 use sycamore_peer::{serve, Call, Counters, Inbox, Server, ServerOptions};
@@ -20,7 +20,7 @@
     tasks: &TaskGroup,
     counters: Arc<Counters>,
 ) -> Result<Inbox, Report<std::io::Error>> {
-    let listener = TcpListener::bind(hub.settings.listen.peer)?;
+    let listener = listen::bind(hub.settings.listen.peer)?;
     let (server, inbox) = Server::new(hub.settings.node.deployment.clone(), counters);
     let mut stop = tasks.stop_signal();
     let stopped = async move { stop.wait().await };
