test(node): keyed calls are remembered for longer than a test takes

key::an_instance_that_joins_takes_keys_over_without_a_second_run failed in 1 of 96 runs of four copies at once, and in 14 of 384 runs with 32 copies of it at once: calls ran again that were to be answered from memory.

Cause: the tests' key memory of 300 ms. The failed runs printed 325 to 402 ms from the first call to the check: the keys were forgotten by then, as the setting says, and the calls could run again.

Change: a memory of 3 s, for which the nodes wait at their start as before. The checks are the same; they hold over a longer time. 0 of 384 runs with 64 copies at once failed.

--- a/crates/sycamore-node/tests/calls/key.rs
+++ b/crates/sycamore-node/tests/calls/key.rs
@@ -10,11 +10,15 @@
     post(path).header(headers::IDEMPOTENCY_KEY, key)
 }
 
+/// Time for which nodes remember runs. A test whose calls take longer, as on a busy machine, finds
+/// its first keys forgotten.
+const KEY_MEMORY: Duration = Duration::from_secs(3);
+
 /// Returns options with short key memory and view lag, so that nodes soon know all earlier runs of
 /// a key.
 fn options() -> Options {
     let calls = CallSettings {
-        key_memory: Duration::from_millis(300),
+        key_memory: KEY_MEMORY,
         view_lag: Duration::from_millis(50),
         ..CallSettings::default()
     };
@@ -23,7 +27,7 @@
 
 /// Waits for longer than the key memory, after which a started node accepts keyed calls.
 async fn wait_for_key_memory() {
-    monoio::time::sleep(Duration::from_millis(400)).await;
+    monoio::time::sleep(KEY_MEMORY + Duration::from_millis(100)).await;
 }
 
 /// A repeat of a keyed call through another node would run again if that node didn't relay it to
