test(node): a query for membership views is no pooled connection

silence::idle_connections_to_upstreams_and_nodes_have_keepalive failed in 6 of 576 runs, 24 copies of the program's three such tests at once: one of two connections to a node had no keepalive timer.

Cause: 250 ms after its start, and then each 250 ms, a node asks members whether it is in their view, over a connection of its own that ends with the answer and has time limits instead of keepalive. The failed runs that printed it were 2.8 and 3.4 s into the test. That the connection without a timer is this one is inferred from the code: nothing else connects to that address but the pool, which sets keepalive first.

Change: the test waits at most 1 s, below the pools' idle timeouts, for such connections to end.

--- a/crates/sycamore-node/tests/calls/silence.rs
+++ b/crates/sycamore-node/tests/calls/silence.rs
@@ -7,6 +7,9 @@
 
 /// Timer code of a connection with TCP keepalive in `/proc/net/tcp`.
 const KEEPALIVE_TIMER: &str = "02";
+/// Longest life of the connection by which a node asks whether it is in a member's view. It isn't
+/// pooled; pooled ones live longer.
+const QUERY_TIME: Duration = Duration::from_secs(1);
 
 /// Returns the timer codes in `/proc/net/tcp` of the established connections to `address`.
 fn timers(address: SocketAddr) -> Vec<String> {
@@ -30,10 +33,15 @@
         }
         for node in &cluster.nodes {
             for address in [node.upstream.address(), node.member.endpoints.relay] {
-                let timers = timers(address);
-                assert!(!timers.is_empty(), "no idle connection to {address} is pooled");
-                let all_keepalive = timers.iter().all(|timer| timer == KEEPALIVE_TIMER);
-                assert!(all_keepalive, "timers of connections to {address}: {timers:?}");
+                assert!(!timers(address).is_empty(), "no idle connection to {address} is pooled");
+                let all = || timers(address).iter().all(|timer| timer == KEEPALIVE_TIMER);
+                let waited = monoio::time::timeout(QUERY_TIME, wait_until(all)).await;
+                assert!(
+                    waited.is_ok(),
+                    "timers of connections to {address}: {:?}",
+                    timers(address)
+                );
+                assert!(!timers(address).is_empty(), "the pooled connection to {address} is gone");
             }
         }
         cluster.stop().await;
