fix(platform): refuse an answer at its head if it is announced as too large

An answer whose declared length exceeds the client's bound was read up to the bound: 16 MiB over a node's link for each try. If the connection or the time ended before that, the failure was NoAnswer or Malformed, so that a reader of operators' rows tried the same read again instead of a listing.

Change: a declared length above the bound is AnswerTooLarge at once. Bodies without a length are bounded as before.

oversized_answer_is_refused took Malformed or NoAnswer for right, since the client couldn't tell; it now requires AnswerTooLarge, which is stricter, and failed before (Malformed("error reading a body from connection")).

--- a/crates/sycamore-platform/src/http/connection.rs
+++ b/crates/sycamore-platform/src/http/connection.rs
@@ -8,7 +8,7 @@
 use futures::FutureExt;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use monoio::io::IntoPollIo;
 use monoio::net::TcpStream;
@@ -97,7 +97,8 @@
     }
 }
 
-/// Reads the body of `response`, waiting at most `timeout` for each frame.
+/// Reads the body of `response`, waiting at most `timeout` for each frame. A body that is announced
+/// as too large is not read.
 async fn read_answer(
     response: hyper::Result<Response<Incoming>>,
     max: usize,
@@ -105,6 +106,9 @@
 ) -> Result<Response<Bytes>> {
     let response = response.map_err(|e| Report::new(e).change_context(Error::NoAnswer))?;
     let (head, body) = response.into_parts();
+    if body.size_hint().lower() > u64::try_from(max).unwrap_or(u64::MAX) {
+        return Err(Report::new(Error::AnswerTooLarge { max }));
+    }
     let mut body = Limited::new(body, max);
     let mut bytes = BytesMut::new();
     loop {
--- a/crates/sycamore-platform/tests/http.rs
+++ b/crates/sycamore-platform/tests/http.rs
@@ -113,15 +113,16 @@
     });
 }
 
-// Guards against reading an answer into memory whose declared length exceeds the body limit, and
-// against a request after it that reuses that connection or sends its key unescaped.
+// Guards against waiting for an answer whose declared length exceeds the body limit, or taking it
+// for a lost one, and against a request after it that reuses that connection or sends its key
+// unescaped.
 #[test]
 fn oversized_answer_is_refused() {
     let (platform, _, server) =
         serve(vec!["HTTP/1.1 200 OK\r\ncontent-length: 4000\r\n\r\n", "HTTP/1.1 404 No\r\n\r\n"]);
     run(async {
         let error = platform.fetch("config/x").await.unwrap_err();
-        assert!(matches!(error.current_context(), Error::Malformed(_) | Error::NoAnswer));
+        assert_eq!(*error.current_context(), Error::AnswerTooLarge { max: 1000 });
         assert_eq!(platform.fetch("config/x y").await.unwrap(), None);
     });
     let lines = server.join().unwrap();
