fix(platform): an answer has room for the largest value in base64

A configuration of up to 16 MiB is accepted by every bound between nodes, but the platform may send rows in base64, a third larger: rows of more than 12 MiB could not be read by any node, for good.

Change: the bound is the largest value in base64 and 1 MiB for the rest.

--- a/crates/sycamore-config/tests/growth/bounds.rs
+++ b/crates/sycamore-config/tests/growth/bounds.rs
@@ -4,11 +4,12 @@
 use std::collections::BTreeSet;
 use sycamore_config::bundle::MAX_RESOURCES;
 use sycamore_config::delta::{MAX_FETCHED_DELTA, NO_CONFIGURATION};
-use sycamore_config::manifest::unpack;
+use sycamore_config::manifest::{unpack, MAX_PACK_BYTES};
 use sycamore_config::{
     Action, Apply, ApplySettings, Bundle, Delta, Diff, Encoded, Input, Manifest,
 };
 use sycamore_peer::limits::MAX_FETCH_BYTES;
+use sycamore_platform::HttpSettings;
 use sycamore_types::prelude::*;
 
 fn encoded(count: usize, version: u64) -> Encoded {
@@ -231,3 +232,11 @@
     require_rewrite_delta(MAX_RESOURCES);
     require_history_of_rewrite(MAX_RESOURCES);
 }
+
+/// The platform sends a row's value in base64: an answer bound of the value's own size refuses it.
+#[test]
+fn an_answer_has_room_for_the_largest_pack_in_base64() {
+    let settings = HttpSettings::new(([127, 0, 0, 1], 1).into());
+    let encoded = MAX_PACK_BYTES.div_ceil(3) * 4;
+    assert!(encoded < settings.body_bytes, "{encoded} of {} bytes", settings.body_bytes);
+}
--- a/crates/sycamore-platform/src/http/mod.rs
+++ b/crates/sycamore-platform/src/http/mod.rs
@@ -32,6 +32,11 @@
 use sycamore_types::prelude::*;
 use tokio::sync::watch;
 
+/// Largest row or object that nodes handle, in bytes.
+const MAX_VALUE_BYTES: usize = 16 << 20;
+/// Upper bound on the rest of an answer with such a value, in bytes.
+const MAX_OTHER_BYTES: usize = 1 << 20;
+
 /// Addresses and limits of a platform client.
 #[derive(Debug, Clone)]
 pub struct HttpSettings {
@@ -44,7 +49,7 @@
     /// Largest number of connections to the table, and of those to the object store. Watches use as
     /// many again.
     pub connections: usize,
-    /// Largest request or answer body in bytes.
+    /// Largest request or answer body in bytes. Values of rows may be encoded in base64.
     pub body_bytes: usize,
     /// Largest answer to a request for changes, in bytes. It may hold several versions of a row,
     /// each as large as the answer to a read, and decoding it takes several times its size.
@@ -63,7 +68,7 @@
             objects: address,
             timeout: Duration::from_secs(2),
             connections: 2,
-            body_bytes: 16 << 20,
+            body_bytes: MAX_VALUE_BYTES.div_ceil(3) * 4 + MAX_OTHER_BYTES,
             changes_bytes: 8 << 20,
             budget: BudgetSettings::default(),
             nodes: 64,
