fix(config): followers learn that a row was rejected

A missing route got 404 (no-route), which callers take as final, from every node that doesn't read the operators' rows itself, while the few readers of each data centre had rejected a newer version and answered 503 (configuration-rejected). With a configuration above the capacity, or a row that can't be translated, most of the fleet would give final answers from a configuration known to be out of date.

Cause: a rejected row has no head, and heads are all that spreads. Ruled out: that followers are behind; they have nothing to fetch and count as current.

A reader's answer `Current` to the request for a difference now names the highest version above the one in force whose row it read and rejected. A follower asks every fifth of `apply_within`, so no message is added. What a peer told counts until that peer's next answer says otherwise, for `apply_within` at most, and not once that version or a higher one is in force. Only what a node read itself is told on, so that a false version ends with who told it. Nothing is fetched for it. The field is optional: older builds skip it, and send none.

`config_rejected_version` and `config_known_version` count such versions, and both are refreshed with each request, as what peers told expires. A line says from whom a version was heard.

The codec's test now makes packets of the kind `Current` too, which it left out.

--- a/crates/sycamore-config/src/newer.rs
+++ b/crates/sycamore-config/src/newer.rs
@@ -3,23 +3,39 @@
 //! A node that is out of date can't tell that something is absent from the configuration: it may
 //! have been added by the version that the node lacks.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 use sycamore_types::prelude::*;
 
 /// Reason for which a node's configuration is out of date.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OutOfDate {
-    /// The node has rejected a newer version.
+    /// The node, or a peer that told it, has rejected a newer version.
     Rejected,
     /// The node has known of a newer version for too long without applying it.
     Behind,
 }
 
+/// Upper bound on the peers whose rejected versions are kept; the one that expires first is dropped.
+const MAX_PEERS: usize = 16;
+
+/// Version that a peer rejected, as it told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct PeerRejected {
+    version: ConfigVersion,
+    /// Time from which the version no longer counts unless the peer tells it again.
+    until: Time,
+}
+
 /// Versions above the one in force that a node knows of.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct NewerVersions {
     /// Highest rejected version, whether or not it is above the one in force.
     rejected: Option<ConfigVersion>,
+    /// Highest version of an operator's row that the node read and rejected.
+    rejected_row: Option<ConfigVersion>,
+    /// Versions that peers rejected.
+    peers: BTreeMap<InstanceId, PeerRejected>,
     behind_since: Option<Time>,
 }
 
@@ -29,15 +45,52 @@
         self.rejected = self.rejected.max(Some(version));
     }
 
+    /// Records that the node read `version` as an operator's row and rejected it. Such a version has
+    /// no head that spreads, so the node has to tell its peers.
+    pub fn record_rejected_row(&mut self, version: ConfigVersion) {
+        self.record_rejected(version);
+        self.rejected_row = self.rejected_row.max(Some(version));
+    }
+
+    /// Returns the highest version of a row that the node read and rejected if it is above
+    /// `in_force`. What peers told isn't included: nodes that repeat each other's words would never
+    /// forget a false one.
+    pub fn rejected_row_above(&self, in_force: ConfigVersion) -> Option<ConfigVersion> {
+        self.rejected_row.filter(|version| *version > in_force)
+    }
+
+    /// Records that `peer` told which version it `rejected`, `None` if none, in place of what it told
+    /// before. The version counts until `until`, so that a peer that is gone can't make the node
+    /// refuse requests for good.
+    pub fn record_peer_rejected(
+        &mut self,
+        now: Time,
+        peer: &InstanceId,
+        rejected: Option<ConfigVersion>,
+        until: Time,
+    ) {
+        self.peers.retain(|known, told| known != peer && now < told.until);
+        let Some(version) = rejected else { return };
+        if self.peers.len() >= MAX_PEERS {
+            let first = self.peers.iter().min_by_key(|(_, told)| told.until);
+            if let Some(first) = first.map(|(known, _)| known.clone()) {
+                self.peers.remove(&first);
+            }
+        }
+        self.peers.insert(peer.clone(), PeerRejected { version, until });
+    }
+
     /// Records the time since which a version above the one in force is known and not rejected, as
     /// [`crate::Apply::behind_since`] returns it; `None` if none is.
     pub fn record_behind(&mut self, since: Option<Time>) {
         self.behind_since = since;
     }
 
-    /// Returns the highest rejected version if it is above `in_force`.
-    pub fn rejected_above(&self, in_force: ConfigVersion) -> Option<ConfigVersion> {
-        self.rejected.filter(|version| *version > in_force)
+    /// Returns the highest version that the node or, as they told, its peers rejected, if it is above
+    /// `in_force`.
+    pub fn rejected_above(&self, now: Time, in_force: ConfigVersion) -> Option<ConfigVersion> {
+        let told = self.peers.values().filter(|told| now < told.until).map(|told| told.version);
+        self.rejected.max(told.max()).filter(|version| *version > in_force)
     }
 
     /// Returns the reason for which version `in_force` is out of date; `None` if it may be the
@@ -48,7 +101,7 @@
         in_force: ConfigVersion,
         apply_within: Duration,
     ) -> Option<OutOfDate> {
-        if self.rejected_above(in_force).is_some() {
+        if self.rejected_above(now, in_force).is_some() {
             return Some(OutOfDate::Rejected);
         }
         let is_late = self.behind_since.is_some_and(|since| now.since(since) > apply_within);
--- a/crates/sycamore-config/tests/newer.rs
+++ b/crates/sycamore-config/tests/newer.rs
@@ -55,6 +55,74 @@
     assert_eq!(out_of_date(&rejecting(&[19, 16]), Time(0), 17), Some(OutOfDate::Rejected));
 }
 
+fn peer(name: &str) -> InstanceId {
+    InstanceId::new(name).expect("valid name")
+}
+
+/// Returns the knowledge of a node that `peers` told at time 0 which versions they rejected.
+fn told(peers: &[(&str, u64)]) -> NewerVersions {
+    let mut newer = NewerVersions::default();
+    for (name, version) in peers {
+        newer.record_peer_rejected(Time(0), &peer(name), Some(ConfigVersion(*version)), LIMIT);
+    }
+    newer
+}
+
+/// A rejected row has no head that spreads, so a node that doesn't read the rows knows of it from
+/// peers alone. What they told must end, or one peer that is wrong would forbid final answers for
+/// good.
+#[test]
+fn a_version_that_a_peer_rejected_counts_until_it_expires_or_is_in_force() {
+    let newer = told(&[("a-1", 16)]);
+    let last = Time(LIMIT.0 - 1);
+    assert_eq!(out_of_date(&newer, last, 15), Some(OutOfDate::Rejected));
+    assert_eq!(out_of_date(&newer, last, 16), None);
+    assert_eq!(out_of_date(&newer, LIMIT, 15), None);
+}
+
+#[test]
+fn a_peer_that_no_longer_rejects_a_version_takes_it_back() {
+    let mut newer = told(&[("a-1", 16), ("a-2", 19)]);
+    newer.record_peer_rejected(Time(1), &peer("a-2"), None, LIMIT);
+    assert_eq!(newer.rejected_above(Time(1), ConfigVersion(14)), Some(ConfigVersion(16)));
+    newer.record_peer_rejected(Time(1), &peer("a-1"), None, LIMIT);
+    assert_eq!(out_of_date(&newer, Time(1), 14), None);
+}
+
+/// A version that is far too high must not hide, beyond its own end, the one that exists.
+#[test]
+fn a_higher_version_of_one_peer_does_not_replace_that_of_another() {
+    let mut newer = told(&[("a-1", u64::MAX)]);
+    let later = Time(LIMIT.0 + 1);
+    newer.record_peer_rejected(Time(1), &peer("a-2"), Some(ConfigVersion(16)), later);
+    assert_eq!(newer.rejected_above(LIMIT, ConfigVersion(14)), Some(ConfigVersion(16)));
+    assert_eq!(newer.rejected_above(later, ConfigVersion(14)), None);
+}
+
+/// Nodes that told each other what they were told would never forget a false version.
+#[test]
+fn a_node_tells_peers_only_of_rows_that_it_rejected_itself() {
+    let mut newer = told(&[("a-1", 19)]);
+    newer.record_rejected(ConfigVersion(17));
+    assert_eq!(newer.rejected_row_above(ConfigVersion(14)), None);
+    newer.record_rejected_row(ConfigVersion(16));
+    assert_eq!(newer.rejected_row_above(ConfigVersion(15)), Some(ConfigVersion(16)));
+    assert_eq!(newer.rejected_row_above(ConfigVersion(16)), None);
+    assert_eq!(newer.rejected_above(Time(0), ConfigVersion(14)), Some(ConfigVersion(19)));
+}
+
+/// What peers told must not grow with the fleet; the one told last is kept.
+#[test]
+fn the_peers_that_told_of_a_version_are_bounded() {
+    let mut newer = NewerVersions::default();
+    for i in 0..1_000 {
+        let (version, until) = (Some(ConfigVersion(2_000 - i)), Time(LIMIT.0 + i));
+        newer.record_peer_rejected(Time(i), &peer(&format!("a-{i}")), version, until);
+    }
+    let highest = newer.rejected_above(Time(1_000), ConfigVersion(14));
+    assert_eq!(highest, Some(ConfigVersion(2_000 - 984)));
+}
+
 /// Before `apply_within` has passed, no newer version has to be in force, so 404 is right.
 #[test]
 fn a_node_is_behind_only_after_the_time_to_apply_has_passed() {
--- a/crates/sycamore-member/src/message.rs
+++ b/crates/sycamore-member/src/message.rs
@@ -183,6 +183,9 @@
         revision: u64,
         /// Age of the sender's knowledge of the platform's table.
         age: Duration,
+        /// Highest version above the one in force that the sender read as an operator's row and
+        /// rejected; `None` if there is none.
+        rejected: Option<ConfigVersion>,
     },
 }
 
--- a/crates/sycamore-node/src/config/delta.rs
+++ b/crates/sycamore-node/src/config/delta.rs
@@ -86,7 +86,8 @@
         match body {
             DeltaBody::Request(base) => answer(&driver, from, source, base),
             DeltaBody::Delta(encoded) => receive(&driver, &from, &encoded),
-            DeltaBody::Current { head, revision, age } => {
+            DeltaBody::Current { head, revision, age, rejected } => {
+                driver.record_peer_rejected(&from, rejected);
                 driver.handle_current(source, head, Revision(revision), age);
             }
         }
@@ -146,14 +147,16 @@
     driver.encoded_deltas.borrow_mut().encode(delta)
 }
 
-/// Tells the peer at `to` what this node has in force and how old its knowledge is. It is no longer
-/// than a request, so that the address needs no check.
+/// Tells the peer at `to` what this node has in force, what it rejected, and how old its knowledge
+/// is. It is hardly longer than a request, so that the address needs no check.
 fn send_current(driver: &Driver, to: SocketAddr) {
     let Some(age) = driver.knowledge_age() else { return };
     let revision = driver.complete_at.get().map_or(Revision::ABSENT, |(_, at)| at).0;
     let head = driver.with_state(Apply::head);
+    let in_force = head.map_or_else(ConfigVersion::default, |head| head.version);
+    let rejected = driver.hub.newer_versions.borrow().rejected_row_above(in_force);
     driver.metrics.count_delta("current");
-    driver.peers.send_delta(to, DeltaBody::Current { head, revision, age });
+    driver.peers.send_delta(to, DeltaBody::Current { head, revision, age, rejected });
 }
 
 fn receive(driver: &Driver, from: &InstanceId, encoded: &[u8]) {
--- a/crates/sycamore-node/src/config/driver.rs
+++ b/crates/sycamore-node/src/config/driver.rs
@@ -244,16 +244,39 @@
         self.record_versions();
     }
 
-    /// Copies the highest known and the highest rejected version to the metrics. A rejected version
-    /// counts until one at or above it is in force.
-    fn record_versions(&self) {
+    /// Records and counts the rejection of the operator's row of `version`, of which the answers to
+    /// peers then tell.
+    pub(super) fn record_rejected_row(&self, version: ConfigVersion) {
+        self.hub.newer_versions.borrow_mut().record_rejected_row(version);
+        self.record_rejected(version);
+    }
+
+    /// Records the version that the peer `from` says it rejected; `None` if it names none.
+    pub(super) fn record_peer_rejected(&self, from: &InstanceId, rejected: Option<ConfigVersion>) {
+        let now = self.hub.clock.now();
+        let in_force = self.with_state(Apply::in_force).unwrap_or_default();
+        let until = now + self.hub.settings.config.apply_within;
+        let mut newer = self.hub.newer_versions.borrow_mut();
+        let before = newer.rejected_above(now, in_force);
+        newer.record_peer_rejected(now, from, rejected, until);
+        let highest = newer.rejected_above(now, in_force);
+        drop(newer);
+        if let Some(version) = highest.filter(|_| highest > before) {
+            warn!(self.hub.log, "configuration rejected by a peer"; "version" => version.0,
+                "in_force" => in_force.0, "from" => %from);
+        }
+        self.record_versions();
+    }
+
+    /// Copies the highest known and the highest rejected version to the metrics.
+    pub(super) fn record_versions(&self) {
         let (highest, in_force) = self.with_state(|apply| (apply.highest(), apply.in_force()));
-        let in_force = in_force.unwrap_or_default();
-        let rejected = self.hub.newer_versions.borrow().rejected_above(in_force);
+        let now = self.hub.clock.now();
+        let newer = self.hub.newer_versions.borrow();
+        let rejected = newer.rejected_above(now, in_force.unwrap_or_default());
+        let known = highest.map(|head| head.version).max(rejected);
         self.metrics.record_rejected(rejected.unwrap_or_default());
-        if let Some(known) = highest.map(|head| head.version).max(rejected) {
-            self.metrics.record_known(known);
-        }
+        self.metrics.record_known(known.unwrap_or_default());
     }
 
     /// Returns whether the latest recorded peer miss was for `head`.
--- a/crates/sycamore-node/src/config/follow.rs
+++ b/crates/sycamore-node/src/config/follow.rs
@@ -251,7 +251,7 @@
             Err(faults) => {
                 warn!(driver.hub.log, "operator configuration rejected"; "version" => version.0,
                     "in_force" => in_force.0, "resources" => count, "faults" => faults);
-                driver.record_rejected(version);
+                driver.record_rejected_row(version);
             }
         }
     }
@@ -288,7 +288,7 @@
     /// the row names.
     fn reject_row(&self, row: &Row, version: Option<ConfigVersion>, why: &str) {
         match version {
-            Some(version) => self.driver.record_rejected(version),
+            Some(version) => self.driver.record_rejected_row(version),
             None => self.driver.metrics.count_rejected(),
         }
         warn!(self.driver.hub.log, "operator row rejected"; "key" => &row.key,
--- a/crates/sycamore-node/src/config/metrics.rs
+++ b/crates/sycamore-node/src/config/metrics.rs
@@ -39,7 +39,7 @@
             )?,
             rejected_version: meter.gauge(
                 "config_rejected_version",
-                "Highest rejected version above the one in force, 0 if there is none",
+                "Highest version above the one in force that this node or a peer rejected, else 0",
             )?,
             resources: meter.gauge("config_resources", "Entries of the configuration in force")?,
             config_bytes: meter.gauge(
--- a/crates/sycamore-node/src/config/request.rs
+++ b/crates/sycamore-node/src/config/request.rs
@@ -19,6 +19,8 @@
 
 async fn run(driver: Rc<Driver>) {
     loop {
+        // What peers told of rejected versions may have expired.
+        driver.record_versions();
         let now = driver.hub.clock.now();
         let ask = driver.watch.borrow_mut().take_request(now);
         if let Some(ask) = ask {
--- a/crates/sycamore-node/src/peers/mod.rs
+++ b/crates/sycamore-node/src/peers/mod.rs
@@ -78,6 +78,9 @@
         revision: u64,
         /// Age of the sender's knowledge of the table.
         age: Duration,
+        /// Highest version above the one in force that the sender read and rejected; `None` if there
+        /// is none.
+        rejected: Option<ConfigVersion>,
     },
 }
 
@@ -112,7 +115,9 @@
         let body = match body {
             DeltaBody::Request(base) => Body::DeltaRequest { base },
             DeltaBody::Delta(encoded) => Body::Delta { encoded },
-            DeltaBody::Current { head, revision, age } => Body::Current { head, revision, age },
+            DeltaBody::Current { head, revision, age, rejected } => {
+                Body::Current { head, revision, age, rejected }
+            }
         };
         self.driver.send(to, body);
     }
--- a/crates/sycamore-node/src/peers/tasks.rs
+++ b/crates/sycamore-node/src/peers/tasks.rs
@@ -65,7 +65,9 @@
     let body = match body {
         Body::DeltaRequest { base } => DeltaBody::Request(base),
         Body::Delta { encoded } => DeltaBody::Delta(encoded),
-        Body::Current { head, revision, age } => DeltaBody::Current { head, revision, age },
+        Body::Current { head, revision, age, rejected } => {
+            DeltaBody::Current { head, revision, age, rejected }
+        }
         body => {
             let packet = Packet { from, body, items: packet.items };
             return driver.input(Input::Packet { from: source, packet });
--- a/crates/sycamore-node/tests/config/main.rs
+++ b/crates/sycamore-node/tests/config/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a node that reads operators' rows: its configuration, its orders and its metrics.
 #![allow(clippy::unwrap_used, reason = "tests")]
 
+mod follower;
 mod reads;
 mod store;
 
@@ -10,7 +11,7 @@
 use std::time::Duration;
 use store::{Protocol, Store, PREFIX};
 use sycamore_config::bundle::MAX_RESOURCES;
-use sycamore_node::edge::{OperatorEdge, OperatorRow, ReleaseOrder, ReleaseState};
+use sycamore_node::edge::{MalformedConfig, OperatorEdge, OperatorRow, ReleaseOrder, ReleaseState};
 use sycamore_node::hub::Hub;
 use sycamore_node::platform::Platform;
 use sycamore_node::tasks::TaskGroup;
@@ -26,7 +27,8 @@
 const CONFIG_KEY: &str = "config";
 
 /// Edge whose row of the configuration holds a version, the number of entries, of which the first
-/// is a service and the others are its routes, and the parts of each route's split. Other rows are orders, named by their service.
+/// is a service and the others are its routes, and the parts of each route's split. One without the
+/// number of entries is malformed. Other rows are orders, named by their service.
 struct Rows;
 
 impl OperatorEdge for Rows {
@@ -44,7 +46,11 @@
             }));
         }
         let version = ConfigVersion(value["version"].as_u64().unwrap());
-        let entries = usize::try_from(value["entries"].as_u64().unwrap()).unwrap();
+        let Some(entries) = value["entries"].as_u64() else {
+            let why = "no entries".to_owned();
+            return OperatorRow::Config(Err(MalformedConfig { version: Some(version), why }));
+        };
+        let entries = usize::try_from(entries).unwrap();
         let parts = usize::try_from(value["parts"].as_u64().unwrap_or_default()).unwrap();
         OperatorRow::Config(Ok((version, resources(entries, parts))))
     }
@@ -80,7 +86,7 @@
     i64::try_from(bodies.map(|body| body.len()).sum::<usize>()).unwrap()
 }
 
-/// Node that reads the rows of a store of its own.
+/// Node with the store that it uses.
 struct Node {
     hub: Rc<Hub>,
     store: Store,
@@ -88,9 +94,15 @@
 }
 
 impl Node {
+    /// Starts a node alone in its fleet.
     async fn start(store: Store, config: ConfigSettings) -> Self {
         let mut settings = Settings { config, ..Settings::default() };
         settings.listen = node::Listen { peer: unused_addr(), ..settings.listen };
+        Self::start_with(store, settings).await
+    }
+
+    /// Starts a node with these `settings`, except for the addresses of `store`.
+    async fn start_with(store: Store, mut settings: Settings) -> Self {
         settings.platform.table = store.serve();
         settings.platform.objects = settings.platform.table;
         let hub = Hub::new(settings);
@@ -116,6 +128,15 @@
         (metric.get_gauge().get_value() + metric.get_counter().get_value()) as i64
     }
 
+    /// Returns the node's role in reading the rows.
+    fn role(&self) -> String {
+        let families = self.hub.registry.gather();
+        let roles = families.iter().find(|f| f.name() == "sycamoreshift_config_reader_role");
+        let metrics = roles.unwrap().get_metric();
+        let held = metrics.iter().find(|metric| metric.get_gauge().get_value() > 0.0);
+        held.unwrap().get_label()[0].value().to_owned()
+    }
+
     /// Returns the versions in force, known and rejected.
     fn versions(&self) -> [i64; 3] {
         ["config_version", "config_known_version", "config_rejected_version"]
@@ -143,13 +164,18 @@
 /// Runs `test` on a node with the settings `config` that starts with the rows in `store`; panics
 /// after [`TEST_TIMEOUT`].
 fn run_on(store: Store, config: ConfigSettings, test: impl AsyncFnOnce(&Node)) {
+    block_on(async || {
+        let node = Node::start(store, config).await;
+        test(&node).await;
+        node.stop().await;
+    });
+}
+
+/// Runs `test`; panics after [`TEST_TIMEOUT`].
+fn block_on(test: impl AsyncFnOnce()) {
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build().unwrap();
     runtime.block_on(async {
-        let ended = monoio::time::timeout(TEST_TIMEOUT, async {
-            let node = Node::start(store, config).await;
-            test(&node).await;
-            node.stop().await;
-        });
+        let ended = monoio::time::timeout(TEST_TIMEOUT, test());
         ended.await.expect("the test ends in time");
     });
 }
--- a/crates/sycamore-node/tests/config/store.rs
+++ b/crates/sycamore-node/tests/config/store.rs
@@ -12,6 +12,7 @@
     Changes, NativeProtocol, Page, PageQuery, Result, Revision, Row, StoreProtocol, StoreRequest,
     Transacted, Transaction,
 };
+use sycamore_types::prelude::*;
 
 /// Key prefix of the operators' rows.
 pub const PREFIX: &str = "operators/";
@@ -28,6 +29,8 @@
     page_rows: usize,
     /// Whether the store refuses all requests.
     is_out: bool,
+    /// Rows of members.
+    members: Vec<Value>,
 }
 
 impl Rows {
@@ -87,6 +90,13 @@
         rows.written.push((key.to_owned(), value));
     }
 
+    /// Adds the row of `member`.
+    pub fn add_member(&self, member: &Member) {
+        let key = format!("member/{}", member.instance);
+        let row = json!({"key": key, "value": member, "revision": 1});
+        self.rows().members.push(row);
+    }
+
     /// Lets a page of a listing hold at most `rows`.
     pub fn set_page_rows(&self, rows: usize) {
         self.rows().page_rows = rows;
@@ -122,8 +132,11 @@
             }
             return ("200 OK", self.rows().changes(after).to_string());
         }
-        match target.split_once("?prefix=operators") {
-            Some(("/table/rows", query)) => {
+        match target.split_once("?prefix=") {
+            Some(("/table/rows", query)) if query.starts_with("member") => {
+                ("200 OK", json!({"rows": self.rows().members, "more": false}).to_string())
+            }
+            Some(("/table/rows", query)) if query.starts_with("operators") => {
                 let after =
                     query.split_once("&after=").and_then(|(_, rest)| rest.split('&').next());
                 let after = after.unwrap_or_default().replace("%2F", "/");
--- a/crates/sycamore-peer/src/codec/packet.rs
+++ b/crates/sycamore-peer/src/codec/packet.rs
@@ -85,10 +85,11 @@
         Body::Delta { encoded } => {
             WireBody::Delta(proto::Delta { encoded: Bytes::copy_from_slice(encoded) })
         }
-        Body::Current { head, revision, age } => WireBody::Current(proto::Current {
+        Body::Current { head, revision, age, rejected } => WireBody::Current(proto::Current {
             head: head.as_ref().map(head_to_wire),
             revision: *revision,
             age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            rejected: rejected.unwrap_or_default().0,
         }),
     }
 }
@@ -110,7 +111,8 @@
         WireBody::Current(current) => {
             let head = current.head.as_ref().map(head_from_wire).transpose()?;
             let age = Duration::from_millis(current.age_ms);
-            Body::Current { head, revision: current.revision, age }
+            let rejected = Some(ConfigVersion(current.rejected)).filter(|version| version.0 > 0);
+            Body::Current { head, revision: current.revision, age, rejected }
         }
     })
 }
--- a/crates/sycamore-peer/src/proto/sycamore.peer.v1.rs
+++ b/crates/sycamore-peer/src/proto/sycamore.peer.v1.rs
@@ -82,7 +82,8 @@
     #[prost(bytes = "bytes", tag = "1")]
     pub encoded: ::prost::bytes::Bytes,
 }
-/// What the callee has in force, and how old its knowledge of the platform's table is.
+/// What the callee has in force, what it rejected, and how old its knowledge of the platform's table
+/// is.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Current {
     /// Absent where the callee has no configuration.
@@ -92,6 +93,10 @@
     pub revision: u64,
     #[prost(uint64, tag = "3")]
     pub age_ms: u64,
+    /// Highest version above the one in force that the callee read as an operator's row and rejected;
+    /// 0 where there is none.
+    #[prost(uint64, tag = "4")]
+    pub rejected: u64,
 }
 /// A member or a fact.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/sycamore-peer/tests/codec.rs
+++ b/crates/sycamore-peer/tests/codec.rs
@@ -4,6 +4,7 @@
 
 use quickcheck::{quickcheck, Arbitrary, Gen};
 use std::net::SocketAddr;
+use std::time::Duration;
 use sycamore_member::message::{
     Body, Brief, Digest, ExchangeReply, ExchangeRequest, Item, Packet, Scope,
 };
@@ -37,6 +38,13 @@
     Stamp { wall: WallTime(u64::arbitrary(g)), logical: u32::arbitrary(g) }
 }
 
+fn arbitrary_head(g: &mut Gen) -> ConfigHead {
+    ConfigHead {
+        version: ConfigVersion(u64::arbitrary(g)),
+        manifest: ContentHash::of(&[u8::arbitrary(g)]),
+    }
+}
+
 fn arbitrary_fact(g: &mut Gen) -> Fact {
     let until = WallTime(u64::arbitrary(g));
     match u8::arbitrary(g) % 7 {
@@ -59,10 +67,7 @@
             crash: u64::arbitrary(g),
             until,
         },
-        4 => Fact::Head(ConfigHead {
-            version: ConfigVersion(u64::arbitrary(g)),
-            manifest: ContentHash::of(&[u8::arbitrary(g)]),
-        }),
+        4 => Fact::Head(arbitrary_head(g)),
         5 => Fact::MoveRow {
             mv: arbitrary_id(g),
             revision: u64::arbitrary(g),
@@ -118,13 +123,19 @@
 impl Arbitrary for ArbitraryPacket {
     fn arbitrary(g: &mut Gen) -> Self {
         let (seq, digest) = (u32::arbitrary(g), Digest::from(u64::arbitrary(g)));
-        let body = match u8::arbitrary(g) % 7 {
+        let body = match u8::arbitrary(g) % 8 {
             0 => Body::Ping { seq, digest },
             1 => Body::Ack { seq, digest },
             2 => Body::PingRequest { seq, target: arbitrary_id(g) },
             3 => Body::Nack { seq },
             4 => Body::DeltaRequest { base: ContentHash::of(&[u8::arbitrary(g)]) },
             5 => Body::Delta { encoded: Arbitrary::arbitrary(g) },
+            6 => Body::Current {
+                head: bool::arbitrary(g).then(|| arbitrary_head(g)),
+                revision: u64::arbitrary(g),
+                age: Duration::from_millis(u64::arbitrary(g)),
+                rejected: bool::arbitrary(g).then(|| ConfigVersion(u64::arbitrary(g).max(1))),
+            },
             _ => Body::Push,
         };
         let items = (0..usize::arbitrary(g) % 8).map(|_| ArbitraryItem::arbitrary(g).0).collect();
