fix(config): a row that no answer has room for counts as rejected

Cause: the listing's error led to the next listing and to nothing else. No version is known of such a row, so that it could not be recorded as rejected.

Change: a node whose listing is too large knows that its configuration is out of date, until a read succeeds or its peers keep it current. It reads again after 2 s, and never for more than a fifth of the time.

a_row_that_no_answer_has_room_for_counts_as_rejected failed before: the node never was out of date.

--- a/crates/sycamore-config/src/newer.rs
+++ b/crates/sycamore-config/src/newer.rs
@@ -10,7 +10,8 @@
 /// Reason for which a node's configuration is out of date.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OutOfDate {
-    /// The node, or a peer that told it, has rejected a newer version.
+    /// The node, or a peer that told it, has rejected a newer version, or the node can't read the
+    /// operators' row as it is too large.
     Rejected,
     /// The node has known of a newer version for too long without applying it.
     Behind,
@@ -36,6 +37,8 @@
     rejected_row: Option<ConfigVersion>,
     /// Versions that peers rejected.
     peers: BTreeMap<InstanceId, PeerRejected>,
+    /// Whether the operators' row was too large at the last read, so that no version is known of it.
+    is_row_too_large: bool,
     behind_since: Option<Time>,
 }
 
@@ -80,6 +83,12 @@
         self.peers.insert(peer.clone(), PeerRejected { version, until });
     }
 
+    /// Records whether the operators' row is too large to be read. Such a row can't be in force: it is
+    /// a newer configuration, whatever its version.
+    pub fn record_row_too_large(&mut self, is_too_large: bool) {
+        self.is_row_too_large = is_too_large;
+    }
+
     /// Records the time since which a version above the one in force is known and not rejected, as
     /// [`crate::Apply::behind_since`] returns it; `None` if none is.
     pub fn record_behind(&mut self, since: Option<Time>) {
@@ -101,7 +110,7 @@
         in_force: ConfigVersion,
         apply_within: Duration,
     ) -> Option<OutOfDate> {
-        if self.rejected_above(now, in_force).is_some() {
+        if self.is_row_too_large || self.rejected_above(now, in_force).is_some() {
             return Some(OutOfDate::Rejected);
         }
         let is_late = self.behind_since.is_some_and(|since| now.since(since) > apply_within);
--- a/crates/sycamore-node/src/config/follow.rs
+++ b/crates/sycamore-node/src/config/follow.rs
@@ -28,8 +28,11 @@
 /// Failed reads in a row after which a node whose peers keep it current tries less often: the
 /// platform probably refuses this node alone.
 const FAILURES_BEFORE_REST: u32 = 4;
-/// Pause after such a read.
+/// Pause after such a read, and shortest pause after a listing that is too large.
 const REST_PAUSE: Duration = Duration::from_secs(2);
+/// Pause after a listing that is too large, as a multiple of the time that it took: the link is needed
+/// for calls.
+const LARGE_READ_PAUSES: u32 = 4;
 
 /// Spawns the task that watches operators' rows.
 pub(super) fn start(driver: &Rc<Driver>, tasks: &TaskGroup, edge: Rc<dyn OperatorEdge>) {
@@ -46,10 +49,12 @@
         if watch.role == Role::Follower {
             watch.reads.restart();
             driver.watches_rows.set(false);
+            driver.hub.newer_versions.borrow_mut().record_row_too_large(false);
             monoio::time::sleep(ROLE_INTERVAL).await;
             continue;
         }
         let started = driver.hub.clock.now();
+        let read = watch.reads.next();
         match watch.step().await {
             Ok(()) => {
                 watch.record_success();
@@ -63,7 +68,15 @@
                 failures += 1;
                 let pause = backoff.record_failure();
                 let may_rest = failures >= FAILURES_BEFORE_REST && driver.is_followed();
-                monoio::time::sleep(if may_rest { REST_PAUSE } else { pause }).await;
+                let pause = match report.current_context() {
+                    // The next listing is as large unless an operator writes another row.
+                    Error::AnswerTooLarge { .. } if read == NextRead::Rows => {
+                        REST_PAUSE.max(took * LARGE_READ_PAUSES)
+                    }
+                    _ if may_rest => REST_PAUSE,
+                    _ => pause,
+                };
+                monoio::time::sleep(pause).await;
             }
         }
         driver.metrics.copy_platform_traffic(driver.platform.http().traffic());
@@ -111,6 +124,7 @@
         rows.iter().for_each(|row| self.handle_row(row));
         self.at = at;
         self.must_list = false;
+        self.driver.hub.newer_versions.borrow_mut().record_row_too_large(false);
         self.reads.end(self.highest_spread_version());
         self.driver.record_complete(self.reads.taken(), at);
         Ok(())
@@ -189,8 +203,12 @@
 
     /// Continues with a listing if the answer to a read of changes was too large: the changes hold
     /// each version in full, the rows only the newest, and the same read would fail again.
+    ///
+    /// If the listing is too large itself, the node can't know the newest configuration.
     fn skip_large_changes(&mut self, error: &Error) {
         if matches!(error, Error::AnswerTooLarge { .. }) {
+            let is_listing = self.reads.next() == NextRead::Rows;
+            self.driver.hub.newer_versions.borrow_mut().record_row_too_large(is_listing);
             self.reads.restart();
             self.must_list = true;
         }
--- a/crates/sycamore-node/tests/config/reads.rs
+++ b/crates/sycamore-node/tests/config/reads.rs
@@ -5,6 +5,7 @@
 use serde_json::json;
 use std::time::Duration;
 use sycamore_config::bundle::MAX_RESOURCES;
+use sycamore_config::OutOfDate;
 use sycamore_types::prelude::*;
 
 impl Node {
@@ -14,6 +15,15 @@
         self.store.write(CONFIG_KEY, row);
     }
 
+    /// Returns the number of bytes that the platform sent to the node.
+    fn bytes_read(&self) -> u64 {
+        let families = self.hub.registry.gather();
+        let family = families.iter().find(|f| f.name() == "sycamoreshift_platform_bytes_total");
+        let metrics = family.unwrap().get_metric();
+        let read = metrics.iter().find(|metric| metric.get_label()[0].value() == "in").unwrap();
+        read.get_counter().get_value() as u64
+    }
+
     /// Waits until the orders with these `keys`, without their prefix, are those that the node
     /// knows.
     async fn wait_for_orders(&self, keys: &[&str]) {
@@ -88,3 +98,22 @@
         assert!(matches!(head, Some(Fact::Head(head)) if head.version == ConfigVersion(2)));
     });
 }
+
+/// Guards against 404, which callers take as final, from a node that can't read the newest
+/// configuration, and against its downloading that again and again.
+#[test]
+fn a_row_that_no_answer_has_room_for_counts_as_rejected() {
+    run(async |node| {
+        node.write_row(2, 3);
+        node.wait_for("config_version", 2).await;
+        assert_eq!(node.hub.out_of_date(), None);
+        node.write_large_row(3, 24 << 20);
+        while node.hub.out_of_date() != Some(OutOfDate::Rejected) {
+            monoio::time::sleep(Duration::from_millis(2)).await;
+        }
+        assert!(node.bytes_read() < 4 << 20, "{} bytes were read", node.bytes_read());
+        node.write_row(4, 4);
+        node.wait_for("config_version", 4).await;
+        assert_eq!(node.hub.out_of_date(), None);
+    });
+}
