fix(node): a missing route is not final from the moment on at which a newer version is known

A node that knew of a newer configuration answered 404, which callers take as final, until it had known of it for `apply_within`.

Cause: the time in which a version must be in force runs from its acknowledgement to the operator; the node counted from when it learned of it, which is later by the transfer of the row to a reader, by 2 s and more on a slow link.

Ruled out: a shorter time, as no time of the node's own follows from the acknowledgement.

Change: a node that knows of a version which it has not applied answers 503 with Retry-After for a missing route, from the first moment on. For a route that exists nowhere, callers get 404 with their next try; during a storm of changes they may be told to come back more than once.

--- a/crates/sycamore-config/src/newer.rs
+++ b/crates/sycamore-config/src/newer.rs
@@ -4,7 +4,6 @@
 //! have been added by the version that the node lacks.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 use sycamore_types::prelude::*;
 
 /// Reason for which a node's configuration is out of date.
@@ -13,7 +12,7 @@
     /// The node, or a peer that told it, has rejected a newer version, or the node can't read the
     /// operators' row as it is too large.
     Rejected,
-    /// The node has known of a newer version for too long without applying it.
+    /// The node knows of a newer version that it has not applied yet.
     Behind,
 }
 
@@ -39,7 +38,8 @@
     peers: BTreeMap<InstanceId, PeerRejected>,
     /// Whether the operators' row was too large at the last read, so that no version is known of it.
     is_row_too_large: bool,
-    behind_since: Option<Time>,
+    /// Whether a version above the one in force is known and not rejected.
+    is_behind: bool,
 }
 
 impl NewerVersions {
@@ -89,10 +89,9 @@
         self.is_row_too_large = is_too_large;
     }
 
-    /// Records the time since which a version above the one in force is known and not rejected, as
-    /// [`crate::Apply::behind_since`] returns it; `None` if none is.
-    pub fn record_behind(&mut self, since: Option<Time>) {
-        self.behind_since = since;
+    /// Records whether a version above the one in force is known and not rejected.
+    pub fn record_behind(&mut self, is_behind: bool) {
+        self.is_behind = is_behind;
     }
 
     /// Returns the highest version that the node or, as they told, its peers rejected, if it is above
@@ -103,17 +102,14 @@
     }
 
     /// Returns the reason for which version `in_force` is out of date; `None` if it may be the
-    /// newest, or if a newer one has been known for at most `apply_within` and not been rejected.
-    pub fn out_of_date(
-        &self,
-        now: Time,
-        in_force: ConfigVersion,
-        apply_within: Duration,
-    ) -> Option<OutOfDate> {
+    /// newest.
+    ///
+    /// A newer version counts as soon as it is known: the time in which it must be in force runs from
+    /// its acknowledgement to the operator, which the node doesn't see.
+    pub fn out_of_date(&self, now: Time, in_force: ConfigVersion) -> Option<OutOfDate> {
         if self.is_row_too_large || self.rejected_above(now, in_force).is_some() {
             return Some(OutOfDate::Rejected);
         }
-        let is_late = self.behind_since.is_some_and(|since| now.since(since) > apply_within);
-        is_late.then_some(OutOfDate::Behind)
+        self.is_behind.then_some(OutOfDate::Behind)
     }
 }
--- a/crates/sycamore-node/src/config/driver.rs
+++ b/crates/sycamore-node/src/config/driver.rs
@@ -128,8 +128,8 @@
         let now = self.hub.clock.now();
         let behind_since = self.with_state(Apply::behind_since).unwrap_or(now);
         let actions = self.apply.borrow_mut().step(now, input);
-        let still_behind_since = self.with_state(Apply::behind_since);
-        self.hub.newer_versions.borrow_mut().record_behind(still_behind_since);
+        let is_behind = self.with_state(Apply::behind_since).is_some();
+        self.hub.newer_versions.borrow_mut().record_behind(is_behind);
         self.record_versions();
         for action in actions {
             self.execute(action, now.since(behind_since));
--- a/crates/sycamore-node/src/hub/mod.rs
+++ b/crates/sycamore-node/src/hub/mod.rs
@@ -187,9 +187,8 @@
     /// Returns the reason for which the configuration in force is known to be out of date; `None`
     /// if it isn't.
     pub fn out_of_date(&self) -> Option<OutOfDate> {
-        let (now, in_force) = (self.clock.now(), self.snapshot.borrow().version);
-        let apply_within = self.settings.config.apply_within;
-        self.newer_versions.borrow().out_of_date(now, in_force, apply_within)
+        let in_force = self.snapshot.borrow().version;
+        self.newer_versions.borrow().out_of_date(self.clock.now(), in_force)
     }
 
     /// Records an event on the timeline and logs it.
