fix(moves): plan release orders whose names are long together

An operator's release order was never carried out, and its status never written, where service, version and revision joined by dots took more than 64 bytes: the identifier of its move was refused, the order was passed over at every check, and no line said so. Each name may have 64 bytes of its own, so valid orders were lost on every node alike.

The identifier now always exists. Names that don't fit are shortened to the start of the service's name and a hash of both, with the revision spelled out; identifiers of up to 64 bytes stay letter for letter, as rows of older builds hold them. The limit is a constant of this format, apart from the limit of identifiers, so that builds which differ in the latter agree on a move. A larger limit of identifiers alone was ruled out: the parts may grow with it.

The function moves to sycamore-moves, without I/O.

--- a/crates/sycamore-moves/src/plan/mod.rs
+++ b/crates/sycamore-moves/src/plan/mod.rs
@@ -4,11 +4,13 @@
 mod before;
 mod change;
 mod import;
+mod order;
 mod row;
 
 pub use before::version_before;
 pub use change::{abort, end, settle, Change, Conflict, Settled, Write};
 pub use import::{import, Diff, FieldChange, ImportError, ImportRefusal, Imported, Stored};
+pub use order::order_move;
 pub use row::{
     move_key, plan_key, Author, Cause, MoveRow, MoveSpec, OnTimeout, Outcome, OutcomeKind, PlanRow,
     Summary, DEFAULT_CAP, MOVE_PREFIX,
--- a/crates/sycamore-moves/tests/plan.rs
+++ b/crates/sycamore-moves/tests/plan.rs
@@ -4,8 +4,8 @@
 
 use support::{change, now, outcome, spec};
 use sycamore_moves::plan::{
-    abort, end, import, settle, Author, ImportRefusal, MoveRow, OutcomeKind, Settled, Stored,
-    Summary,
+    abort, end, import, order_move, settle, Author, ImportRefusal, MoveRow, OutcomeKind, Settled,
+    Stored, Summary,
 };
 use sycamore_types::prelude::*;
 
@@ -115,3 +115,35 @@
     assert_eq!(serde_json::from_str::<MoveRow>(&text).expect("decodes"), row());
     assert_eq!(now(), row().at);
 }
+
+fn ordered(service: &str, to: &str, revision: u64) -> MoveId {
+    let service = ServiceName::new(service).expect("valid");
+    order_move(&service, &UpstreamVersion::new(to).expect("valid"), revision)
+}
+
+// Guards against orders that are never planned: the parts of the identifier may each be valid and
+// together be longer than an identifier.
+#[test]
+fn orders_with_the_longest_names_have_distinct_moves() {
+    let (longest, other) = ("s".repeat(64), "s".repeat(63) + "t");
+    let orders = [(&longest, &longest), (&other, &longest), (&longest, &other), (&other, &other)];
+    let revisions = [1, 1_000_000, u64::MAX - 1, u64::MAX];
+    let moves: std::collections::BTreeSet<MoveId> = revisions
+        .into_iter()
+        .flat_map(|revision| orders.map(|(service, to)| ordered(service, to, revision)))
+        .collect();
+    assert_eq!(moves.len(), orders.len() * revisions.len());
+    assert!(moves.iter().all(|mv| mv.as_str().len() <= 64), "{moves:?}");
+}
+
+// Guards against nodes of two builds that plan an order twice: rows hold the identifiers that an
+// older build gave.
+#[test]
+fn identifiers_of_orders_with_short_names_are_their_parts() {
+    assert_eq!(ordered("counter", "v2", 417).as_str(), "counter.v2.417");
+    let (service, to) = ("s".repeat(30), "t".repeat(30));
+    assert_eq!(ordered(&service, &to, 42).as_str(), format!("{service}.{to}.42"));
+    let hashed = ordered(&service, &to, 421);
+    assert_ne!(hashed.as_str(), format!("{service}.{to}.421"));
+    assert_eq!(hashed, ordered(&service, &to, 421), "every node gives the same");
+}
--- a/crates/sycamore-node/src/moves/orders.rs
+++ b/crates/sycamore-node/src/moves/orders.rs
@@ -13,7 +13,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use sycamore_moves::plan::{
-    move_key, version_before, Author, MoveRow, MoveSpec, OnTimeout, Outcome, OutcomeKind,
+    move_key, order_move, version_before, Author, MoveRow, MoveSpec, OnTimeout, Outcome,
+    OutcomeKind,
 };
 use sycamore_moves::ramp::{fit, FitOptions, MIN_WINDOW};
 use sycamore_platform::{Condition, Revision, Table, Transacted, Transaction, Write};
@@ -73,21 +74,19 @@
         monoio::time::sleep(CHECK_INTERVAL).await;
         let orders = state.hub.orders.borrow().clone();
         for (order, revision) in orders.values() {
-            let Some(mv) = move_id(order, *revision) else { continue };
+            let mv = move_id(order, *revision);
             let mut progress = all_progress.borrow().get(&mv).copied().unwrap_or_default();
             advance(&state, &*edge, order, &mv, &mut progress).await;
             all_progress.borrow_mut().insert(mv, progress);
         }
         all_progress.borrow_mut().retain(|mv, _| {
-            orders.values().any(|(order, revision)| move_id(order, *revision).as_ref() == Some(mv))
+            orders.values().any(|(order, revision)| move_id(order, *revision) == *mv)
         });
     }
 }
 
-/// Returns the identifier of the move for an order whose row has `revision`; a rewritten order is a
-/// new move.
-fn move_id(order: &ReleaseOrder, revision: u64) -> Option<MoveId> {
-    MoveId::new(format!("{}.{}.{revision}", order.service, order.to)).ok()
+fn move_id(order: &ReleaseOrder, revision: u64) -> MoveId {
+    order_move(&order.service, &order.to, revision)
 }
 
 /// Plans the order's move or writes its status, if it is this node's turn and an attempt is due.
