fix(calls): derive the loss of an upstream from its announcement interval

On a platform whose upstreams announce themselves every 3 s or more, live upstreams would be lost whenever an announcement failed to arrive, or came some seconds late: a node waited 5 s, whatever the interval. Their nodes then answer 503 until the next announcement.

An upstream counts as lost after two intervals and 2 s, so that one announcement may be lost and the next be late; the 5 s stay as the least, and where no interval is stated. At the interval of the known sites, 1.5 s, nothing changes. A longer fixed time was ruled out: crashed upstreams that say nothing would be kept for longer on every platform.

--- a/crates/sycamore-node/src/calls/announce.rs
+++ b/crates/sycamore-node/src/calls/announce.rs
@@ -10,12 +10,8 @@
 use http::StatusCode;
 use slog::{info, warn};
 use std::rc::Rc;
-use std::time::Duration;
 use sycamore_call::announce::{MessageOrder, ProcessRef};
 
-/// Time without an announcement after which the upstream counts as lost.
-const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Serves an announcement or a drain request of the upstream.
 pub(super) async fn serve(
     state: &Rc<State>,
@@ -123,10 +119,11 @@
     });
 }
 
-/// Marks the upstream as lost once [`ANNOUNCEMENT_TIMEOUT`] has passed without an announcement.
+/// Marks the upstream as lost once the settings' announcement timeout has passed without an
+/// announcement.
 pub(super) fn check_announcement_timeout(state: &State) {
     let silent = state.now().since(state.last_announced.get());
-    if silent >= ANNOUNCEMENT_TIMEOUT {
+    if silent >= state.hub.settings.calls.announcement_timeout() {
         let lost = state.hub.upstream.send_if_modified(|known| known.take().is_some());
         if lost {
             let why = format!("no announcement for {} ms", silent.as_millis());
--- a/crates/sycamore-node/tests/calls/silence.rs
+++ b/crates/sycamore-node/tests/calls/silence.rs
@@ -4,6 +4,7 @@
 use http::StatusCode;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
+use sycamore_settings::calls::Calls;
 
 /// Timer code of a connection with TCP keepalive in `/proc/net/tcp`.
 const KEEPALIVE_TIMER: &str = "02";
@@ -94,3 +95,21 @@
     upstream.mute();
     cluster
 }
+
+/// An upstream that announces itself every 2.5 s must not be lost when one announcement doesn't
+/// arrive and the next one is late; it must be lost after that.
+#[test]
+fn an_upstream_is_lost_by_the_interval_of_its_announcements() {
+    run(async {
+        let calls = Calls {
+            announce_interval: Some(Duration::from_millis(2_500)),
+            key_memory: Duration::ZERO,
+            ..Calls::default()
+        };
+        let cluster = Cluster::start(&Options { nodes: 1, calls, ..Options::default() }).await;
+        monoio::time::sleep(Duration::from_secs(6)).await;
+        assert_eq!(cluster.call(get("/counter/echo"), "").await.status(), StatusCode::OK);
+        wait_until(|| cluster.nodes[0].hub.upstream.borrow().is_none()).await;
+        cluster.stop().await;
+    });
+}
--- a/crates/sycamore-settings/src/calls.rs
+++ b/crates/sycamore-settings/src/calls.rs
@@ -10,6 +10,12 @@
 /// The reservation covers the first part of the body (up to 32 KiB and one read), a copy of it
 /// while it is sent, and the reads of the relay.
 pub const EXCHANGE_BYTES: u64 = 128 << 10;
+/// Shortest time without an announcement after which an upstream counts as lost.
+const MIN_ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Intervals between announcements that may pass without one: a single one may be lost.
+const ANNOUNCEMENT_INTERVALS: u32 = 2;
+/// Delay of an announcement on its way that doesn't count as silence.
+const ANNOUNCEMENT_DELAY: Duration = Duration::from_secs(2);
 
 /// Algorithm that adapts the concurrency limit to the upstream.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -56,6 +62,9 @@
     /// other than the upstream on the node's instance may reach.
     #[serde_as(as = "DisplayFromStr")]
     pub upstream_beyond_loopback: bool,
+    /// Time between two announcements of the upstream; `None` if it isn't stated.
+    #[serde_as(as = "OptionalSpan")]
+    pub announce_interval: Option<Duration>,
     /// Shortest retry delay that a caller is given when its call is refused for overload.
     #[serde_as(as = "Span")]
     pub min_retry_after: Duration,
@@ -84,6 +93,17 @@
     pub view_lag: Duration,
 }
 
+impl Calls {
+    /// Returns the time without an announcement after which the upstream counts as lost: two
+    /// [`Calls::announce_interval`]s and 2 s, but at least 5 s.
+    pub fn announcement_timeout(&self) -> Duration {
+        let stated = self.announce_interval.map(|interval| {
+            interval.saturating_mul(ANNOUNCEMENT_INTERVALS).saturating_add(ANNOUNCEMENT_DELAY)
+        });
+        stated.unwrap_or_default().max(MIN_ANNOUNCEMENT_TIMEOUT)
+    }
+}
+
 impl Default for Calls {
     fn default() -> Self {
         Self {
@@ -95,6 +115,7 @@
             drain_notice: Duration::from_millis(500),
             grace: None,
             upstream_beyond_loopback: false,
+            announce_interval: None,
             min_retry_after: Duration::from_secs(1),
             free_reroutes: 0,
             fleet_retries_saved: None,
