fix(moves): keep the reports of every process of a large service

A merging node kept the reports of 256 processes of a move, old and new version together, those of earlier starts included, and dropped the others without a line. In a service with more, a process that has to confirm the watch period could be among the dropped, so that a good move never becomes done, and steps could be held for too few reports.

The ledger now bounds the cells, at the same number in all, and keeps as many processes as membership holds members. A report whose cells don't fit keeps those of the known report, its confirmation and its counts by caller. A line says when reports are left out in whole or in part.

More processes with full reports were ruled out: 4,096 of them would take over 100 MB by calculation, at a node with 160. The newest report of a member is found by a range of the map instead of a scan, since it is looked up for each required process at each report.

The tests failed before: 3,840 of 4,096 processes had no report, and reports beyond the 256th were not kept.

--- a/crates/sycamore-moves/src/control/machine.rs
+++ b/crates/sycamore-moves/src/control/machine.rs
@@ -283,6 +283,12 @@
         choose(&self.row.spec.mv, new, self.options.mergers)
     }
 
+    /// Returns the number of reports whose counts this node left out of the evidence in whole or in
+    /// part, as they exceed its limits.
+    pub fn cut_reports(&self) -> u64 {
+        self.merger.cut_reports()
+    }
+
     fn is_merger(&self) -> bool {
         self.mergers().contains(&&self.me)
     }
--- a/crates/sycamore-moves/src/control/merger.rs
+++ b/crates/sycamore-moves/src/control/merger.rs
@@ -1,6 +1,6 @@
 //! Evidence merging on one node: merged reports, the tests on them, and when a step may be cleared.
 
-use crate::evidence::{Baselines, Ledger, Report, Source};
+use crate::evidence::{Baselines, Ledger, Merged, Report, Source};
 use crate::plan::{MoveRow, Summary};
 use crate::verdict::{Finding, VerdictOptions, VerdictTests};
 use std::collections::BTreeMap;
@@ -63,6 +63,8 @@
     /// first received a report of it, or during a gap in its reports. Such counts cannot be
     /// assigned to a time any more.
     baselines: Baselines,
+    /// Number of reports that did not count in full, as there was no room for them.
+    cut_reports: u64,
     /// Time at which the last new report of each instance was received, and its version.
     last_reports: BTreeMap<InstanceId, (Time, UpstreamVersion)>,
     tests: VerdictTests,
@@ -76,6 +78,7 @@
         Self {
             ledger: Ledger::default(),
             baselines: Baselines::default(),
+            cut_reports: 0,
             last_reports: BTreeMap::new(),
             tests: VerdictTests::new(options.verdict.clone(), now),
             step: None,
@@ -87,7 +90,11 @@
         let source = Source { instance: report.instance.clone(), incarnation: report.incarnation };
         self.exclude_unobserved(now, source, &report);
         let last_report = (report.instance.clone(), (now, report.version.clone()));
-        if self.ledger.merge(report) {
+        let merged = self.ledger.merge(report);
+        if matches!(merged, Merged::KeptInPart | Merged::Dropped) {
+            self.cut_reports += 1;
+        }
+        if matches!(merged, Merged::Kept | Merged::KeptInPart) {
             self.last_reports.extend([last_report]);
         }
     }
@@ -155,6 +162,11 @@
         Ok(step)
     }
 
+    /// Returns the number of reports that did not count in full.
+    pub fn cut_reports(&self) -> u64 {
+        self.cut_reports
+    }
+
     /// Returns whether `source` has confirmed the watch period.
     pub fn has_confirmed(&self, source: &Source) -> bool {
         self.ledger.report_of(source).is_some_and(|report| report.confirmed)
--- a/crates/sycamore-moves/src/evidence/ledger.rs
+++ b/crates/sycamore-moves/src/evidence/ledger.rs
@@ -1,6 +1,6 @@
 //! Merging of reports: of each process, the one with the highest sequence number is kept.
 
-use super::{Report, Totals};
+use super::{Report, Totals, MAX_CELLS};
 use std::collections::BTreeMap;
 use sycamore_types::prelude::*;
 
@@ -13,31 +13,63 @@
     pub incarnation: Incarnation,
 }
 
-/// Newest report of each process. Merging is associative, commutative and idempotent.
+/// Newest report of each process. Merging is associative, commutative and idempotent, as long as
+/// the limits are not reached.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Ledger {
     reports: BTreeMap<Source, Report>,
+    /// Number of cells in all reports.
+    cells: usize,
 }
 
 /// Counters of each process that are excluded from sums.
 pub type Baselines = BTreeMap<Source, Totals>;
 
-/// Maximum number of processes whose reports are kept; reports of further ones are dropped.
-const MAX_SOURCES: usize = 256;
+/// Maximum number of processes whose reports are kept, as many as membership holds members; reports
+/// of further ones are dropped.
+const MAX_SOURCES: usize = 4_096;
+/// Maximum number of cells in all kept reports, which bounds the memory: those of 256 reports with
+/// as many cells as a report may have.
+const MAX_TOTAL_CELLS: usize = 256 * MAX_CELLS;
+
+/// Result of merging a report into a [`Ledger`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Merged {
+    /// The known report of the process is as new.
+    Known,
+    /// The report was kept with all of its cells.
+    Kept,
+    /// The report was kept without the cells that the known report of the process lacks, as there
+    /// is no room for them.
+    KeptInPart,
+    /// The report was dropped, as there is no room for a further process.
+    Dropped,
+}
 
 impl Ledger {
-    /// Merges a report; returns whether it was newer than the known one and was kept.
-    pub fn merge(&mut self, report: Report) -> bool {
+    /// Merges a report.
+    pub fn merge(&mut self, mut report: Report) -> Merged {
         let source = Source { instance: report.instance.clone(), incarnation: report.incarnation };
         let known = self.reports.get(&source);
-        let is_newer = match known {
-            Some(known) => known.seq < report.seq,
-            None => self.reports.len() < MAX_SOURCES,
-        };
-        if is_newer {
-            self.reports.insert(source, report);
+        match known {
+            Some(known) if known.seq >= report.seq => return Merged::Known,
+            None if self.reports.len() >= MAX_SOURCES => return Merged::Dropped,
+            _ => {}
+        }
+        let known_cells = known.map(|known| &known.totals.cells);
+        let others = self.cells - known_cells.map_or(0, BTreeMap::len);
+        let cells = &mut report.totals.cells;
+        let is_whole = others + cells.len() <= MAX_TOTAL_CELLS;
+        if !is_whole {
+            cells.retain(|cell, _| known_cells.is_some_and(|known| known.contains_key(cell)));
+        }
+        self.cells = others + cells.len();
+        self.reports.insert(source, report);
+        if is_whole {
+            Merged::Kept
+        } else {
+            Merged::KeptInPart
         }
-        is_newer
     }
 
     /// Merges all reports of `other`.
@@ -77,10 +109,10 @@
     /// Returns the newest report of the process that membership knows as `member` or under a later
     /// incarnation.
     pub fn report_of(&self, member: &Source) -> Option<&Report> {
-        let of_member = self.reports.values().filter(|report| {
-            report.instance == member.instance && report.generation >= member.incarnation
-        });
-        of_member.max_by_key(|report| report.incarnation)
+        let first = Source { instance: member.instance.clone(), incarnation: Incarnation(0) };
+        let last = Source { incarnation: Incarnation(u64::MAX), ..first.clone() };
+        let of_instance = self.reports.range(first..=last).rev().map(|(_, report)| report);
+        of_instance.into_iter().find(|report| report.generation >= member.incarnation)
     }
 
     /// Returns the newest report of each process.
--- a/crates/sycamore-moves/src/evidence/mod.rs
+++ b/crates/sycamore-moves/src/evidence/mod.rs
@@ -14,7 +14,7 @@
 pub use collector::{Collector, CollectorOptions};
 pub use counts::{CallerCounts, Cell, Counts, Totals, CALLER_BUCKETS, MAX_CELLS};
 pub use histogram::{Histogram, BUCKETS, BUCKETS_PER_OCTAVE};
-pub use ledger::{Baselines, Ledger, Source};
+pub use ledger::{Baselines, Ledger, Merged, Source};
 
 use sycamore_types::prelude::*;
 
--- a/crates/sycamore-moves/tests/evidence.rs
+++ b/crates/sycamore-moves/tests/evidence.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 use support::id;
 use sycamore_moves::evidence::{
-    decode, encode, Collector, CollectorOptions, Histogram, Ledger, Report, CALLER_BUCKETS,
+    decode, encode, Cell, Collector, CollectorOptions, Counts, Histogram, Ledger, Report, Source,
+    CALLER_BUCKETS, MAX_CELLS,
 };
 use sycamore_types::prelude::*;
 
@@ -160,3 +161,45 @@
             && sum.since(&a.0.totals).crashes == b.0.totals.crashes
     }
 }
+
+/// Report of the process `n{process}` with the counters of `routes` routes.
+fn report_of(process: usize, routes: usize, seq: u64) -> Report {
+    let mut report = support::report("m", &format!("n{process}"), "2", seq, 0, 0);
+    let cells = (0..routes).map(|route| Cell { route: id(&format!("r{route}")), band: 0 });
+    report.totals.cells =
+        cells.map(|cell| (cell, Counts { ok: seq, ..Counts::default() })).collect();
+    report
+}
+
+fn source(process: usize) -> Source {
+    Source { instance: id(&format!("n{process}")), incarnation: Incarnation(1) }
+}
+
+/// A process without a report never confirms, so the move of a large service is never done.
+#[test]
+fn every_process_of_the_largest_fleet_has_its_report() {
+    let mut ledger = Ledger::default();
+    for process in 0..4_096 {
+        ledger.merge(Report { confirmed: true, ..report_of(process, 4, 1) });
+    }
+    let missing = (0..4_096).filter(|process| ledger.report_of(&source(*process)).is_none());
+    assert_eq!(missing.count(), 0, "processes without a report");
+    assert_eq!(ledger.totals(&id("2")).answered(), 4 * 4_096);
+}
+
+/// Reports with as many routes as they may have must not fill a merging node's memory, and a process
+/// whose routes have no room left must still be able to confirm.
+#[test]
+fn the_routes_of_all_reports_are_bounded_but_not_the_processes() {
+    let mut ledger = Ledger::default();
+    for process in 0..1_024 {
+        ledger.merge(report_of(process, MAX_CELLS, 1));
+    }
+    for process in 0..1_024 {
+        ledger.merge(Report { confirmed: true, ..report_of(process, MAX_CELLS, 2) });
+    }
+    let cells: usize = ledger.reports().map(|report| report.totals.cells.len()).sum();
+    assert_eq!(cells, 256 * MAX_CELLS);
+    assert!((0..1_024).all(|process| ledger.report(&source(process)).expect("kept").confirmed));
+    assert_eq!(ledger.totals(&id("2")).answered(), 2 * cells as u64, "of the newest reports");
+}
--- a/crates/sycamore-node/src/moves/evidence.rs
+++ b/crates/sycamore-node/src/moves/evidence.rs
@@ -4,6 +4,7 @@
 use super::state::{Entry, State};
 use bytes::Bytes;
 use futures::StreamExt;
+use slog::warn;
 use std::rc::Rc;
 use std::time::Duration;
 use sycamore_moves::control::Input;
@@ -163,8 +164,32 @@
     let now = state.now();
     let mv = report.mv.clone();
     let actions = match state.moves.borrow_mut().get_mut(&mv) {
-        Some(entry) => entry.control.step(now, Input::Report(Box::new(report))),
+        Some(entry) => {
+            let instance = report.instance.clone();
+            let actions = entry.control.step(now, Input::Report(Box::new(report)));
+            log_cut_reports(state, &mv, entry, &instance);
+            actions
+        }
         None => Vec::new(),
     };
     super::act::execute(state, actions.into_iter().map(|action| (mv.clone(), action)).collect());
 }
+
+/// Logs that reports of a move exceed this node's limits, if their number has doubled since the
+/// latest line.
+fn log_cut_reports(state: &State, mv: &MoveId, entry: &mut Entry, instance: &InstanceId) {
+    let reports = entry.control.cut_reports();
+    if has_doubled(reports, &mut entry.cut_logged) {
+        warn!(state.hub.log, "evidence report exceeds limits"; "move" => %mv, "from" => %instance,
+            "reports" => reports);
+    }
+}
+
+/// Returns whether `count` is at least twice the one that was `logged`, and replaces that.
+fn has_doubled(count: u64, logged: &mut u64) -> bool {
+    let doubled = count > 0 && count >= logged.saturating_mul(2);
+    if doubled {
+        *logged = count;
+    }
+    doubled
+}
--- a/crates/sycamore-node/src/moves/state.rs
+++ b/crates/sycamore-node/src/moves/state.rs
@@ -34,6 +34,8 @@
     pub recorded: Option<(Phase, Share)>,
     /// Whether an outcome is being written to the table.
     pub ending: bool,
+    /// Number of reports beyond this node's limits at the latest line about them.
+    pub cut_logged: u64,
 }
 
 /// State shared by the tasks of the moves subsystem.
@@ -116,8 +118,14 @@
         for fact in self.hub.facts.known().values() {
             control.step(now, sycamore_moves::control::Input::Fact(fact.clone()));
         }
-        let entry =
-            Entry { control, collector: None, sent: Time(0), recorded: None, ending: false };
+        let entry = Entry {
+            control,
+            collector: None,
+            sent: Time(0),
+            recorded: None,
+            ending: false,
+            cut_logged: 0,
+        };
         moves.insert(mv, entry);
         evict_excess(&mut moves);
         true
