fix(moves): say which calls the evidence of a move leaves out

A node counts the calls of a move by at most 96 pairs of route and load. Calls of later routes count by caller only, and nothing said so: a version that is bad on such a route alone may be taken as good.

The calls are now numbered, and a line gives their number, again whenever it has doubled. The limit itself stays: it follows from the 32 KiB of a report, in which 96 cells with long names and wide histograms are about what fits, and nodes of older builds reject reports with more. Counting all later routes as one was left for a change of its own, as the verdict compares the versions route by route and each process would put other routes into the rest.

The test failed without the count: "left: (96, 0) right: (96, 3)".

--- a/crates/sycamore-moves/src/evidence/collector.rs
+++ b/crates/sycamore-moves/src/evidence/collector.rs
@@ -37,6 +37,8 @@
     /// Outcomes of the current period, whose load band is not known yet.
     pending: Vec<CallOutcome>,
     broken: BrokenCalls,
+    /// Number of outcomes that were counted by caller only, as there was no cell left for them.
+    without_cell: u64,
     /// Whether anything changed since the last report.
     changed: bool,
 }
@@ -88,6 +90,7 @@
             band: 0,
             pending: Vec::new(),
             broken: BrokenCalls::default(),
+            without_cell: 0,
             changed: true,
         }
     }
@@ -125,6 +128,12 @@
         self.changed = true;
     }
 
+    /// Returns the number of outcomes that count by caller only, as their routes and loads exceed
+    /// [`MAX_CELLS`].
+    pub fn without_cell(&self) -> u64 {
+        self.without_cell
+    }
+
     /// Sets the incarnation under which membership knows the process; a lower one is ignored.
     pub fn update_generation(&mut self, generation: Incarnation) {
         if generation > self.report.generation {
@@ -181,6 +190,8 @@
         let cells = &mut self.report.totals.cells;
         if cells.len() < MAX_CELLS || cells.contains_key(&cell) {
             cells.entry(cell).or_default().record(outcome);
+        } else {
+            self.without_cell += 1;
         }
     }
 }
--- a/crates/sycamore-moves/tests/evidence.rs
+++ b/crates/sycamore-moves/tests/evidence.rs
@@ -203,3 +203,17 @@
     assert!((0..1_024).all(|process| ledger.report(&source(process)).expect("kept").confirmed));
     assert_eq!(ledger.totals(&id("2")).answered(), 2 * cells as u64, "of the newest reports");
 }
+
+/// Calls of routes beyond the limit must not vanish: nothing would tell that a version's evidence
+/// lacks them.
+#[test]
+fn calls_of_routes_beyond_the_limit_are_numbered() {
+    let mut collector = collector();
+    for route in 0..MAX_CELLS + 3 {
+        let route = id(&format!("r{route}"));
+        collector.record(Time(0), &CallOutcome { route, ..call(OutcomeKind::Ok, false) });
+    }
+    let totals = collector.report(Time(1), false).expect("changed").totals;
+    assert_eq!((totals.cells.len(), collector.without_cell()), (MAX_CELLS, 3));
+    assert_eq!(totals.callers[5].calls, MAX_CELLS as u64 + 3, "by caller");
+}
--- a/crates/sycamore-node/src/moves/evidence.rs
+++ b/crates/sycamore-node/src/moves/evidence.rs
@@ -105,7 +105,14 @@
     let generation = state.me()?.incarnation;
     let collector = collector(state, entry)?;
     collector.update_generation(generation);
-    collector.report(now, confirmed).or_else(|| silent.then(|| collector.repeat()))
+    let report = collector.report(now, confirmed).or_else(|| silent.then(|| collector.repeat()));
+    let without_cell = collector.without_cell();
+    if has_doubled(without_cell, &mut entry.without_cell_logged) {
+        let mv = &entry.control.row().0.spec.mv;
+        warn!(state.hub.log, "calls exceed limits of evidence"; "move" => %mv,
+            "calls" => without_cell);
+    }
+    report
 }
 
 fn send_to(state: &Rc<State>, mv: &MoveId, merger: InstanceId, report: &Report) {
--- a/crates/sycamore-node/src/moves/state.rs
+++ b/crates/sycamore-node/src/moves/state.rs
@@ -34,6 +34,8 @@
     pub recorded: Option<(Phase, Share)>,
     /// Whether an outcome is being written to the table.
     pub ending: bool,
+    /// Number of calls beyond the evidence's limits at the latest line about them.
+    pub without_cell_logged: u64,
     /// Number of reports beyond this node's limits at the latest line about them.
     pub cut_logged: u64,
 }
@@ -124,6 +126,7 @@
             sent: Time(0),
             recorded: None,
             ending: false,
+            without_cell_logged: 0,
             cut_logged: 0,
         };
         moves.insert(mv, entry);
