fix(calls): keep spent retry budgets with more than 1,024 services

A node kept the retry budgets of 1,024 services, and forgot all of them when it called one more. A new budget holds one retry, so with more services in use every budget got its retry back again and again, however many had been spent; saved ones were lost. A configuration may have 32,768 entries.

The configuration bounds the budgets now: those of its services are kept, and those of removed ones until there are more than 1,024, which is looked at when a configuration comes into force. Forgetting a service as soon as it is removed was ruled out, since one that is removed and added again would get a retry. The map moves to sycamore-call, without I/O.

With the previous rule in it the tests failed: 5,000 services had 5,000 retries beyond their budgets, and a removed service had its retry back.

--- a/crates/sycamore-call/src/lib.rs
+++ b/crates/sycamore-call/src/lib.rs
@@ -19,5 +19,5 @@
 pub use key::{KeyDecision, KeyHash, KeyTable, KeyTableConfig, Ownership, OwnershipStatus};
 pub use load::Load;
 pub use quarantine::{CrashLog, CrashLogConfig};
-pub use retry::{AttemptFailure, RetryBudget, RetryConfig, RetryDecision};
+pub use retry::{AttemptFailure, RetryBudget, RetryBudgets, RetryConfig, RetryDecision};
 pub use route::{Choice, Pick, Router, RouterConfig};
--- a/crates/sycamore-call/src/retry/mod.rs
+++ b/crates/sycamore-call/src/retry/mod.rs
@@ -5,6 +5,10 @@
 //! node below and is final for the nodes above, and an attempt that is itself a retry is not
 //! retried by the nodes below.
 
+mod budgets;
+
+pub use budgets::RetryBudgets;
+
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::time::Duration;
--- a/crates/sycamore-call/tests/decisions/retry.rs
+++ b/crates/sycamore-call/tests/decisions/retry.rs
@@ -2,7 +2,7 @@
 
 use super::common::ms;
 use sycamore_call::retry::CallState;
-use sycamore_call::{AttemptFailure, RetryBudget, RetryConfig, RetryDecision};
+use sycamore_call::{AttemptFailure, RetryBudget, RetryBudgets, RetryConfig, RetryDecision};
 use sycamore_types::prelude::*;
 
 const CALL: CallState = CallState {
@@ -131,3 +131,48 @@
     let shed = AttemptFailure::NotRun(RefusalReason::Shed);
     assert_eq!(budget.decide(&call, shed), RetryDecision::GiveUp, "it reached an upstream");
 }
+
+fn services(prefix: &str, count: usize) -> Vec<ServiceName> {
+    (0..count).map(|i| ServiceName::new(format!("{prefix}{i}")).expect("valid")).collect()
+}
+
+/// Makes one call to `service` that is retried if its budget allows it; returns whether it was.
+fn is_retried(budgets: &mut RetryBudgets, service: &ServiceName) -> bool {
+    let budget = budgets.of(service, RetryConfig::default(), 3);
+    budget.first_attempt();
+    let call = CallState { idempotent: true, ..CALL };
+    matches!(budget.decide(&call, BROKEN), RetryDecision::Retry(_))
+}
+
+/// Guards against budgets without effect in a large configuration: a service whose budget is
+/// forgotten has a retry again.
+#[test]
+fn a_spent_budget_stays_spent_while_many_services_are_called() {
+    let mut budgets = RetryBudgets::default();
+    let services = services("s", 5_000);
+    let first = services.iter().filter(|service| is_retried(&mut budgets, service)).count();
+    assert_eq!(first, services.len(), "every budget has one retry");
+    budgets.remove_unconfigured(|service| services.contains(service));
+    let again = services.iter().filter(|service| is_retried(&mut budgets, service)).count();
+    assert_eq!(again, 0, "retries beyond the budgets");
+}
+
+/// Guards against budgets that fill the memory while configurations replace their services, and
+/// against a service that is removed and added again in order to get a retry.
+#[test]
+fn budgets_of_removed_services_are_bounded() {
+    let mut budgets = RetryBudgets::default();
+    let kept = services("kept", 2_000);
+    let removed = services("removed", 1_000);
+    for service in kept.iter().chain(&removed) {
+        is_retried(&mut budgets, service);
+    }
+    budgets.remove_unconfigured(|service| kept.contains(service));
+    assert!(!is_retried(&mut budgets, &removed[0]), "removed a moment ago");
+    for service in services("more", 1_000) {
+        is_retried(&mut budgets, &service);
+    }
+    budgets.remove_unconfigured(|service| kept.contains(service));
+    assert_eq!(budgets.len(), kept.len());
+    assert!(!kept.iter().any(|service| is_retried(&mut budgets, service)), "kept");
+}
--- a/crates/sycamore-node/src/calls/state.rs
+++ b/crates/sycamore-node/src/calls/state.rs
@@ -22,14 +22,11 @@
 use sycamore_call::route::VersionBans;
 use sycamore_call::{
     Admission, AdmissionConfig, CrashLog, CrashLogConfig, Gate, KeyTable, KeyTableConfig,
-    LimitPolicy, Ownership, RetryBudget, RetryConfig, Router, RouterConfig,
+    LimitPolicy, Ownership, RetryBudget, RetryBudgets, RetryConfig, Router, RouterConfig,
 };
 use sycamore_types::prelude::*;
 use tokio::sync::Notify;
 
-/// Maximum number of services with their own retry budget; the configuration also bounds the
-/// number of services.
-const MAX_RETRY_BUDGETS: usize = 1_024;
 /// Maximum number of routes for which the longest timeout of callers is remembered.
 const MAX_TRACKED_ROUTES: usize = 4_096;
 /// Maximum number of idle connections kept to one upstream.
@@ -90,7 +87,7 @@
     pub(super) bodies: BodyMemory,
     pub(super) metrics: Metrics,
     pub(super) call_log: CallLog,
-    retry_budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    pub(super) retry_budgets: RefCell<RetryBudgets>,
     /// Longest timeout that callers of each route have sent.
     longest_timeouts: RefCell<HashMap<RouteName, Duration>>,
     rng: RefCell<SmallRng>,
@@ -186,21 +183,13 @@
         policy: &RetryPolicy,
         use_budget: impl FnOnce(&mut RetryBudget) -> T,
     ) -> T {
-        let mut budgets = self.retry_budgets.borrow_mut();
-        if budgets.len() >= MAX_RETRY_BUDGETS && !budgets.contains_key(service) {
-            budgets.clear();
-        }
         let free_reroutes = self.hub.settings.calls.free_reroutes;
         let mut config = RetryConfig { free_reroutes, ..RetryConfig::from(policy) };
         if let Some(fleet) = self.hub.settings.calls.fleet_retries_saved {
             config = config.shared_by(fleet, self.hub.members.borrow().members.len());
         }
         let seed = self.rng.borrow_mut().random();
-        let budget = budgets
-            .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(config.clone(), seed));
-        budget.configure(config);
-        use_budget(budget)
+        use_budget(self.retry_budgets.borrow_mut().of(service, config, seed))
     }
 }
 
--- a/crates/sycamore-node/src/calls/watch.rs
+++ b/crates/sycamore-node/src/calls/watch.rs
@@ -26,7 +26,7 @@
     tasks.spawn_until_stop(watch(hub.shares.subscribe(), state.clone(), update_gate));
     tasks.spawn_until_stop(watch(hub.facts.subscribe(), state.clone(), apply_facts));
     tasks.spawn_until_stop(watch(hub.upstream.subscribe(), state.clone(), apply_upstream));
-    tasks.spawn_until_stop(watch(hub.snapshot.subscribe(), state.clone(), apply_limits));
+    tasks.spawn_until_stop(watch(hub.snapshot.subscribe(), state.clone(), apply_services));
     tasks.spawn_until_stop(slot::expire_waits(state.clone()));
     tasks.spawn_until_stop(crash::raise_facts_on_crash(state.clone()));
     tasks.spawn_until_stop(introduce::run(state.clone()));
@@ -122,9 +122,11 @@
     update_gate(state);
 }
 
-fn apply_limits(state: &State) {
+fn apply_services(state: &State) {
     let snapshot = state.hub.snapshot.borrow().clone();
     if let Some(service) = snapshot.services.get(&state.hub.settings.node.service) {
         state.admission.borrow_mut().configure(&service.limits);
     }
+    let is_configured = |service: &ServiceName| snapshot.services.contains_key(service);
+    state.retry_budgets.borrow_mut().remove_unconfigured(is_configured);
 }
