fix(http): accept every field of a head within its bytes

A caller whose request had many fields was answered 431, for good, though its head was well within the limit of bytes, the only one that callers are told of. The parser of monoio-http takes 96 fields; the node that a call is relayed to refused it sooner, as nodes add fields of their own. Answers of upstreams with more fields could not be read either.

A head with more fields is now decoded in parts of 96, after the same checks of its size and line ends; heads with fewer take the same way as before. The bytes bound the fields. One bound is left, of 24,000 names: a map of fields panics when it is full (by its documentation), and the fields that nodes add need room; it matters only where an operator allows heads of 170 KB or more. A parser of our own was ruled out, since strictness would then be kept in two places.

The test that expected 431 for 200 small fields stated the fault. In its place, as many small fields as exceed the bytes are refused with 431, and names beyond the map's capacity are, while every field below that is read; a fault is found wherever it stands.

Before, the tests failed: "TooManyFields" for 97 fields, "TooManyFields" instead of "ManyLengths" behind the 96th, and a relayed call with 200 fields got 431 instead of 200.

--- a/crates/sycamore-http/src/wire/error.rs
+++ b/crates/sycamore-http/src/wire/error.rs
@@ -8,7 +8,7 @@
 pub enum HeadError {
     /// The head has more bytes than [`HeadLimits::bytes`](super::HeadLimits::bytes).
     TooLarge,
-    /// The head has more fields than the parser accepts.
+    /// The head has more field names than a [`HeaderMap`](http::HeaderMap) has room for.
     TooManyFields,
     /// The head does not follow the syntax of HTTP/1.1.
     Malformed,
--- a/crates/sycamore-http/src/wire/head.rs
+++ b/crates/sycamore-http/src/wire/head.rs
@@ -3,12 +3,12 @@
 //! The decoder of `monoio-http` accepts bare line feeds and heads of any size. The checks here
 //! reject both before the decoder gets the bytes.
 
+use super::decode::{decode, HeadSize};
 use super::error::HeadError;
 use super::framing::Framing;
 use bytes::{Buf, BufMut, BytesMut};
 use http::{header, HeaderMap, Version};
-use monoio_codec::{Decoded, Decoder};
-use monoio_http::h1::codec::decoder::{DecodeError, RequestHeadDecoder, ResponseHeadDecoder};
+use monoio_http::h1::codec::decoder::{RequestHeadDecoder, ResponseHeadDecoder};
 
 /// Method, target, version and header fields of a request.
 pub type RequestHead = http::request::Parts;
@@ -48,10 +48,8 @@
     while buf.starts_with(b"\r\n") {
         buf.advance(2);
     }
-    if !is_complete(buf, limits)? {
-        return Ok(None);
-    }
-    let head = decode(RequestHeadDecoder, buf)?;
+    let Some(size) = complete_size(buf, limits)? else { return Ok(None) };
+    let head = decode(RequestHeadDecoder, buf, size, |head| &mut head.headers)?;
     if !matches!(head.version, Version::HTTP_10 | Version::HTTP_11) {
         return Err(HeadError::Version);
     }
@@ -77,64 +75,44 @@
     if buf.iter().zip(RESPONSE_START).any(|(byte, expected)| byte != expected) {
         return Err(HeadError::Malformed);
     }
-    if !is_complete(buf, limits)? {
-        return Ok(None);
-    }
-    decode(ResponseHeadDecoder, buf).map(Some)
+    let Some(size) = complete_size(buf, limits)? else { return Ok(None) };
+    decode(ResponseHeadDecoder, buf, size, |head| &mut head.headers).map(Some)
 }
 
 /// First bytes of every response.
 const RESPONSE_START: &[u8] = b"HTTP/1.";
 
-/// Returns whether `buf` holds a complete head, and checks the size and the line ends of the head.
-fn is_complete(buf: &[u8], limits: &HeadLimits) -> Result<bool, HeadError> {
+/// Returns the size of the head in `buf`, whose size and line ends are checked; `None` if the head
+/// is incomplete.
+fn complete_size(buf: &[u8], limits: &HeadLimits) -> Result<Option<HeadSize>, HeadError> {
     let Some(at) = buf.windows(HEAD_END.len()).position(|window| window == HEAD_END) else {
         if buf.len() >= limits.bytes {
             return Err(HeadError::TooLarge);
         }
-        return Ok(false);
+        return Ok(None);
     };
     let end = at + HEAD_END.len();
     if end > limits.bytes {
         return Err(HeadError::TooLarge);
     }
-    check_line_ends(&buf[..end])?;
-    Ok(true)
+    let lines = count_lines(&buf[..end])?;
+    Ok(Some(HeadSize { bytes: end, lines }))
 }
 
-/// Checks that every LF follows a CR and every CR precedes an LF. The decoder takes a bare LF as a
-/// line end, but other parsers don't, so that the two could see different requests.
-fn check_line_ends(head: &[u8]) -> Result<(), HeadError> {
+/// Returns the number of lines of a head after checking that every LF follows a CR and every CR
+/// precedes an LF. The decoder takes a bare LF as a line end, but other parsers don't, so that the
+/// two could see different requests.
+fn count_lines(head: &[u8]) -> Result<usize, HeadError> {
+    let mut lines = 0;
     let mut before = 0;
     for &byte in head {
         if (byte == b'\n') != (before == b'\r') {
             return Err(HeadError::Malformed);
         }
+        lines += usize::from(byte == b'\n');
         before = byte;
     }
-    Ok(())
-}
-
-fn decode<D: Decoder<Error = DecodeError>>(
-    mut decoder: D,
-    buf: &mut BytesMut,
-) -> Result<D::Item, HeadError> {
-    match decoder.decode(buf) {
-        Ok(Decoded::Some(head)) => Ok(head),
-        Ok(Decoded::Insufficient | Decoded::InsufficientAtLeast(_)) => Err(HeadError::Malformed),
-        Err(DecodeError::Parse(err)) => Err(parse_error(&err.to_string())),
-        Err(_) => Err(HeadError::Malformed),
-    }
-}
-
-/// Maps the text of a parser error to the two kinds that are answered with a status other than 400.
-/// `monoio-http` does not export the parser's error type, so only the text distinguishes them.
-fn parse_error(text: &str) -> HeadError {
-    match text {
-        "too many headers" => HeadError::TooManyFields,
-        "invalid HTTP version" => HeadError::Version,
-        _ => HeadError::Malformed,
-    }
+    Ok(lines)
 }
 
 /// Appends a request head to `out` with the header fields of `framing`.
--- a/crates/sycamore-http/src/wire/mod.rs
+++ b/crates/sycamore-http/src/wire/mod.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod chunk;
+mod decode;
 mod error;
 mod framing;
 mod head;
--- a/crates/sycamore-node/tests/calls/path.rs
+++ b/crates/sycamore-node/tests/calls/path.rs
@@ -132,3 +132,22 @@
         cluster.stop().await;
     });
 }
+
+/// Callers are told of a limit in bytes alone: a call with many small fields must not be refused,
+/// at the node that takes it or at the one that it is relayed to.
+#[test]
+fn calls_with_many_fields_are_relayed() {
+    run(async {
+        let cluster = Cluster::start(&Options::default()).await;
+        for _ in 0..10 {
+            let fields = (0..200).map(|i| format!("x-field-{i}"));
+            let req = fields.fold(get("/counter/echo"), |req, name| req.header(name, "1"));
+            assert_eq!(cluster.call(req, "").await.status(), StatusCode::OK);
+        }
+        assert!(
+            cluster.nodes.iter().all(|node| node.upstream.runs("echo") > 0),
+            "one is relayed to"
+        );
+        cluster.stop().await;
+    });
+}
