test(moves): a move of a service of 300 instances is done

A merging node that keeps 256 reports waits for the other confirmations for ever. With that limit put back in a trial the test failed: the node asked for nothing ("[]"), where the check before the end was expected.

--- a/crates/sycamore-moves/tests/mergers.rs
+++ b/crates/sycamore-moves/tests/mergers.rs
@@ -177,3 +177,35 @@
     node.control.step(at(81_000), later(row(), 3));
     assert_eq!(node.control.row().1, 1 << 40 | 1);
 }
+
+/// Returns what the merging node `me` asks for once all 300 instances of the new version have
+/// confirmed the watch period.
+fn actions_of_large_service(me: InstanceId) -> (Vec<InstanceId>, Vec<Action>) {
+    let mut control = MoveControl::new(me, row(), 1, ControlOptions::default(), at(0).time);
+    let names: Vec<String> = (0..300).map(|i| format!("new{i}")).collect();
+    let mut live: Vec<Peer> = names.iter().map(|name| peer(name, "2")).collect();
+    live.push(peer("old", "1"));
+    control.step(at(0), Input::Peers { live, regions: BTreeSet::from([id("west")]) });
+    for step in 0..2 {
+        let stamp = Stamp { wall: at(130_000).wall, logical: 0 };
+        let until = at(600_000).wall;
+        control
+            .step(at(130_000), Input::Fact(Fact::Cleared { by: id("m"), step, at: stamp, until }));
+    }
+    let mut actions = Vec::new();
+    for name in &names {
+        let mut report = report("m", name, "2", 1, 10, 0);
+        report.confirmed = true;
+        actions = control.step(at(131_000), Input::Report(Box::new(report)));
+    }
+    (control.mergers().into_iter().cloned().collect(), actions)
+}
+
+/// A merging node that keeps the reports of a part of the processes alone waits for the others'
+/// confirmations for ever, and a good move of a large service is never done.
+#[test]
+fn a_move_of_300_instances_is_done() {
+    let (mergers, _) = actions_of_large_service(id("new0"));
+    let (_, actions) = actions_of_large_service(mergers[0].clone());
+    assert!(matches!(actions[..], [Action::ReadRegistry]), "{actions:?}");
+}
