fix(config): bound the time without bytes of a fetch, not the fetch

Callers would see an old version of the configuration, 404s for routes that were added among it, at a node whose link leaves little beside uploads: a difference that took longer than `fetch_timeout` (500 ms) was given up and started anew at another peer, again and again.

Cause: a fixed time of ours for the whole fetch, shorter than what the link needs. The client's call timeout of 2 s was a second one behind it.

`Apply` now decides on the limits of each fetch: the time without bytes from the peer, at first `fetch_timeout`, and 5 s for the whole. The client counts bytes of all calls on the connection as progress. Where two fetches of a version timed out, the first limit doubles with each further one, up to 2 s, as the way to the node is then slow rather than a peer dead; one or two silent peers cost what they did. `limit_ms` is logged with each fetch.

Weighed and not built: a second fetch beside a slow one and late answers of fetches given up, as both take the rest of a full link.

Tests. a_node_behind_a_busy_link_applies_a_growth_in_time, on the code before: "version 2 of 2217 entries is not in force on 10 of 196 nodes 2.5s after its acknowledgement; {"version 2: fetch timed out": 40, "version 2: fetch without an answer": 1}"; it got a second version since, and failed in that form with the limit on the whole (30 timed out). a_fetch_over_a_slow_link_is_waited_for, on the code before: "the test ends in time: Elapsed(())", after `result=timeout took_ms=501` and three answers of the object store without the pack. The tests of the new interfaces can't run on the code before. With the limit on the whole in the client, a_fetch_lasts_while_bytes_arrive and a_fetch_that_hardly_moves_ends fail ("gave up after 746.155125ms"); without the growth a_node_far_from_its_peers_applies_a_version_in_time ("in force after None and 43 fetches"); with growth from the first timeout on dead_peers_are_left_after_the_first_limit ("in force after 1.594725s with 2 dead peers, allowed 1.18s"); without a bound limits_of_fetches_are_bounded (32 s, 2 s expected); with refusals counted refused_fetches_leave_the_limit.

Changes to existing tests: the fleet of `growth` obeys the limits of the action in place of a constant of 500 ms for the whole, and has links of different rates; its bounds are as before. Calls of `Peers::fetch` name limits, and patterns of `Action::Fetch` skip the new field.

--- a/crates/sycamore-config/src/apply/candidate.rs
+++ b/crates/sycamore-config/src/apply/candidate.rs
@@ -33,6 +33,8 @@
     failures: u32,
     /// Number of [`super::FetchAnswer::Absent`] answers so far.
     absent_answers: u32,
+    /// Number of [`super::FetchAnswer::TimedOut`] answers so far.
+    timeouts: u32,
 }
 
 impl Candidate {
@@ -57,6 +59,7 @@
             due,
             failures,
             absent_answers: 0,
+            timeouts: 0,
         }
     }
 
@@ -87,6 +90,20 @@
         self.absent_answers >= settings.max_absent
     }
 
+    /// Counts a fetch that timed out, for the limits of the next ones.
+    pub(super) fn record_timeout(&mut self) {
+        self.timeouts = self.timeouts.saturating_add(1);
+    }
+
+    /// Returns the limits of the next fetch from a peer.
+    pub(super) fn fetch_limit(&self, settings: &ApplySettings) -> FetchLimit {
+        let doublings = self.timeouts.saturating_sub(1);
+        let factor = 1_u32.checked_shl(doublings).unwrap_or(u32::MAX);
+        let max = settings.max_fetch_timeout.max(settings.fetch_timeout);
+        let silence = settings.fetch_timeout.saturating_mul(factor).min(max);
+        FetchLimit { silence, whole: settings.max_fetch_time.max(silence) }
+    }
+
     /// Lets the first fetch start at `due` if it would start later.
     pub(super) fn hasten(&mut self, due: Time) {
         if !self.fetching && self.failures == 0 {
--- a/crates/sycamore-config/src/apply/machine.rs
+++ b/crates/sycamore-config/src/apply/machine.rs
@@ -281,6 +281,10 @@
             FetchAnswer::Absent if candidate.record_absent(&self.settings) => {
                 Err(RejectReason::Absent)
             }
+            FetchAnswer::TimedOut => {
+                candidate.record_timeout();
+                Ok(false)
+            }
             FetchAnswer::Absent | FetchAnswer::Failed => Ok(false),
         };
         match added {
@@ -385,7 +389,8 @@
             hashes.truncate(self.settings.fetch_resources);
             candidate.fetching = true;
             let (head, source) = (candidate.head, candidate.next_source(&self.settings));
-            actions.push(Action::Fetch { head, source, hashes });
+            let limit = candidate.fetch_limit(&self.settings);
+            actions.push(Action::Fetch { head, source, hashes, limit });
         }
     }
 }
--- a/crates/sycamore-config/src/apply/mod.rs
+++ b/crates/sycamore-config/src/apply/mod.rs
@@ -42,6 +42,14 @@
     pub max_bytes: usize,
     /// Delays between a failed fetch and the next one.
     pub backoff: BackoffSettings,
+    /// Time without bytes from a peer after which a fetch is given up. It doubles with each further
+    /// fetch of a candidate that timed out, from the second on: a single silent peer is dead rather
+    /// than slow, several are silent because the way to this node is.
+    pub fetch_timeout: Duration,
+    /// Upper bound on the time without bytes from a peer; no bound below `fetch_timeout`.
+    pub max_fetch_timeout: Duration,
+    /// Time of a whole fetch from a peer after which it is given up while bytes still arrive.
+    pub max_fetch_time: Duration,
     /// Time after learning of a newer version until peers are asked for a delta. Where the usual
     /// ways work, the configuration arrives before.
     pub delta_delay: Duration,
@@ -66,6 +74,9 @@
                 base: Duration::from_millis(40),
                 cap: Duration::from_secs(2),
             },
+            fetch_timeout: Duration::from_millis(500),
+            max_fetch_timeout: Duration::from_secs(2),
+            max_fetch_time: Duration::from_secs(5),
             delta_delay: Duration::from_millis(300),
             delta_interval: Duration::from_millis(200),
             max_delta_interval: Duration::from_secs(2),
@@ -104,7 +115,9 @@
     Delta(Delta),
     /// The object store has no object for the manifest's hash.
     Absent,
-    /// The fetch timed out or was refused.
+    /// The peer sent nothing for as long as the fetch's limit, or not everything in time.
+    TimedOut,
+    /// The fetch failed in another way, or was refused.
     Failed,
 }
 
@@ -155,6 +168,8 @@
         source: Source,
         /// Hashes of the missing objects; a fetch from the store returns the whole pack anyway.
         hashes: Vec<ContentHash>,
+        /// Limits of a fetch from a peer; one from the store has those of the platform's client.
+        limit: FetchLimit,
     },
     /// Ask peers by datagram for the difference from the configuration in force to theirs. The
     /// answer, if any, is an [`Input::DeltaReceived`].
--- a/crates/sycamore-node/src/config/driver.rs
+++ b/crates/sycamore-node/src/config/driver.rs
@@ -40,6 +40,8 @@
     pub(super) head: ConfigHead,
     pub(super) source: Source,
     pub(super) hashes: Vec<ContentHash>,
+    /// Limits of a fetch from a peer.
+    pub(super) limit: FetchLimit,
 }
 
 /// Configuration head that this node rejected, with the reason.
@@ -95,8 +97,12 @@
         metrics: Metrics,
     ) -> (Rc<Self>, mpsc::Receiver<Fetch>) {
         let max_bytes = usize::try_from(hub.settings.config.object_cache).unwrap_or(usize::MAX);
-        let settings =
-            ApplySettings { max_bytes, seed: rand::random(), ..ApplySettings::default() };
+        let settings = ApplySettings {
+            max_bytes,
+            fetch_timeout: hub.settings.config.fetch_timeout,
+            seed: rand::random(),
+            ..ApplySettings::default()
+        };
         let (fetches, fetches_rx) = mpsc::channel(FETCH_QUEUE);
         let driver = Rc::new(Self {
             hub: hub.clone(),
@@ -305,8 +311,8 @@
     /// known.
     fn execute(&self, action: Action, lag: Duration) {
         match action {
-            Action::Fetch { head, source, hashes } => {
-                self.queue_fetch(Fetch { head, source, hashes });
+            Action::Fetch { head, source, hashes, limit } => {
+                self.queue_fetch(Fetch { head, source, hashes, limit });
             }
             Action::RequestDelta { base } => delta::request(self, base),
             Action::Apply(snapshot) => {
--- a/crates/sycamore-node/src/config/fetch.rs
+++ b/crates/sycamore-node/src/config/fetch.rs
@@ -7,10 +7,9 @@
 use slog::info;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 use sycamore_config::manifest::object_key;
 use sycamore_config::{Apply, Delta, FetchAnswer, Input, Source};
-use sycamore_peer::{FetchRequest, Fetched};
+use sycamore_peer::{Error, FetchRequest, Fetched};
 use sycamore_platform::Objects;
 use sycamore_types::prelude::*;
 use tokio::sync::mpsc;
@@ -59,49 +58,46 @@
     // Without a known peer the object store is the only source.
     let peer = choose_peer(driver, fetch.head).filter(|_| fetch.source == Source::Peer);
     let finished = match peer {
-        Some(to) => fetch_from_peer(driver, fetch.head, to, &fetch.hashes).await,
+        Some(to) => fetch_from_peer(driver, &fetch, to).await,
         None => fetch_from_store(driver, fetch.head).await,
     };
     info!(driver.hub.log, "configuration fetch finished"; "version" => fetch.head.version.0,
         "from" => peer.map_or(Source::Store, |_| Source::Peer).as_str(),
         "source" => peer.map(|peer| peer.to_string()).unwrap_or_default(),
         "wanted" => fetch.hashes.len(), "result" => finished.result,
+        "limit_ms" => peer.map(|_| millis(fetch.limit.silence).to_string()).unwrap_or_default(),
         "took_ms" => millis(driver.hub.clock.now().since(started)));
     finished.answer
 }
 
-async fn fetch_from_peer(
-    driver: &Driver,
-    head: ConfigHead,
-    to: SocketAddr,
-    hashes: &[ContentHash],
-) -> Finished {
-    let limit: Duration = driver.hub.settings.config.fetch_timeout;
+async fn fetch_from_peer(driver: &Driver, fetch: &Fetch, to: SocketAddr) -> Finished {
     let base = Some(driver.with_state(Apply::delta_base));
-    let req = FetchRequest { hashes: hashes.to_vec(), base };
-    let fetched = monoio::time::timeout(limit, driver.peers.calls().fetch(to, &req)).await;
-    let result = match fetched {
-        Ok(Ok(Fetched::Delta(encoded))) => match Delta::decode(&encoded) {
+    let req = FetchRequest { hashes: fetch.hashes.clone(), base };
+    let fetched = driver.peers.calls().fetch(to, &req, &fetch.limit).await;
+    let (answer, result) = match fetched {
+        Ok(Fetched::Delta(encoded)) => match Delta::decode(&encoded) {
             Some(delta) => {
                 driver.metrics.count_peer_fetch();
                 let result = format!("delta:{}", encoded.len());
                 return Finished::new(FetchAnswer::Delta(delta), result);
             }
-            None => "malformed delta".to_owned(),
+            None => (FetchAnswer::Failed, "malformed delta".to_owned()),
         },
-        Ok(Ok(Fetched::Objects(objects))) if !objects.is_empty() => {
+        Ok(Fetched::Objects(objects)) if !objects.is_empty() => {
             driver.metrics.count_peer_fetch();
             let bodies: Vec<Bytes> = objects.into_iter().map(|(_, body)| body).collect();
             let result = format!("objects:{}", bodies.len());
             return Finished::new(FetchAnswer::Objects(bodies), result);
         }
-        Ok(Ok(Fetched::Objects(_))) => "none".to_owned(),
-        Ok(Err(report)) => report.current_context().to_string(),
-        Err(_) => "timeout".to_owned(),
+        Ok(Fetched::Objects(_)) => (FetchAnswer::Failed, "none".to_owned()),
+        Err(report) => match report.current_context() {
+            Error::Timeout => (FetchAnswer::TimedOut, "timeout".to_owned()),
+            error => (FetchAnswer::Failed, error.to_string()),
+        },
     };
-    driver.record_peer_miss(head);
+    driver.record_peer_miss(fetch.head);
     driver.metrics.count_peer_miss();
-    Finished::new(FetchAnswer::Failed, result)
+    Finished::new(answer, result)
 }
 
 async fn fetch_from_store(driver: &Driver, head: ConfigHead) -> Finished {
--- a/crates/sycamore-node/tests/config/main.rs
+++ b/crates/sycamore-node/tests/config/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a node that reads operators' rows: its configuration, its orders and its metrics.
 #![allow(clippy::unwrap_used, reason = "tests")]
 
+mod fetches;
 mod follower;
 mod reads;
 mod store;
--- a/crates/sycamore-peer/src/client/connection.rs
+++ b/crates/sycamore-peer/src/client/connection.rs
@@ -30,6 +30,15 @@
     send: SendRequest<Body>,
     deployment: HeaderValue,
     from: HeaderValue,
+    latest_read: Rc<Cell<Option<Instant>>>,
+}
+
+impl Channel {
+    /// Returns the record of the time at which bytes arrived last on the connection, at first that
+    /// at which it was established.
+    pub(super) fn latest_read(&self) -> Rc<Cell<Option<Instant>>> {
+        self.latest_read.clone()
+    }
 }
 
 impl tower_service::Service<http::Request<Body>> for Channel {
@@ -73,7 +82,8 @@
         stream.set_nodelay(true).change_context(Error::Connect)?;
         let stream = stream.into_poll_io().change_context(Error::Connect)?;
         counters.add_connections_out(1);
-        let io = MonoioIo::new(CountedStream::new(stream, counters, Rc::new(Cell::new(true))));
+        let latest_read = Rc::new(Cell::new(Some(Instant::now())));
+        let io = MonoioIo::new(CountedStream::new(stream, counters, latest_read.clone()));
         let (send, connection) = Builder::new(MonoioExecutor)
             .initial_stream_window_size(HTTP2_WINDOW_BYTES)
             .initial_connection_window_size(HTTP2_WINDOW_BYTES)
@@ -89,6 +99,7 @@
             send,
             deployment: header_value(deployment.as_str())?,
             from: header_value(from.as_str())?,
+            latest_read,
         };
         Ok(Self { channel, last_used: Instant::now(), driver })
     }
--- a/crates/sycamore-peer/src/client/mod.rs
+++ b/crates/sycamore-peer/src/client/mod.rs
@@ -15,6 +15,7 @@
 use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -28,7 +29,7 @@
     pub connections: usize,
     /// Longest time to connect, HTTP/2 handshake included.
     pub connect_timeout: Duration,
-    /// Longest time from sending a call to its whole answer.
+    /// Longest time from sending a call to its whole answer; a fetch has limits of its own.
     pub call_timeout: Duration,
     /// Time without a new call after which [`Peers::close_idle`] closes a connection.
     pub idle: Duration,
@@ -99,9 +100,15 @@
     /// against its hash, or a delta if the request names a base.
     ///
     /// # Errors
-    /// [`Error`] where the peer can't be reached or refuses; [`Error::Malformed`] where `req` has
-    /// more than [`MAX_FETCH_HASHES`] hashes, or a returned object doesn't match its hash.
-    pub async fn fetch(&self, to: SocketAddr, req: &FetchRequest) -> Result<Fetched> {
+    /// [`Error`] where the peer can't be reached or refuses; [`Error::Timeout`] where `limit` has
+    /// passed, connecting included; [`Error::Malformed`] where `req` has more than
+    /// [`MAX_FETCH_HASHES`] hashes, or a returned object doesn't match its hash.
+    pub async fn fetch(
+        &self,
+        to: SocketAddr,
+        req: &FetchRequest,
+        limit: &FetchLimit,
+    ) -> Result<Fetched> {
         if req.hashes.len() > MAX_FETCH_HASHES {
             return Err(malformed("more than MAX_FETCH_HASHES hashes to fetch"));
         }
@@ -110,8 +117,8 @@
             hashes: req.hashes.iter().map(bytes).collect(),
             base: req.base.as_ref().map(bytes).unwrap_or_default(),
         };
-        let reply = self.call(to, |mut client: Client| async move { client.fetch(wire).await });
-        let reply = reply.await?;
+        let call = |mut client: Client| async move { client.fetch(wire).await };
+        let reply = self.call_while_receiving(to, limit, call).await?;
         if !reply.delta.is_empty() {
             return Ok(Fetched::Delta(reply.delta));
         }
@@ -177,7 +184,8 @@
     where
         F: Future<Output = std::result::Result<tonic::Response<T>, tonic::Status>>,
     {
-        let client = self.client_for(to).await?;
+        let channel = self.channel_for(to, self.inner.options.connect_timeout).await?;
+        let client = client(to, channel)?;
         match monoio::time::timeout(self.inner.options.call_timeout, call(client)).await {
             Ok(Ok(reply)) => Ok(reply.into_inner()),
             Ok(Err(status)) => Err(self.call_error(to, &status)),
@@ -188,6 +196,39 @@
         }
     }
 
+    /// Runs `call` over a connection to `to` until `limit` has passed. Bytes of all calls on the
+    /// connection show that the peer is alive and the way from it carries something.
+    async fn call_while_receiving<T, F>(
+        &self,
+        to: SocketAddr,
+        limit: &FetchLimit,
+        call: impl FnOnce(Client) -> F,
+    ) -> Result<T>
+    where
+        F: Future<Output = std::result::Result<tonic::Response<T>, tonic::Status>>,
+    {
+        let started = Instant::now();
+        let channel = self.channel_for(to, limit.whole);
+        let channel = monoio::time::timeout(limit.silence, channel).await;
+        let channel = channel.map_err(|_| Report::new(Error::Timeout))??;
+        let latest_read = channel.latest_read();
+        let mut call = pin!(call(client(to, channel)?));
+        loop {
+            let heard = latest_read.get().map_or(started, |at| at.max(started));
+            let silence_left = limit.silence.saturating_sub(heard.elapsed());
+            let left = silence_left.min(limit.whole.saturating_sub(started.elapsed()));
+            if left.is_zero() {
+                return Err(Report::new(Error::Timeout));
+            }
+            match monoio::time::timeout(left, call.as_mut()).await {
+                Ok(Ok(reply)) => return Ok(reply.into_inner()),
+                Ok(Err(status)) => return Err(self.call_error(to, &status)),
+                // Bytes may have arrived meanwhile.
+                Err(_) => {}
+            }
+        }
+    }
+
     /// Converts a failed call's status to an error. The connection to `to` remains cached where the
     /// peer refused this one call, and is discarded on any other status.
     fn call_error(&self, to: SocketAddr, status: &tonic::Status) -> Report<Error> {
@@ -202,17 +243,13 @@
         }
     }
 
-    /// Returns a gRPC client over the cached connection to `to`, or over a new one.
-    async fn client_for(&self, to: SocketAddr) -> Result<Client> {
-        let origin: http::Uri =
-            format!("http://{to}").parse().change_context(Error::Malformed).attach("address")?;
-        let channel = match self.cached_channel(to) {
-            Some(channel) => channel,
-            None => self.connect(to).await?,
-        };
-        Ok(PeerClient::with_origin(channel, origin)
-            .max_decoding_message_size(MAX_MESSAGE_BYTES)
-            .max_encoding_message_size(MAX_MESSAGE_BYTES))
+    /// Returns the channel of the cached connection to `to`, or of a new one that is established
+    /// within `limit`.
+    async fn channel_for(&self, to: SocketAddr, limit: Duration) -> Result<Channel> {
+        match self.cached_channel(to) {
+            Some(channel) => Ok(channel),
+            None => self.connect(to, limit).await,
+        }
     }
 
     /// Returns the channel of the cached connection to `to`, and marks it as used now.
@@ -227,14 +264,13 @@
         Some(connection.channel.clone())
     }
 
-    /// Opens a connection to `to` and caches it in place of the least recently used one where the
-    /// cache is full.
-    async fn connect(&self, to: SocketAddr) -> Result<Channel> {
+    /// Opens a connection to `to` within `limit` and caches it in place of the least recently used
+    /// one where the cache is full.
+    async fn connect(&self, to: SocketAddr, limit: Duration) -> Result<Channel> {
         let inner = &self.inner;
         let open = Connection::open(to, &inner.deployment, &inner.from, inner.counters.clone());
-        let connection = monoio::time::timeout(inner.options.connect_timeout, open)
-            .await
-            .map_err(|_| Report::new(Error::Connect))??;
+        let connection =
+            monoio::time::timeout(limit, open).await.map_err(|_| Report::new(Error::Connect))??;
         let channel = connection.channel.clone();
         let mut connections = inner.connections.borrow_mut();
         if connections.len() >= inner.options.connections {
@@ -264,6 +300,15 @@
     }
 }
 
+/// Returns a gRPC client of the peer at `to` over `channel`.
+fn client(to: SocketAddr, channel: Channel) -> Result<Client> {
+    let origin: http::Uri =
+        format!("http://{to}").parse().change_context(Error::Malformed).attach("address")?;
+    Ok(PeerClient::with_origin(channel, origin)
+        .max_decoding_message_size(MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(MAX_MESSAGE_BYTES))
+}
+
 /// Returns an object of a fetch reply with its content hash.
 ///
 /// # Errors
--- a/crates/sycamore-peer/src/io.rs
+++ b/crates/sycamore-peer/src/io.rs
@@ -9,22 +9,24 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Instant;
 
-/// TCP stream that adds its traffic to the [`Counters`] and records whether bytes arrived.
+/// TCP stream that adds its traffic to the [`Counters`] and records when bytes arrived.
 pub(crate) struct CountedStream {
     stream: TcpStreamPoll,
     counters: Arc<Counters>,
-    active: Rc<Cell<bool>>,
+    latest_read: Rc<Cell<Option<Instant>>>,
 }
 
 impl CountedStream {
-    /// Wraps `stream`; every read of at least one byte sets `active`, which idle detection clears.
+    /// Wraps `stream`; every read of at least one byte sets `latest_read`, which idle detection
+    /// clears.
     pub(crate) fn new(
         stream: TcpStreamPoll,
         counters: Arc<Counters>,
-        active: Rc<Cell<bool>>,
+        latest_read: Rc<Cell<Option<Instant>>>,
     ) -> Self {
-        Self { stream, counters, active }
+        Self { stream, counters, latest_read }
     }
 }
 
@@ -39,7 +41,7 @@
         let read = buf.filled().len() - before;
         if read > 0 {
             self.counters.add_bytes_in(read as u64);
-            self.active.set(true);
+            self.latest_read.set(Some(Instant::now()));
         }
         poll
     }
--- a/crates/sycamore-peer/src/server/mod.rs
+++ b/crates/sycamore-peer/src/server/mod.rs
@@ -137,8 +137,8 @@
 ) {
     let Ok(()) = stream.set_nodelay(true) else { return };
     let Ok(stream) = stream.into_poll_io() else { return };
-    let active = Rc::new(Cell::new(true));
-    let io = MonoioIo::new(CountedStream::new(stream, counters, active.clone()));
+    let latest_read = Rc::new(Cell::new(Some(Instant::now())));
+    let io = MonoioIo::new(CountedStream::new(stream, counters, latest_read.clone()));
     let service = PeerServer::new(server)
         .max_decoding_message_size(MAX_MESSAGE_BYTES)
         .max_encoding_message_size(MAX_MESSAGE_BYTES);
@@ -154,13 +154,13 @@
     monoio::select! {
         _ = serving => {}
         () = stop => {}
-        () = wait_until_idle(&active, idle) => {}
+        () = wait_until_idle(&latest_read, idle) => {}
     }
 }
 
-/// Completes when no bytes have arrived during a whole period of `idle`; reads set `active`.
-async fn wait_until_idle(active: &Cell<bool>, idle: Duration) {
-    while active.replace(false) {
+/// Completes when no bytes have arrived during a whole period of `idle`; reads set `latest_read`.
+async fn wait_until_idle(latest_read: &Cell<Option<Instant>>, idle: Duration) {
+    while latest_read.take().is_some() {
         monoio::time::sleep(idle).await;
     }
 }
--- a/crates/sycamore-settings/src/config.rs
+++ b/crates/sycamore-settings/src/config.rs
@@ -13,7 +13,8 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Config {
-    /// Longest time of a fetch from one peer before the next source is asked.
+    /// Longest time without bytes of a fetch from a peer before the next source is asked. It doubles
+    /// where several peers in a row are silent.
     #[serde_as(as = "Span")]
     pub fetch_timeout: Duration,
     /// Memory limit of the cache of objects that peers may fetch, in bytes.
--- a/crates/sycamore-types/src/prelude.rs
+++ b/crates/sycamore-types/src/prelude.rs
@@ -7,8 +7,8 @@
 pub use crate::member::{Endpoints, Incarnation, Member, MemberState, MemberView};
 pub use crate::outcome::{CallOutcome, OutcomeKind, RefusalReason};
 pub use crate::resource::{
-    CallerLimits, ConfigHead, Limits, Repeat, Resource, RetryPolicy, Route, RoutePolicy, Service,
-    WeightedService,
+    CallerLimits, ConfigHead, FetchLimit, Limits, Repeat, Resource, RetryPolicy, Route,
+    RoutePolicy, Service, WeightedService,
 };
 pub use crate::share::{Share, ShareTable, VersionShare};
 pub use crate::snapshot::Snapshot;
--- a/crates/sycamore-types/src/resource.rs
+++ b/crates/sycamore-types/src/resource.rs
@@ -15,6 +15,15 @@
     pub manifest: ContentHash,
 }
 
+/// Limits of a fetch from a peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct FetchLimit {
+    /// Longest time without bytes from the peer, to connect included.
+    pub silence: Duration,
+    /// Longest time of the whole fetch.
+    pub whole: Duration,
+}
+
 /// Resource of a configuration.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "kebab-case", deny_unknown_fields)]
