fix(config): end fetches of versions that are no longer needed

A fetch ran on when a newer version was in force, or when more recent ones had taken its place.

A running fetch now ends, with `result=superseded`, as soon as the state machine no longer follows its head; the peer sees its call cancelled. Dropping just the answer was ruled out, as the transfer would go on.

--- a/crates/sycamore-node/src/config/driver.rs
+++ b/crates/sycamore-node/src/config/driver.rs
@@ -60,6 +60,8 @@
     pub(super) rejected: RefCell<VecDeque<Rejected>>,
     /// Wakes the task that ticks the state machine, whose next due time may have changed.
     pub(super) state_changed: Notify,
+    /// Wakes the running fetches, whose configurations may be superseded.
+    pub(super) candidates_changed: Notify,
     /// Wakes the task that serves objects to peers, as new objects may have arrived.
     pub(super) objects_changed: Notify,
     /// Whether this node watches operators' rows itself and its last read of them succeeded.
@@ -111,6 +113,7 @@
             metrics,
             rejected: RefCell::default(),
             state_changed: Notify::new(),
+            candidates_changed: Notify::new(),
             objects_changed: Notify::new(),
             watches_rows: Cell::new(false),
             watch: RefCell::new(Watch::new(watch_settings(hub), hub.clock.now())),
@@ -141,6 +144,7 @@
             self.execute(action, now.since(behind_since));
         }
         self.state_changed.notify_one();
+        self.candidates_changed.notify_waiters();
         self.objects_changed.notify_one();
     }
 
--- a/crates/sycamore-node/src/config/fetch.rs
+++ b/crates/sycamore-node/src/config/fetch.rs
@@ -57,9 +57,11 @@
     let started = driver.hub.clock.now();
     // Without a known peer the object store is the only source.
     let peer = choose_peer(driver, fetch.head).filter(|_| fetch.source == Source::Peer);
-    let finished = match peer {
-        Some(to) => fetch_from_peer(driver, &fetch, to).await,
-        None => fetch_from_store(driver, fetch.head).await,
+    let finished = monoio::select! {
+        finished = fetch_from(driver, &fetch, peer) => finished,
+        () = wait_until_superseded(driver, fetch.head) => {
+            Finished::new(FetchAnswer::Failed, "superseded")
+        }
     };
     info!(driver.hub.log, "configuration fetch finished"; "version" => fetch.head.version.0,
         "from" => peer.map_or(Source::Store, |_| Source::Peer).as_str(),
@@ -70,6 +72,25 @@
     finished.answer
 }
 
+async fn fetch_from(driver: &Driver, fetch: &Fetch, peer: Option<SocketAddr>) -> Finished {
+    match peer {
+        Some(to) => fetch_from_peer(driver, fetch, to).await,
+        None => fetch_from_store(driver, fetch.head).await,
+    }
+}
+
+/// Waits until the configuration of `head` is no longer being fetched, for example because a newer
+/// one is in force.
+async fn wait_until_superseded(driver: &Driver, head: ConfigHead) {
+    loop {
+        let changed = driver.candidates_changed.notified();
+        if !driver.with_state(|apply| apply.is_fetching(&head.manifest)) {
+            return;
+        }
+        changed.await;
+    }
+}
+
 async fn fetch_from_peer(driver: &Driver, fetch: &Fetch, to: SocketAddr) -> Finished {
     let base = Some(driver.with_state(Apply::delta_base));
     let req = FetchRequest { hashes: fetch.hashes.clone(), base };
--- a/crates/sycamore-node/tests/config/fetches.rs
+++ b/crates/sycamore-node/tests/config/fetches.rs
@@ -1,6 +1,6 @@
 //! Fetches of configurations from peers.
 
-use super::{resources, run, Node};
+use super::{resources, run, run_on, ConfigSettings, Node, Store};
 use futures::future::pending;
 use futures::StreamExt;
 use monoio::io::{AsyncReadRent, AsyncWriteRentExt, Splitable};
@@ -12,6 +12,10 @@
 use sycamore_peer::{serve, Fetched, Inbox, Server, ServerOptions};
 use sycamore_types::prelude::*;
 
+/// Time within which a fetch that serves no purpose must have ended; below [`FETCH_TIMEOUT`].
+const END_WITHIN: Duration = Duration::from_secs(5);
+const FETCH_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// Starts a peer of `node` that answers nothing by itself.
 fn start_peer(node: &Node) -> (SocketAddr, Inbox) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -80,3 +84,24 @@
         node.wait_for("config_version", 5).await;
     });
 }
+
+/// Guards against fetches of superseded versions that go on, which take the link and the workers
+/// from the fetch of the newest one.
+#[test]
+fn a_fetch_ends_when_a_newer_version_is_in_force() {
+    let settings = ConfigSettings { fetch_timeout: FETCH_TIMEOUT, ..ConfigSettings::default() };
+    run_on(Store::default(), settings, async |node| {
+        node.write_row(2, 3);
+        node.wait_for("config_version", 2).await;
+        let (address, mut inbox) = start_peer(node);
+        let head = ConfigHead { version: ConfigVersion(5), manifest: ContentHash::of(b"five") };
+        node.hub.facts.learn_from(Fact::Head(head), address);
+        let mut call = inbox.fetch.next().await.unwrap();
+        assert_eq!(call.body.hashes, [head.manifest]);
+
+        node.write_row(6, 4);
+        node.wait_for("config_version", 6).await;
+        let ended = monoio::time::timeout(END_WITHIN, call.tx.cancellation()).await;
+        assert!(ended.is_ok(), "the fetch of version 5 still runs {END_WITHIN:?} after version 6");
+    });
+}
