test(node): rejected rows of followers' tests are small

The tests of followers wrote rows of 32,769 entries for a row that is rejected, which a debug build on a busy machine reads for seconds. A split whose weights are all 0 is rejected too; the checks are the same.

--- a/crates/sycamore-node/tests/config/follower.rs
+++ b/crates/sycamore-node/tests/config/follower.rs
@@ -6,7 +6,6 @@
 use monoio::net::TcpStream;
 use serde_json::json;
 use std::time::{Duration, Instant};
-use sycamore_config::bundle::MAX_RESOURCES;
 use sycamore_node::calls;
 use sycamore_node::edge::Edges;
 use sycamore_settings::{config::Config as ConfigSettings, node, Settings};
@@ -56,6 +55,14 @@
     }
 }
 
+impl Node {
+    /// Writes a configuration that nodes reject: all weights of a split are 0.
+    fn write_faulty_row(&self, version: u64) {
+        let row = json!({"version": version, "entries": 3, "parts": 1, "weight": 0});
+        self.store.write("config", row);
+    }
+}
+
 /// Node that follows another one and answers calls.
 struct Follower(Node);
 
@@ -145,7 +152,7 @@
         let Pair { watcher, follower } = &pair;
         let own_rejections = follower.0.metric("config_rejected_total");
         for (rejected, next) in [(16, 17), (21, 21)] {
-            watcher.write_row(rejected, MAX_RESOURCES + 1);
+            watcher.write_faulty_row(rejected);
             follower.wait_for_answer(REJECTED).await;
             follower.check_answer_for(APPLY_WITHIN * 3 / 2, REJECTED).await;
             assert_eq!(follower.0.versions()[1..], [rejected as i64; 2]);
@@ -169,7 +176,7 @@
     block_on(async || {
         let rows = Store::default();
         let Pair { watcher, follower } = Pair::start(&rows, &rows).await;
-        watcher.write_row(16, MAX_RESOURCES + 1);
+        watcher.write_faulty_row(16);
         follower.wait_for_answer(REJECTED).await;
         watcher.stop().await;
         follower.check_answer_for(APPLY_WITHIN * 5 / 2, REJECTED).await;
@@ -184,7 +191,7 @@
 fn a_missing_route_is_final_again_when_nobody_knows_of_a_rejected_row() {
     block_on(async || {
         let Pair { watcher, follower } = Pair::start(&Store::default(), &Store::default()).await;
-        watcher.write_row(u64::MAX >> 1, MAX_RESOURCES + 1);
+        watcher.write_faulty_row(u64::MAX >> 1);
         follower.wait_for_answer(REJECTED).await;
         watcher.stop().await;
         monoio::time::sleep(APPLY_WITHIN).await;
--- a/crates/sycamore-node/tests/config/main.rs
+++ b/crates/sycamore-node/tests/config/main.rs
@@ -28,8 +28,9 @@
 const CONFIG_KEY: &str = "config";
 
 /// Edge whose row of the configuration holds a version, the number of entries, of which the first
-/// is a service and the others are its routes, and the parts of each route's split. One without the
-/// number of entries is malformed. Other rows are orders, named by their service.
+/// is a service and the others are its routes, and the parts of each route's split with their
+/// weight. One without the number of entries is malformed. Other rows are orders, named by their
+/// service.
 struct Rows;
 
 impl OperatorEdge for Rows {
@@ -53,7 +54,8 @@
         };
         let entries = usize::try_from(entries).unwrap();
         let parts = usize::try_from(value["parts"].as_u64().unwrap_or_default()).unwrap();
-        OperatorRow::Config(Ok((version, resources(entries, parts))))
+        let weight = u32::try_from(value["weight"].as_u64().unwrap_or(1)).unwrap();
+        OperatorRow::Config(Ok((version, resources(entries, parts, weight))))
     }
 
     fn status(&self, _: &ReleaseOrder, _: ReleaseState) -> (String, Value) {
@@ -62,10 +64,10 @@
 }
 
 /// Returns a service and its routes, `entries` in all; the split of each route has this number of
-/// `parts`.
-fn resources(entries: usize, parts: usize) -> Vec<Resource> {
+/// `parts` of this `weight`.
+fn resources(entries: usize, parts: usize, weight: u32) -> Vec<Resource> {
     let name = ServiceName::new("counter").unwrap();
-    let part = WeightedService { service: name.clone(), weight: 1 };
+    let part = WeightedService { service: name.clone(), weight };
     let route = |i: usize| Route {
         name: RouteName::new(format!("route-{i}")).unwrap(),
         host: None,
@@ -83,7 +85,8 @@
 
 /// Returns the size of the encoded entries of a row, in bytes.
 fn encoded_bytes(entries: usize) -> i64 {
-    let bodies = resources(entries, 0).into_iter().map(|entry| serde_json::to_vec(&entry).unwrap());
+    let bodies =
+        resources(entries, 0, 1).into_iter().map(|entry| serde_json::to_vec(&entry).unwrap());
     i64::try_from(bodies.map(|body| body.len()).sum::<usize>()).unwrap()
 }
 
