fix(config): malformed rows are not part of a complete configuration

A configuration row that can't be translated, but names its version, did not count among the versions that the read brought. The reader took the configuration in force for complete up to the revision of that row and told its followers so. A follower whose readers were gone read on from there, never got the row, and answered 404 (no-route) for a missing route once the word of its peer had expired; becoming a reader itself didn't help, as it went on reading changes.

The version of such a row now counts as read, as that of a row with faults does, so the revision told stays before the row. Ruled out: the expiry of what peers told; a longer one only delays the answer.

Test: a_node_that_reads_on_after_its_peer_gets_the_malformed_row_itself; on the code before it failed with "after 1.738317699s", left (404, "no-route"), right (503, "configuration-rejected").

--- a/crates/sycamore-node/src/config/follow.rs
+++ b/crates/sycamore-node/src/config/follow.rs
@@ -244,6 +244,10 @@
                 self.handle_config(version, resources);
             }
             OperatorRow::Config(Err(malformed)) => {
+                // Otherwise the configuration in force would count as complete up to this row.
+                if let Some(version) = malformed.version {
+                    self.reads.record_version(version);
+                }
                 self.reject_row(row, malformed.version, &malformed.why);
             }
             OperatorRow::Release(Ok(order)) => self.handle_order(row, order),
--- a/crates/sycamore-node/tests/config/follower.rs
+++ b/crates/sycamore-node/tests/config/follower.rs
@@ -201,3 +201,27 @@
         follower.0.stop().await;
     });
 }
+
+/// Guards against a malformed row that counts as read where it was rejected: a node that reads on
+/// from there, for lack of news, never gets it, and what its peer told expires.
+#[test]
+fn a_node_that_reads_on_after_its_peer_gets_the_malformed_row_itself() {
+    block_on(async || {
+        let (rows, of_follower) = (Store::default(), Store::default());
+        let Pair { watcher, follower } = Pair::start(&rows, &of_follower).await;
+        for store in [&rows, &of_follower] {
+            store.write("config", json!({"version": 16}));
+        }
+        follower.wait_for_answer(REJECTED).await;
+        // The watcher's answers then tell up to which row it has read.
+        follower.check_answer_for(2 * REQUEST_INTERVAL, REJECTED).await;
+        rows.set_out(true);
+        while follower.0.role() != "stale" {
+            monoio::time::sleep(Duration::from_millis(10)).await;
+        }
+        watcher.stop().await;
+        follower.check_answer_for(APPLY_WITHIN * 5 / 2, REJECTED).await;
+        assert_eq!(follower.0.versions(), [14, 16, 16]);
+        follower.0.stop().await;
+    });
+}
