fix(config): a time of a row that no timer holds ends no process

What operators would see: an idle time of 1e18 seconds in the limits, a time for request heads or a latency objective of that size, and every node that reads the row ends, again at each start, until the row is replaced.

Cause: nothing bounded these times. The resource is encoded in milliseconds of 64 bits, and the encoding of a validated configuration was taken to succeed; timers count in the same unit from the start of the process, so that the sum may exceed it; `Duration` holds no more than 64 bits of seconds.

Ruled out: arithmetic of `Time` and `WallTime` with such a duration saturates, and so does the schedule of a move.

Change: validation bounds the three times at half of what timers hold, so that a configuration that passes it can be encoded and served; a bundle beyond gets a fault that names the field. No time that nodes served before is refused but those within a factor of two of the crash.

--- a/crates/sycamore-config/src/bundle/check.rs
+++ b/crates/sycamore-config/src/bundle/check.rs
@@ -2,9 +2,10 @@
 
 use super::{
     Fault, MAX_ATTEMPTS, MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_PREFIX_BYTES, MAX_QUEUE, MAX_QUEUE_MS,
-    MAX_RESOURCES, MAX_TIMEOUT_MS,
+    MAX_RESOURCES, MAX_TIMEOUT_MS, MAX_TIMER_MS,
 };
 use std::collections::{HashMap, HashSet};
+use std::time::Duration;
 use sycamore_types::prelude::*;
 
 /// Returns every fault of `resources`, in their order.
@@ -34,6 +35,10 @@
     names.collect()
 }
 
+fn to_millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Returns the path of the resource at index `at`, such as `resources[3]`.
 fn place(at: usize) -> String {
     format!("resources[{at}]")
@@ -81,8 +86,7 @@
 
     fn check_limits(&mut self, limits: &Limits) {
         self.check_range("limits.queue", limits.queue, 0, MAX_QUEUE);
-        let queue_ms = u64::try_from(limits.queue_time.as_millis()).unwrap_or(u64::MAX);
-        self.check_range("limits.queue_ms", queue_ms, 0, MAX_QUEUE_MS);
+        self.check_range("limits.queue_ms", to_millis(limits.queue_time), 0, MAX_QUEUE_MS);
         self.check_range("limits.body_bytes", limits.body_bytes, 0, MAX_BODY_BYTES);
     }
 
@@ -104,8 +108,10 @@
         if let Some(attempts) = route.policy.attempts {
             self.check_range("policy.attempts", attempts, 1, MAX_ATTEMPTS);
         }
-        let timeout_ms = u64::try_from(route.timeout.as_millis()).unwrap_or(u64::MAX);
-        self.check_range("timeout_ms", timeout_ms, 1, MAX_TIMEOUT_MS);
+        if let Some(objective) = route.policy.objective {
+            self.check_range("policy.objective_ms", to_millis(objective), 0, MAX_TIMER_MS);
+        }
+        self.check_range("timeout_ms", to_millis(route.timeout), 1, MAX_TIMEOUT_MS);
         let host = route.host.as_deref().unwrap_or_default();
         let is_invalid = |c: char| !c.is_ascii_graphic() || "/?#@:".contains(c);
         if let Some(c) = host.chars().find(|c| is_invalid(*c)) {
@@ -134,6 +140,10 @@
         }
         self.check_range("head_bytes", limits.head_bytes, 1_024, MAX_HEAD_BYTES);
         self.check_range("body_bytes", limits.body_bytes, 0, MAX_BODY_BYTES);
+        if let Some(head_time) = limits.head_time {
+            self.check_range("head_ms", to_millis(head_time), 0, MAX_TIMER_MS);
+        }
+        self.check_range("idle_ms", to_millis(limits.idle_time), 0, MAX_TIMER_MS);
     }
 
     fn check_prefix(&mut self, host: &'a str, prefix: &'a str) {
--- a/crates/sycamore-config/src/bundle/mod.rs
+++ b/crates/sycamore-config/src/bundle/mod.rs
@@ -17,6 +17,9 @@
 pub const MAX_PREFIX_BYTES: usize = 256;
 /// Upper bound on a route's call timeout, in milliseconds.
 pub const MAX_TIMEOUT_MS: u64 = 600_000;
+/// Upper bound on a latency objective and on the times of the limits on callers, in milliseconds.
+/// Timers count milliseconds from the start of the process in 64 bits, and a sum beyond ends it.
+pub const MAX_TIMER_MS: u64 = u64::MAX / 2;
 /// Upper bound on the time a call may wait for a free slot, in milliseconds.
 pub const MAX_QUEUE_MS: u64 = 60_000;
 /// Upper bound on the number of calls that may wait for a free slot of a service.
--- a/crates/sycamore-config/tests/bundle.rs
+++ b/crates/sycamore-config/tests/bundle.rs
@@ -5,6 +5,7 @@
 use common::{route, service};
 use quickcheck::{quickcheck, TestResult};
 use serde_json::json;
+use std::time::Duration;
 use sycamore_config::manifest::unpack;
 use sycamore_config::{Bundle, Diff, Encoded, Manifest};
 use sycamore_types::prelude::*;
@@ -126,3 +127,26 @@
         Manifest::decode(&bytes).is_none_or(|manifest| manifest.resources.is_sorted())
     }
 }
+
+/// Guards against a process that ends because a validated time can't be encoded, or because a timer
+/// can't be set to it.
+#[test]
+fn times_that_no_timer_holds_are_reported() {
+    let found = faults(json!([
+        {"kind": "service", "name": "counter"},
+        {"kind": "route", "name": "a", "prefix": "/a", "service": "counter", "timeout_ms": 10,
+         "policy": {"objective_ms": u64::MAX}},
+        {"kind": "callers", "head_ms": (u64::MAX / 2) + 1, "idle_ms": u64::MAX},
+    ]));
+    let range = "is out of range; must be between 0 and 9223372036854775807";
+    assert_eq!(
+        found,
+        [
+            format!("resources[1].policy.objective_ms: {} {range}", u64::MAX),
+            format!("resources[2].head_ms: 9223372036854775808 {range}"),
+            format!("resources[2].idle_ms: {} {range}", u64::MAX),
+        ]
+    );
+    let callers = CallerLimits { idle_time: Duration::MAX, ..CallerLimits::default() };
+    assert!(Bundle::new(vec![Resource::Callers(callers)]).is_err());
+}
