fix(types): a service's name may be as long as the platform's keys

What callers would see: the operator names a service with 65 bytes or more, and every node rejects the row for good; an order to release it is not read. The settings of the nodes beside its upstreams and their announcements are refused as well.

Cause: one bound of 64 bytes on all identifiers. Names of services come from operators, in rows whose keys may have 200 bytes.

Change: names of services may have 200 bytes; the other identifiers keep 64. The error of a name that is too long holds the bound of its kind.

A record of which all five identifiers have their full length (520 bytes) exceeds the 512 bytes that are sent along with a ping and spreads by pushes and exchanges. The metadata between nodes holds a service twice, within 4 KiB of additional head. Evidence holds routes, whose bound stays. Labels of metrics have no bound. Rows of moves are keyed by the move's identifier, which is made of service, version and revision in 64 bytes: an order for a service with a long name is read now and not planned, as before for one whose parts together are too long.

A node of an earlier release refuses a whole datagram that holds such a name: all nodes have to be updated before a service gets one.

Tests: invalid_identifiers_are_rejected asserted that a service's name of 65 bytes is refused, which the platform contradicts. It now asserts that for 201 bytes, and for 65 bytes of a route's name.

--- a/crates/sycamore-types/src/id.rs
+++ b/crates/sycamore-types/src/id.rs
@@ -4,16 +4,24 @@
 use std::fmt;
 use std::sync::Arc;
 
-/// Maximum length of an identifier, in bytes.
+/// Maximum length of an identifier other than a service's name, in bytes.
 pub const MAX_ID_BYTES: usize = 64;
+/// Maximum length of a service's name, in bytes. Operators may name a service without asking a
+/// node, in rows whose keys hold the name and have at most this length.
+pub const MAX_SERVICE_BYTES: usize = 200;
 
 /// Error of a string that is not a valid identifier.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum IdError {
     /// Empty string.
     Empty,
-    /// String longer than [`MAX_ID_BYTES`]; holds its length in bytes.
-    TooLong(usize),
+    /// String longer than its kind of identifier may be; holds both lengths in bytes.
+    TooLong {
+        /// Length of the string.
+        len: usize,
+        /// Maximum length of the kind of identifier.
+        max: usize,
+    },
     /// String with a character other than ASCII letters, digits, `-`, `_`, `.` and `:`; holds the
     /// first such character.
     BadCharacter(char),
@@ -22,9 +30,9 @@
 impl fmt::Display for IdError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            IdError::Empty => write!(f, "identifier is empty; expected 1 to {MAX_ID_BYTES} bytes"),
-            IdError::TooLong(len) => {
-                write!(f, "identifier has {len} bytes; at most {MAX_ID_BYTES} are allowed")
+            IdError::Empty => f.write_str("identifier is empty; expected at least 1 byte"),
+            IdError::TooLong { len, max } => {
+                write!(f, "identifier has {len} bytes; at most {max} are allowed")
             }
             IdError::BadCharacter(c) => write!(
                 f,
@@ -37,12 +45,12 @@
 
 impl std::error::Error for IdError {}
 
-fn validate(id: &str) -> Result<(), IdError> {
+fn validate(id: &str, max: usize) -> Result<(), IdError> {
     if id.is_empty() {
         return Err(IdError::Empty);
     }
-    if id.len() > MAX_ID_BYTES {
-        return Err(IdError::TooLong(id.len()));
+    if id.len() > max {
+        return Err(IdError::TooLong { len: id.len(), max });
     }
     match id.chars().find(|c| !(c.is_ascii_alphanumeric() || "-_.:".contains(*c))) {
         Some(c) => Err(IdError::BadCharacter(c)),
@@ -51,7 +59,7 @@
 }
 
 macro_rules! string_id {
-    ($(#[$doc:meta])* $name:ident) => {
+    ($(#[$doc:meta])* $name:ident, $max:expr) => {
         $(#[$doc])*
         #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         #[serde(try_from = "String", into = "String")]
@@ -64,7 +72,7 @@
             /// Returns [`IdError`] where `id` is empty, too long or contains a character that is
             /// not allowed.
             pub fn new(id: impl AsRef<str>) -> Result<Self, IdError> {
-                validate(id.as_ref())?;
+                validate(id.as_ref(), $max)?;
                 Ok(Self(Arc::from(id.as_ref())))
             }
 
@@ -106,43 +114,43 @@
 
 string_id! {
     /// Name of a deployment; nodes refuse peers of other deployments.
-    Deployment
+    Deployment, MAX_ID_BYTES
 }
 string_id! {
     /// Name of an instance: an upstream and the node beside it.
-    InstanceId
+    InstanceId, MAX_ID_BYTES
 }
 string_id! {
     /// Name of a service, which one or more upstreams serve.
-    ServiceName
+    ServiceName, MAX_SERVICE_BYTES
 }
 string_id! {
     /// Version of an upstream's software, such as `4.2.0`.
-    UpstreamVersion
+    UpstreamVersion, MAX_ID_BYTES
 }
 string_id! {
     /// Name of a route in the configuration.
-    RouteName
+    RouteName, MAX_ID_BYTES
 }
 string_id! {
     /// Name of a data centre.
-    DataCentre
+    DataCentre, MAX_ID_BYTES
 }
 string_id! {
     /// Name of a region, a group of data centres.
-    Region
+    Region, MAX_ID_BYTES
 }
 string_id! {
     /// Identifier of a release plan.
-    PlanId
+    PlanId, MAX_ID_BYTES
 }
 string_id! {
     /// Identifier of a move in a plan.
-    MoveId
+    MoveId, MAX_ID_BYTES
 }
 string_id! {
     /// Name of an operator, recorded with the operator's changes.
-    OperatorName
+    OperatorName, MAX_ID_BYTES
 }
 
 macro_rules! number_id {
--- a/crates/sycamore-types/tests/types.rs
+++ b/crates/sycamore-types/tests/types.rs
@@ -8,9 +8,12 @@
 #[test]
 fn invalid_identifiers_are_rejected() {
     assert!(ServiceName::new("book-bahi_2.x:y").is_ok());
-    for bad in ["", "a b", "a/b", "č", &"x".repeat(65)] {
+    for bad in ["", "a b", "a/b", "č", &"x".repeat(201)] {
         assert!(ServiceName::new(bad).is_err(), "{bad:?} was accepted");
     }
+    for bad in ["", "a b", "a/b", "č", &"x".repeat(65)] {
+        assert!(RouteName::new(bad).is_err(), "{bad:?} was accepted");
+    }
 }
 
 /// Guards against a prefix that matches in the middle of a path segment, such as `/tickets` on
