fix(config): a route's prefix may be as long as a request head

What callers would see: the operator adds a route with a prefix of more than 256 bytes, every node rejects the row for good, and the routes of that version are answered 404 or refused.

Cause: a bound of 256 bytes that nothing else needs, below what the platform accepts. It gives no range but the size of the row.

Change: the bound is that on request heads, 1 MiB: no request can carry a longer path.

Ruled out: that a longer prefix fails further on. A prefix beyond it still rejects the row.

--- a/crates/sycamore-config/src/bundle/mod.rs
+++ b/crates/sycamore-config/src/bundle/mod.rs
@@ -13,8 +13,9 @@
 /// deltas and messages between nodes leave room for that many, because operators may write a row of
 /// this size without asking a node: one that can't be passed on would leave the fleet behind.
 pub const MAX_RESOURCES: usize = 32_768;
-/// Upper bound on the length of a route's path prefix, in bytes.
-pub const MAX_PREFIX_BYTES: usize = 256;
+/// Upper bound on the length of a route's path prefix, in bytes; no request head has room for a
+/// longer path.
+pub const MAX_PREFIX_BYTES: usize = MAX_HEAD_BYTES as usize;
 /// Upper bound on a route's call timeout, in milliseconds.
 pub const MAX_TIMEOUT_MS: u64 = 600_000;
 /// Upper bound on a latency objective and on the times of the limits on callers, in milliseconds.
--- a/crates/sycamore-config/tests/bundle.rs
+++ b/crates/sycamore-config/tests/bundle.rs
@@ -150,3 +150,20 @@
     let callers = CallerLimits { idle_time: Duration::MAX, ..CallerLimits::default() };
     assert!(Bundle::new(vec![Resource::Callers(callers)]).is_err());
 }
+
+/// Guards against a bound on prefixes below what a request head has room for, and against none.
+#[test]
+fn only_prefixes_longer_than_any_head_are_reported() {
+    let with_prefix = |len: usize| {
+        json!([
+            {"kind": "service", "name": "counter"},
+            {"kind": "route", "name": "a", "prefix": format!("/{}", "p".repeat(len - 1)),
+             "service": "counter", "timeout_ms": 10},
+        ])
+    };
+    assert!(Bundle::from_json(&with_prefix(1 << 20)).is_ok());
+    assert_eq!(
+        faults(with_prefix((1 << 20) + 1)),
+        ["resources[1].prefix: has 1048577 bytes; at most 1048576 are allowed"]
+    );
+}
