fix(config): prefixes that differ by an empty segment are no duplicates

What callers would see: the operator writes routes of one host with the prefixes `/a/` and `/a//`, or `/` and `//`, and every node rejects the row for good.

Cause: the search for duplicates dropped all slashes at the end of a prefix. It is there for `/a` and `/a/`, which match the same segments; `/a//` matches fewer paths than `/a/`, and as the longer one it takes precedence in the order of the routes.

Change: one slash is dropped.

The test failed before: `prefix // is already used by resources[2]`. A test of the characters that paths and hosts may have is added with it; it held before.

--- a/crates/sycamore-config/src/bundle/check.rs
+++ b/crates/sycamore-config/src/bundle/check.rs
@@ -158,8 +158,9 @@
         if let Some(c) = prefix.chars().find(|c| !c.is_ascii_graphic() || matches!(c, '?' | '#')) {
             self.add_fault("prefix", format!("character {c:?} is not allowed in a path prefix"));
         }
-        // "/a" and "/a/" match the same path segments, so neither would take precedence.
-        let segments = prefix.trim_end_matches('/');
+        // "/a" and "/a/" match the same path segments, so neither would take precedence; "/a//" matches
+        // an empty segment more.
+        let segments = prefix.strip_suffix('/').unwrap_or(prefix);
         if let Some(first) = self.seen_prefixes.insert((host, segments), self.at) {
             let reason = format!("prefix {prefix} is already used by {}", place(first));
             self.add_fault("prefix", reason);
