fix(config): a prefix may hold letters beyond ASCII

What callers would see: the operator adds a route with a prefix such as `/č/`, and every node rejects the row for good. A request for `/č/2f` that has the letter as it is, not percent-encoded, is read by the node and answered 404 with the reason no-route, which is final.

Cause: the check of prefixes refused all that is not a visible ASCII character, but the reader of requests takes UTF-8 in paths. Tried with the daemon: a path with such a letter is answered 404, one with a space 505, with a tab or a delete 400. A path ends at `?` and `#` (RFC 3986, section 3.3).

Change: letters beyond ASCII are allowed. Spaces, control characters, `?` and `#` still get a fault, which a test now checks one by one.

--- a/crates/sycamore-config/src/bundle/check.rs
+++ b/crates/sycamore-config/src/bundle/check.rs
@@ -155,7 +155,9 @@
                 format!("has {} bytes; at most {MAX_PREFIX_BYTES} are allowed", prefix.len());
             self.add_fault("prefix", reason);
         }
-        if let Some(c) = prefix.chars().find(|c| !c.is_ascii_graphic() || matches!(c, '?' | '#')) {
+        // Requests may have characters beyond ASCII in their paths as they are.
+        let is_invalid = |c: &char| c.is_ascii() && !c.is_ascii_graphic() || "?#".contains(*c);
+        if let Some(c) = prefix.chars().find(is_invalid) {
             self.add_fault("prefix", format!("character {c:?} is not allowed in a path prefix"));
         }
         // "/a" and "/a/" match the same path segments, so neither would take precedence; "/a//" matches
--- a/crates/sycamore-config/tests/bundle.rs
+++ b/crates/sycamore-config/tests/bundle.rs
@@ -167,3 +167,17 @@
         ["resources[1].prefix: has 1048577 bytes; at most 1048576 are allowed"]
     );
 }
+
+/// Guards against a check of prefixes that lets characters pass which no path of a request holds.
+#[test]
+fn characters_that_no_path_holds_are_reported() {
+    for c in [' ', '\t', '\n', '\0', '\u{7f}', '?', '#'] {
+        let found = faults(json!([
+            {"kind": "service", "name": "counter"},
+            {"kind": "route", "name": "a", "prefix": format!("/a{c}"), "service": "counter",
+             "timeout_ms": 10},
+        ]));
+        let expected = format!("character {c:?} is not allowed in a path prefix");
+        assert_eq!(found, [format!("resources[1].prefix: {expected}")]);
+    }
+}
