fix(config): a route's host may be an IPv6 address

What callers would see: the operator adds a route whose host is `[2001:db8::1]`, as the host field of requests to an address has it, and every node rejects the row for good.

Cause: the check of hosts refused every colon, since a port in the configuration would match no request: routing ignores the port. Routing itself takes addresses in brackets.

Change: a host in brackets that parses as an IPv6 address is allowed. A test checks that ports, bare addresses and other parts of a URL still get a fault each.

--- a/crates/sycamore-config/src/bundle/check.rs
+++ b/crates/sycamore-config/src/bundle/check.rs
@@ -5,6 +5,7 @@
     MAX_RESOURCES, MAX_TIMEOUT_MS, MAX_TIMER_MS,
 };
 use std::collections::{HashMap, HashSet};
+use std::net::Ipv6Addr;
 use std::time::Duration;
 use sycamore_types::prelude::*;
 
@@ -114,7 +115,12 @@
         self.check_range("timeout_ms", to_millis(route.timeout), 1, MAX_TIMEOUT_MS);
         let host = route.host.as_deref().unwrap_or_default();
         let is_invalid = |c: char| !c.is_ascii_graphic() || "/?#@:".contains(c);
-        if let Some(c) = host.chars().find(|c| is_invalid(*c)) {
+        // A colon outside of an IPv6 address would begin a port, which routing ignores.
+        let is_ipv6 = host
+            .strip_prefix('[')
+            .and_then(|host| host.strip_suffix(']'))
+            .is_some_and(|address| address.parse::<Ipv6Addr>().is_ok());
+        if let Some(c) = host.chars().find(|c| is_invalid(*c)).filter(|_| !is_ipv6) {
             self.add_fault("host", format!("character {c:?} is not allowed in a host name"));
         }
         self.check_prefix(host, &route.prefix);
--- a/crates/sycamore-config/tests/bundle.rs
+++ b/crates/sycamore-config/tests/bundle.rs
@@ -181,3 +181,27 @@
         assert_eq!(found, [format!("resources[1].prefix: {expected}")]);
     }
 }
+
+/// Guards against hosts that no request selects, since the port of a request's host is ignored, or
+/// that are no hosts.
+#[test]
+fn hosts_with_a_port_or_other_parts_are_reported() {
+    for (host, c) in [
+        ("a:80", ':'),
+        ("[::1]:80", ':'),
+        ("::1", ':'),
+        ("[a:80]", ':'),
+        ("[::1", ':'),
+        ("a/b", '/'),
+        ("a@b", '@'),
+        ("a b", ' '),
+    ] {
+        let found = faults(json!([
+            {"kind": "service", "name": "counter"},
+            {"kind": "route", "name": "a", "host": host, "prefix": "/a", "service": "counter",
+             "timeout_ms": 10},
+        ]));
+        let expected = format!("character {c:?} is not allowed in a host name");
+        assert_eq!(found, [format!("resources[1].host: {expected}")], "{host}");
+    }
+}
