perf(types): find a call's route by an index instead of a scan of all routes

A configuration may have 32,768 entries. Each call was compared with every route until one matched, up to two times (once to decide whether it may run beside others of its connection, once to be served), and all other calls of the node waited for it: adding routes made every call slower, most of all on nodes with a share of a core.

The list is sorted by the length of the prefix, so the shortest prefixes, "/" among them, came last.

A lookup hashes the prefixes of the path that end at a segment, as far as the longest prefix of the configuration, and compares the routes with these hashes alone; the first of them in the list wins, so the rule is the same as before for every order of the list. The index is built with the table, once for each applied version, and clones share it.

--- a/crates/sycamore-config/src/bundle/mod.rs
+++ b/crates/sycamore-config/src/bundle/mod.rs
@@ -119,6 +119,6 @@
         key(b).cmp(&key(a)).then_with(|| (&a.prefix, &a.host).cmp(&(&b.prefix, &b.host)))
     });
     // References are sorted, since moving whole routes costs more than their comparison.
-    let routes = routes.into_iter().cloned().collect();
+    let routes = routes.into_iter().cloned().collect::<Vec<_>>().into();
     Snapshot { version, services, routes, callers }
 }
--- a/crates/sycamore-config/tests/apply_model.rs
+++ b/crates/sycamore-config/tests/apply_model.rs
@@ -328,15 +328,17 @@
 /// Builds a snapshot without validation.
 fn unvalidated(resources: &[Resource], version: ConfigVersion) -> Snapshot {
     let mut snapshot = Snapshot { version, ..Snapshot::default() };
+    let mut routes = Vec::new();
     for resource in resources {
         match resource.clone() {
             Resource::Service(service) => {
                 snapshot.services.insert(service.name.clone(), service);
             }
             Resource::Callers(limits) => snapshot.callers = limits,
-            Resource::Route(route) => snapshot.routes.push(route),
+            Resource::Route(route) => routes.push(route),
         }
     }
+    snapshot.routes = routes.into();
     snapshot
 }
 
--- a/crates/sycamore-node/tests/calls/world.rs
+++ b/crates/sycamore-node/tests/calls/world.rs
@@ -223,7 +223,7 @@
     Snapshot {
         version: ConfigVersion(1),
         services: [(service.name.clone(), service)].into(),
-        routes: vec![route],
+        routes: vec![route].into(),
         ..Snapshot::default()
     }
 }
--- a/crates/sycamore-types/src/lib.rs
+++ b/crates/sycamore-types/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod outcome;
 pub mod prelude;
 pub mod resource;
+pub mod route_table;
 pub mod share;
 pub mod snapshot;
 pub mod stamp;
--- a/crates/sycamore-types/src/prelude.rs
+++ b/crates/sycamore-types/src/prelude.rs
@@ -10,6 +10,7 @@
     CallerLimits, ConfigHead, FetchLimit, Limits, Repeat, Resource, RetryPolicy, Route,
     RoutePolicy, Service, WeightedService,
 };
+pub use crate::route_table::RouteTable;
 pub use crate::share::{Share, ShareTable, VersionShare};
 pub use crate::snapshot::Snapshot;
 pub use crate::stamp::Stamp;
--- a/crates/sycamore-types/src/snapshot.rs
+++ b/crates/sycamore-types/src/snapshot.rs
@@ -2,6 +2,7 @@
 
 use crate::id::{ConfigVersion, ServiceName};
 use crate::resource::{CallerLimits, Route, Service};
+use crate::route_table::RouteTable;
 use std::collections::BTreeMap;
 
 /// Complete configuration; the service of every route is in `services`.
@@ -12,7 +13,7 @@
     /// Services by name.
     pub services: BTreeMap<ServiceName, Service>,
     /// Routes, longest prefix first; of equal prefixes, those with a host first.
-    pub routes: Vec<Route>,
+    pub routes: RouteTable,
     /// Limits on what callers may send.
     pub callers: CallerLimits,
 }
@@ -22,12 +23,7 @@
     /// the one with the longest prefix that ends at a path segment. The port and the case of `host`
     /// are ignored (RFC 9110, section 4.2.3).
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
-        let host = without_port(host);
-        let matches = |route: &&Route| {
-            route.host.as_deref().is_none_or(|expected| expected.eq_ignore_ascii_case(host))
-                && matches_prefix(path, &route.prefix)
-        };
-        self.routes.iter().find(matches)
+        self.routes.find(without_port(host), path)
     }
 }
 
@@ -37,10 +33,3 @@
         _ => host,
     }
 }
-
-fn matches_prefix(path: &str, prefix: &str) -> bool {
-    match path.strip_prefix(prefix) {
-        None => false,
-        Some(rest) => rest.is_empty() || prefix.ends_with('/') || rest.starts_with(['/', '?']),
-    }
-}
--- a/crates/sycamore-types/tests/types.rs
+++ b/crates/sycamore-types/tests/types.rs
@@ -29,8 +29,10 @@
         timeout: std::time::Duration::from_secs(1),
         policy: RoutePolicy::default(),
     };
-    let snapshot =
-        Snapshot { routes: vec![route("/tickets/open"), route("/tickets")], ..Default::default() };
+    let snapshot = Snapshot {
+        routes: vec![route("/tickets/open"), route("/tickets")].into(),
+        ..Default::default()
+    };
     let prefix = |path: &str| snapshot.route("any.example", path).map(|route| route.prefix.clone());
     assert_eq!(prefix("/tickets/open/7").as_deref(), Some("/tickets/open"));
     assert_eq!(prefix("/tickets?id=7").as_deref(), Some("/tickets"));
@@ -71,7 +73,7 @@
         route(Some("b.example"), "/x/"),
         route(None, "/x/"),
     ];
-    let snapshot = Snapshot { routes, ..Default::default() };
+    let snapshot = Snapshot { routes: routes.into(), ..Default::default() };
     let found = |host: &str, path: &str| {
         snapshot.route(host, path).map(|route| (route.host.clone(), route.prefix.clone()))
     };
