fix(call): routes called after 256 others have service times of their own

Once calls of 256 routes had ended at an upstream, every further route was judged by the mean of all calls for as long as the process ran, also when the first 256 were long removed. Slow calls of such a route were queued although they could not finish in time, and fast ones could be refused where the mean was high (read in the code): exactly the routes that were added later.

Cause: admission kept the means of the first 256 kinds of work, a kind being a route, and never forgot one. The bound was narrower than what a configuration may hold, 32,768 entries.

Ruled out: eviction alone, with 256 kept. Routes that take turns beyond the bound evict each other before their means are used, so that none would have one.

Change: the bound is one mean for each entry that a configuration may have, which is checked at compile time; beyond it, which takes routes that are no longer in force, the kind whose last call ended first is forgotten. A kind takes two entries of ordered maps, 48 bytes of keys and values, and only if it was called; a node has one admission.

Tests: every_route_of_a_large_configuration_has_its_own_service_time failed before ("after 256 other routes"), as did the_service_time_that_was_updated_least_recently_is_forgotten ("new"), with nothing but the constant made public. The latter fails with first-in, first-out eviction ("called").

--- a/crates/sycamore-call/src/admit/mod.rs
+++ b/crates/sycamore-call/src/admit/mod.rs
@@ -7,6 +7,7 @@
 mod work;
 
 pub use limit::LimitPolicy;
+pub use work::MAX_KINDS;
 
 use crate::load::Load;
 use limit::Limiter;
--- a/crates/sycamore-call/tests/decisions/main.rs
+++ b/crates/sycamore-call/tests/decisions/main.rs
@@ -15,3 +15,4 @@
 mod route;
 mod scenario;
 mod unread;
+mod work;
--- a/crates/sycamore-node/src/calls/meta.rs
+++ b/crates/sycamore-node/src/calls/meta.rs
@@ -6,10 +6,15 @@
 use http::HeaderMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
+use sycamore_call::admit::MAX_KINDS;
 use sycamore_call::Criticality;
+use sycamore_config::bundle::MAX_RESOURCES;
 use sycamore_types::headers;
 use sycamore_types::prelude::*;
 
+// Every route of a configuration may be a kind of work.
+const _: () = assert!(MAX_RESOURCES <= MAX_KINDS);
+
 /// Depth of a call in a chain of upstreams that call further services.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) struct Depth {
