--- a/crates/sycamore-node/tests/config/fetches.rs
+++ b/crates/sycamore-node/tests/config/fetches.rs
@@ -76,7 +76,7 @@
     run(async |node| {
         node.write_row(2, 1_000);
         node.wait_for("config_version", 2).await;
-        let encoded = Encoded::new(&resources(1_001, 0), ConfigVersion(5));
+        let encoded = Encoded::new(&resources(1_001, 0, 1), ConfigVersion(5));
         let (address, inbox) = start_peer(node);
         let link = start_slow_link(address);
         node.hub.facts.learn_from(Fact::Head(encoded.head), link);
