fix(config): a stale node lists the rows at once after changes that are too large

Cause: the pause after a listing that is too large was taken after changes that are too large, too: the kind of the read was noted before the node resumed at the revision that its peers had told, which turns a listing into a read of changes.

Change: the kind is that of the read which failed.

a_stale_node_lists_at_once_after_changes_that_are_too_large failed before (in force after 2.8 s).

--- a/crates/sycamore-node/src/config/follow.rs
+++ b/crates/sycamore-node/src/config/follow.rs
@@ -54,7 +54,6 @@
             continue;
         }
         let started = driver.hub.clock.now();
-        let read = watch.reads.next();
         match watch.step().await {
             Ok(()) => {
                 watch.record_success();
@@ -63,6 +62,7 @@
             }
             Err(report) => {
                 let took = driver.hub.clock.now().since(started);
+                let read = watch.reads.next();
                 watch.record_failure(report.current_context(), took);
                 watch.skip_large_changes(report.current_context());
                 failures += 1;
--- a/crates/sycamore-node/tests/config/reads.rs
+++ b/crates/sycamore-node/tests/config/reads.rs
@@ -3,7 +3,7 @@
 use super::store::Store;
 use super::{run, run_on, ConfigSettings, Node, CONFIG_KEY};
 use serde_json::json;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use sycamore_config::bundle::MAX_RESOURCES;
 use sycamore_config::OutOfDate;
 use sycamore_types::prelude::*;
@@ -117,3 +117,25 @@
         assert_eq!(node.hub.out_of_date(), None);
     });
 }
+
+/// Guards against a pause after changes that are too large: only a listing that is too large is worth
+/// one. A node without watchers then has the newest version late.
+#[test]
+fn a_stale_node_lists_at_once_after_changes_that_are_too_large() {
+    const APPLY_WITHIN: Duration = Duration::from_secs(2);
+    let nobody_watches = ConfigSettings {
+        watchers_per_data_centre: 0,
+        apply_within: APPLY_WITHIN,
+        ..ConfigSettings::default()
+    };
+    run_on(Store::default(), nobody_watches, async |node| {
+        node.write_row(2, 3);
+        node.wait_for("config_version", 2).await;
+        for last in [6, 10, 14] {
+            (last - 3..=last).for_each(|version| node.write_large_row(version, 3 << 20));
+            let written = Instant::now();
+            node.wait_for("config_version", last as i64).await;
+            assert!(written.elapsed() < APPLY_WITHIN, "in force after {:?}", written.elapsed());
+        }
+    });
+}
