fix(peer): a connection that stays silent during a fetch is replaced

Cause: only calls with a fixed timeout discarded their connection.

Change: a fetch that ends for silence discards the connection.

a_silent_connection_is_replaced failed before (Err(Timeout) for the fetch after the silent one).

--- a/crates/sycamore-peer/src/client/mod.rs
+++ b/crates/sycamore-peer/src/client/mod.rs
@@ -218,6 +218,10 @@
             let silence_left = limit.silence.saturating_sub(heard.elapsed());
             let left = silence_left.min(limit.whole.saturating_sub(started.elapsed()));
             if left.is_zero() {
+                if silence_left.is_zero() {
+                    // Nothing may arrive on it again, and further calls would wait as long.
+                    self.discard(to);
+                }
                 return Err(Report::new(Error::Timeout));
             }
             match monoio::time::timeout(left, call.as_mut()).await {
--- a/crates/sycamore-peer/tests/slow_link.rs
+++ b/crates/sycamore-peer/tests/slow_link.rs
@@ -6,8 +6,10 @@
 use monoio::io::{AsyncReadRent, AsyncWriteRentExt, Splitable};
 use monoio::net::{TcpListener, TcpStream};
 use monoio::{LegacyDriver, RuntimeBuilder};
+use std::cell::Cell;
 use std::future::{pending, Future};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use sycamore_peer::{
@@ -80,6 +82,42 @@
     address
 }
 
+/// Starts a link to the node at `to` whose first connection carries nothing any more once the
+/// returned cell is true; later ones work.
+fn start_link_that_breaks(to: SocketAddr) -> (SocketAddr, Rc<Cell<bool>>) {
+    let (listener, address) = listener();
+    let is_broken = Rc::new(Cell::new(false));
+    let breaks = is_broken.clone();
+    monoio::spawn(async move {
+        let mut is_first = true;
+        while let Ok((near, _)) = listener.accept().await {
+            let far = TcpStream::connect_addr(to).await.unwrap();
+            let ((near_read, near_write), (far_read, far_write)) =
+                (near.into_split(), far.into_split());
+            let breaks = is_first.then(|| breaks.clone());
+            monoio::spawn(copy_until_broken(near_read, far_write, breaks.clone()));
+            monoio::spawn(copy_until_broken(far_read, near_write, breaks));
+            is_first = false;
+        }
+    });
+    (address, is_broken)
+}
+
+/// Copies what `from` sends to `to`, and drops it once `is_broken` holds true.
+async fn copy_until_broken(
+    mut from: impl AsyncReadRent,
+    mut to: impl AsyncWriteRentExt,
+    is_broken: Option<Rc<Cell<bool>>>,
+) {
+    loop {
+        let (read, buf) = from.read(Vec::with_capacity(16 << 10)).await;
+        let is_dropped = is_broken.as_ref().is_some_and(|is_broken| is_broken.get());
+        if !matches!(read, Ok(1..)) || (!is_dropped && to.write_all(buf).await.0.is_err()) {
+            return;
+        }
+    }
+}
+
 /// Fetches from the node at `to`, and returns the result with the time that it took.
 async fn fetch(to: SocketAddr, whole: Duration) -> (Result<Fetched, Error>, Duration) {
     let peers =
@@ -115,6 +153,25 @@
     });
 }
 
+/// Guards against fetches that time out one after the other on a connection that broke without a
+/// sign, as after a cut, though a new one would work.
+#[test]
+fn a_silent_connection_is_replaced() {
+    block_on(async {
+        let (link, is_broken) = start_link_that_breaks(start_node());
+        let peers =
+            Peers::new(deployment(), "a".parse().unwrap(), PeersOptions::default(), Arc::default());
+        let req = FetchRequest { hashes: Vec::new(), base: Some(ContentHash::of(b"base")) };
+        let limit = FetchLimit { silence: SILENCE, whole: SILENCE * 10 };
+        assert!(peers.fetch(link, &req, &limit).await.is_ok());
+        is_broken.set(true);
+        let silent = peers.fetch(link, &req, &limit).await.map_err(|e| *e.current_context());
+        assert_eq!(silent, Err(Error::Timeout));
+        let next = peers.fetch(link, &req, &limit).await.map_err(|e| *e.current_context());
+        assert!(next.is_ok(), "{next:?}");
+    });
+}
+
 /// Guards against a fetch without an end from a peer whose answer arrives byte by byte.
 #[test]
 fn a_fetch_that_hardly_moves_ends() {
