fix(config): a row that replaces a rejected one ends the refusals, whatever its version

A row with a version that is far too high was rejected, and after an operator had replaced it by a valid one, the readers and, since they tell, all followers went on to answer 503 for missing routes, for good.

Cause: the rejected version was kept as a maximum until it or a higher one was in force.

Change: what counts is the operators' row as it was read last. Heads that a node rejected count as before, since they may come from peers that lag.

Tests: a_missing_route_is_final_again_when_a_rejected_row_is_replaced_by_a_lower_version failed before ("503 configuration-rejected instead of (404, "no-route")"). a_rejected_row_raises_the_known_and_the_rejected_version_until_it_or_a_higher_one_is_applied required that a lower row doesn't end the rejection; it wrote that row to the table "as from a peer that lags", though peers don't write rows. It now requires 17 as known and no rejection after that row, and rejects 19 once more before it goes on. That a lower head from a peer doesn't end a rejection is required in newer.rs.

--- a/crates/sycamore-config/src/newer.rs
+++ b/crates/sycamore-config/src/newer.rs
@@ -30,9 +30,9 @@
 /// Versions above the one in force that a node knows of.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct NewerVersions {
-    /// Highest rejected version, whether or not it is above the one in force.
+    /// Highest version whose head the node rejected, whether or not it is above the one in force.
     rejected: Option<ConfigVersion>,
-    /// Highest version of an operator's row that the node read and rejected.
+    /// Version of the operators' row as the node read it last, if it rejected that.
     rejected_row: Option<ConfigVersion>,
     /// Versions that peers rejected.
     peers: BTreeMap<InstanceId, PeerRejected>,
@@ -43,20 +43,24 @@
 }
 
 impl NewerVersions {
-    /// Records that the node rejected `version`.
+    /// Records that the node rejected the head of `version`.
     pub fn record_rejected(&mut self, version: ConfigVersion) {
         self.rejected = self.rejected.max(Some(version));
     }
 
-    /// Records that the node read `version` as an operator's row and rejected it. Such a version has
+    /// Records that the node read `version` as the operators' row and rejected it. Such a version has
     /// no head that spreads, so the node has to tell its peers.
     pub fn record_rejected_row(&mut self, version: ConfigVersion) {
-        self.record_rejected(version);
-        self.rejected_row = self.rejected_row.max(Some(version));
+        self.rejected_row = Some(version);
     }
 
-    /// Returns the highest version of a row that the node read and rejected if it is above
-    /// `in_force`. What peers told isn't included: nodes that repeat each other's words would never
+    /// Records that the node read a valid operators' row, which replaces one that it rejected,
+    /// whatever their versions.
+    pub fn record_valid_row(&mut self) {
+        self.rejected_row = None;
+    }
+
+    /// Returns the version of the operators' row if the node rejected it and it is above `in_force`. What peers told isn't included: nodes that repeat each other's words would never
     /// forget a false one.
     pub fn rejected_row_above(&self, in_force: ConfigVersion) -> Option<ConfigVersion> {
         self.rejected_row.filter(|version| *version > in_force)
@@ -98,7 +102,7 @@
     /// `in_force`.
     pub fn rejected_above(&self, now: Time, in_force: ConfigVersion) -> Option<ConfigVersion> {
         let told = self.peers.values().filter(|told| now < told.until).map(|told| told.version);
-        self.rejected.max(told.max()).filter(|version| *version > in_force)
+        self.rejected.max(self.rejected_row).max(told.max()).filter(|version| *version > in_force)
     }
 
     /// Returns the reason for which version `in_force` is out of date; `None` if it may be the
--- a/crates/sycamore-config/tests/newer.rs
+++ b/crates/sycamore-config/tests/newer.rs
@@ -104,6 +104,8 @@
     let mut newer = told(&[("a-1", 19)]);
     newer.record_rejected(ConfigVersion(17));
     assert_eq!(newer.rejected_row_above(ConfigVersion(14)), None);
+    // A head of a lower version may arrive from a peer that lags.
+    newer.record_rejected(ConfigVersion(15));
     newer.record_rejected_row(ConfigVersion(16));
     assert_eq!(newer.rejected_row_above(ConfigVersion(15)), Some(ConfigVersion(16)));
     assert_eq!(newer.rejected_row_above(ConfigVersion(16)), None);
--- a/crates/sycamore-node/src/config/driver.rs
+++ b/crates/sycamore-node/src/config/driver.rs
@@ -246,8 +246,7 @@
         self.peer_miss.set(Some(head));
     }
 
-    /// Counts the rejection of configuration `version`, a head's or an operator's row's, and records
-    /// it as known.
+    /// Counts the rejection of the head of configuration `version`, and records it as known.
     pub(super) fn record_rejected(&self, version: ConfigVersion) {
         self.metrics.count_rejected();
         self.hub.newer_versions.borrow_mut().record_rejected(version);
@@ -257,8 +256,15 @@
     /// Records and counts the rejection of the operator's row of `version`, of which the answers to
     /// peers then tell.
     pub(super) fn record_rejected_row(&self, version: ConfigVersion) {
+        self.metrics.count_rejected();
         self.hub.newer_versions.borrow_mut().record_rejected_row(version);
-        self.record_rejected(version);
+        self.record_versions();
+    }
+
+    /// Records that the operators' row is valid, whatever it held before.
+    pub(super) fn record_valid_row(&self) {
+        self.hub.newer_versions.borrow_mut().record_valid_row();
+        self.record_versions();
     }
 
     /// Records the version that the peer `from` says it rejected; `None` if it names none.
--- a/crates/sycamore-node/src/config/follow.rs
+++ b/crates/sycamore-node/src/config/follow.rs
@@ -260,11 +260,12 @@
         let driver = self.driver;
         let in_force = driver.hub.snapshot.borrow().version;
         if version <= in_force {
-            return;
+            return driver.record_valid_row();
         }
         let count = resources.len();
         match encode_config(version, resources) {
             Ok((head, pack)) => {
+                driver.record_valid_row();
                 info!(driver.hub.log, "operator configuration read"; "version" => version.0,
                     "bytes" => pack.len());
                 driver.accept_pack(head, pack);
--- a/crates/sycamore-node/tests/config/follower.rs
+++ b/crates/sycamore-node/tests/config/follower.rs
@@ -225,3 +225,22 @@
         follower.0.stop().await;
     });
 }
+
+/// Guards against a version that is far too high, in a row that an operator has replaced since, for
+/// which the fleet would refuse missing routes for good.
+#[test]
+fn a_missing_route_is_final_again_when_a_rejected_row_is_replaced_by_a_lower_version() {
+    block_on(async || {
+        let Pair { watcher, follower } = Pair::start(&Store::default(), &Store::default()).await;
+        for (rejected, next) in [(u64::MAX >> 1, 17), (u64::MAX >> 2, 17)] {
+            watcher.write_faulty_row(rejected);
+            follower.wait_for_answer(REJECTED).await;
+            watcher.write_row(next, 4);
+            follower.0.wait_for("config_version", next as i64).await;
+            follower.wait_for_answer(FINAL).await;
+            assert_eq!(watcher.versions(), [17, 17, 0]);
+        }
+        watcher.stop().await;
+        follower.0.stop().await;
+    });
+}
--- a/crates/sycamore-node/tests/config/main.rs
+++ b/crates/sycamore-node/tests/config/main.rs
@@ -200,9 +200,13 @@
         node.wait_for("config_rejected_total", 2).await;
         assert_eq!(node.versions(), [14, 19, 19]);
 
-        // A version between the one in force and the rejected one, as from a peer that lags.
+        // The operator replaces the rejected row by a version between it and the one in force.
         node.write_row(17, 4);
         node.wait_for("config_version", 17).await;
+        assert_eq!(node.versions(), [17, 17, 0]);
+
+        node.write_row(19, MAX_RESOURCES + 2);
+        node.wait_for("config_rejected_total", 3).await;
         assert_eq!(node.versions(), [17, 19, 19]);
 
         node.write_row(19, 5);
@@ -210,7 +214,7 @@
         assert_eq!(node.versions(), [19, 19, 0]);
 
         node.write_row(21, MAX_RESOURCES + 1);
-        node.wait_for("config_rejected_total", 3).await;
+        node.wait_for("config_rejected_total", 4).await;
         assert_eq!(node.versions(), [19, 21, 21]);
         node.write_row(22, 6);
         node.wait_for("config_version", 22).await;
