--- a/crates/sycamore-settings/src/config.rs
+++ b/crates/sycamore-settings/src/config.rs
@@ -14,7 +14,7 @@
 #[serde(default, deny_unknown_fields)]
 pub struct Config {
     /// Longest time without bytes of a fetch from a peer before the next source is asked. It doubles
-    /// where several peers in a row are silent.
+    /// with each further silent peer for the same version, from the second on.
     #[serde_as(as = "Span")]
     pub fetch_timeout: Duration,
     /// Memory limit of the cache of objects that peers may fetch, in bytes.
