feat(calls): log and count what an upstream says about itself in its answers

What operators couldn't see: whether a node reads the rate limit that an upstream names, and how many calls of which kind reach that upstream.

Change: the edges decode a rate limit and a leave from an answer's head. The node beside the upstream logs and measures changes of them, and the calls that it sends while a limit is named, by kind (first, retry, inner); 'call answered' carries the limit that the answer named. Nothing acts on it yet. An answer whose status, signature or encoding forbids its relay is now told apart from one of another call (Invalid, Foreign): only the first speaks for the upstream.

--- a/crates/sycamore-call/src/lib.rs
+++ b/crates/sycamore-call/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod key;
 pub mod load;
 pub mod quarantine;
+pub mod report;
 pub mod retry;
 pub mod route;
 
--- a/crates/sycamore-node/src/calls/announce.rs
+++ b/crates/sycamore-node/src/calls/announce.rs
@@ -3,6 +3,7 @@
 use super::answer::{respond, Answer};
 use super::forward::send_own_answer;
 use super::message::{Inbound, Message};
+use super::meta::first_bytes;
 use super::metrics::UpstreamState;
 use super::state::State;
 use crate::edge::{Announcement, Process, UpstreamMessage};
@@ -11,6 +12,7 @@
 use slog::{info, warn};
 use std::rc::Rc;
 use sycamore_call::announce::{MessageOrder, ProcessRef};
+use sycamore_types::prelude::*;
 
 /// Serves an announcement or a drain request of the upstream.
 pub(super) async fn serve(
@@ -64,6 +66,7 @@
 
 fn apply_announcement(state: &State, announcement: Announcement) {
     let now = state.now();
+    let process = process_id(&announcement);
     state.last_announced.set(now);
     state.hub.dependencies.record_reached(&state.hub.log, now, Dependency::Upstream);
     let changed = state.hub.upstream.send_if_modified(|known| {
@@ -74,6 +77,7 @@
         });
         let warm_at = same.map_or(now + announcement.cold, |known| known.warm_at);
         let next = AnnouncedUpstream {
+            process,
             name: announcement.process.name,
             version: announcement.version,
             address: announcement.address,
@@ -109,6 +113,17 @@
     ProcessRef { name: process.name.as_deref(), started: process.started }
 }
 
+/// Returns the identifier of the process that sent an announcement. A process that gives no name is
+/// told apart by its version and address.
+fn process_id(announcement: &Announcement) -> ProcessId {
+    let Process { name, started } = &announcement.process;
+    let text = match (name, started) {
+        (None, None) => format!("{}\n{}", announcement.version, announcement.address),
+        _ => format!("{}\n{}", name.as_deref().unwrap_or("-"), started.map_or(0, |at| at.0)),
+    };
+    ProcessId(first_bytes(&ContentHash::of(text.as_bytes())))
+}
+
 fn mark_draining(state: &State) {
     state.hub.upstream.send_if_modified(|known| match known {
         Some(upstream) if !upstream.draining => {
--- a/crates/sycamore-node/src/calls/beside.rs
+++ b/crates/sycamore-node/src/calls/beside.rs
@@ -8,6 +8,7 @@
 use super::message::{strip_internal, Inbound, Message};
 use super::meta::{text, CallMeta, Target};
 use super::pool::Stream;
+use super::report;
 use super::slot::{acquire, Slot};
 use super::state::State;
 use crate::edge::{History, UpstreamAnswer, UpstreamCall};
@@ -187,15 +188,27 @@
         let calls = self.state.edges.calls.clone();
         calls.for_upstream(&call, &mut head.headers);
         let (history, sent_at) = (stream.history, Instant::now());
-        match send(Some(&mut *inbound), msg, &mut stream, head, false, left).await {
-            Ok(answered) => match calls.classify_answer(&msg.head.headers, &answered.head, history)
-            {
+        let sent_time = self.state.now();
+        report::count_sent(self.state, self.meta);
+        let sent = send(Some(&mut *inbound), msg, &mut stream, head, false, left).await;
+        let classified = sent.map(|answered| {
+            let kind = calls.classify_answer(&msg.head.headers, &answered.head, history);
+            (answered, kind)
+        });
+        if let Ok((answered, kind)) = &classified {
+            if is_of_upstream(kind) {
+                let reported = calls.upstream_report(&answered.head);
+                report::record(self.state, self.upstream, sent_time, reported);
+            }
+        }
+        match classified {
+            Ok((answered, kind)) => match kind {
                 UpstreamAnswer::Ran => self.relay(inbound, stream, answered, false).await,
                 UpstreamAnswer::Shed => self.relay(inbound, stream, answered, true).await,
                 UpstreamAnswer::NotRun(reason) => {
                     self.refuse_not_run(inbound, msg, stream, &answered, reason).await
                 }
-                UpstreamAnswer::Foreign(why) => {
+                UpstreamAnswer::Invalid(why) | UpstreamAnswer::Foreign(why) => {
                     drop(stream);
                     warn!(self.state.hub.log, "upstream answer rejected"; "why" => why,
                         "request" => journal::id_text(self.id.as_ref()));
@@ -356,6 +369,20 @@
     }
 }
 
+/// Returns whether an answer is of the process that the call was sent to, so that the state which it
+/// reports is that process's.
+fn is_of_upstream(answer: &UpstreamAnswer) -> bool {
+    match answer {
+        // Another process has the address now.
+        UpstreamAnswer::NotRun(RefusalReason::NoUpstream) => false,
+        UpstreamAnswer::Foreign(_) => false,
+        UpstreamAnswer::Ran
+        | UpstreamAnswer::Shed
+        | UpstreamAnswer::NotRun(_)
+        | UpstreamAnswer::Invalid(_) => true,
+    }
+}
+
 impl Drop for Run<'_> {
     fn drop(&mut self) {
         self.state.running.borrow_mut().remove(&self.slot.id());
--- a/crates/sycamore-node/src/calls/crash.rs
+++ b/crates/sycamore-node/src/calls/crash.rs
@@ -1,5 +1,6 @@
 //! Detection of crashes of the local upstream and of the requests that were in flight.
 
+use super::meta::first_bytes;
 use super::pool;
 use super::state::State;
 use crate::hub::AnnouncedUpstream;
@@ -89,8 +90,5 @@
 fn crash_id(state: &State) -> u64 {
     let instance = &state.hub.settings.node.instance;
     let text = format!("{instance};{};{}", state.hub.incarnation.0, state.crash_count.get());
-    let hash = ContentHash::of(text.as_bytes());
-    let mut bytes = [0; 8];
-    bytes.copy_from_slice(&hash.0[..8]);
-    u64::from_be_bytes(bytes)
+    first_bytes(&ContentHash::of(text.as_bytes()))
 }
--- a/crates/sycamore-node/src/calls/forward.rs
+++ b/crates/sycamore-node/src/calls/forward.rs
@@ -384,6 +384,7 @@
     let Reply { mut stream, answered, instance, address, load } = reply;
     let left = meta.left(state.now());
     let status = answered.head.status.as_u16();
+    let rate = state.edges.calls.upstream_report(&answered.head).rate;
     let edit = |head: &mut sycamore_http::ResponseHead| strip_internal(&mut head.headers);
     let mut guard = AttemptGuard { state, instance: &instance, ended: false };
     let relayed = relay_answer(inbound, &mut stream, answered, left, edit).await;
@@ -401,7 +402,7 @@
             state.metrics.count_answer("answered", "");
             state.metrics.observe_call(&meta.route, state.now().since(meta.received_at));
             let id = inbound.info.id.as_ref();
-            journal::log_answered_call(state, id, meta, &instance, status, load);
+            journal::log_answered_call(state, id, meta, &instance, (status, rate), load);
             Ok(())
         }
         Relayed::Failed(_) => {
--- a/crates/sycamore-node/src/calls/journal.rs
+++ b/crates/sycamore-node/src/calls/journal.rs
@@ -6,6 +6,7 @@
 use super::answer::{Answer, Outcome};
 use super::meta::CallMeta;
 use super::state::State;
+use crate::edge::ReportedRate;
 use http::HeaderValue;
 use slog::{info, warn};
 use std::cell::{Cell, RefCell};
@@ -98,13 +99,14 @@
         "left_out" => left_out);
 }
 
-/// Logs a call that an upstream answered, at the node that the call came in at.
+/// Logs a call that an upstream answered, with the answer's status and the rate limit that it names,
+/// at the node that the call came in at.
 pub(super) fn log_answered_call(
     state: &State,
     id: Option<&HeaderValue>,
     meta: &CallMeta,
     instance: &InstanceId,
-    status: u16,
+    (status, rate): (u16, ReportedRate),
     load: Load,
 ) {
     let call_log = &state.call_log;
@@ -120,10 +122,20 @@
         "status" => status,
         "took_ms" => took.as_millis(),
         "load" => load.to_string(),
+        "rate_limit" => rate_text(rate),
         "config" => state.hub.snapshot.borrow().version.0,
         "left_out" => left_out);
 }
 
+/// Returns the rate limit that an upstream's answer names as log lines carry it.
+fn rate_text(rate: ReportedRate) -> String {
+    match rate {
+        ReportedRate::Unlimited => "-".to_owned(),
+        ReportedRate::Limit(limit) => limit.to_string(),
+        ReportedRate::Malformed => "malformed".to_owned(),
+    }
+}
+
 /// Logs the end of a call's run on the local upstream, unless it was answered with a status below
 /// 500.
 pub(super) fn log_failed_run(
--- a/crates/sycamore-node/src/calls/meta.rs
+++ b/crates/sycamore-node/src/calls/meta.rs
@@ -58,6 +58,8 @@
     pub(super) received_at: Time,
     /// Upper bound on the call's age at `received_at`.
     pub(super) max_prior_age: Duration,
+    /// Number of the attempt within the call, from 1.
+    pub(super) attempt: u8,
     /// Whether the call may run more than once.
     pub(super) is_repeatable: bool,
     /// Time after which the answer is worth less; `None` if the route sets no objective.
@@ -171,6 +173,7 @@
                 .and_then(|age| age.parse().ok())
                 .map_or(Duration::MAX, Duration::from_millis)
                 .saturating_add(unread),
+            attempt: text(fields, headers::ATTEMPT).and_then(|text| text.parse().ok()).unwrap_or(1),
             is_repeatable: text(fields, headers::REPEATS) == Some("1"),
             objective: text(fields, headers::OBJECTIVE_MS)
                 .and_then(|left| left.parse().ok())
@@ -179,3 +182,10 @@
         Some((meta, target))
     }
 }
+
+/// Returns the first eight bytes of a hash as a number.
+pub(super) fn first_bytes(hash: &ContentHash) -> u64 {
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&hash.0[..8]);
+    u64::from_be_bytes(bytes)
+}
--- a/crates/sycamore-node/src/calls/metrics.rs
+++ b/crates/sycamore-node/src/calls/metrics.rs
@@ -1,9 +1,11 @@
 //! Prometheus metrics of the call path.
 
+use super::report::SentKind;
 use crate::hub::Meter;
 use error_stack::Report;
 use prometheus::{
-    GaugeVec, Histogram, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry,
+    Gauge, GaugeVec, Histogram, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Registry,
 };
 use std::cell::RefCell;
 use std::collections::HashSet;
@@ -35,6 +37,9 @@
     wait_seconds: Histogram,
     run_seconds: HistogramVec,
     upstream: IntGaugeVec,
+    sent: IntCounterVec,
+    rate_limit: Gauge,
+    malformed_reports: IntCounter,
     suppressed_lines: IntCounter,
     /// Names that have a label value of their own.
     names: RefCell<HashSet<String>>,
@@ -102,6 +107,21 @@
         }
     }
 
+    /// Counts a call that is sent to the local upstream.
+    pub(super) fn count_sent(&self, kind: SentKind) {
+        self.sent.with_label_values(&[kind.as_str()]).inc();
+    }
+
+    /// Sets the gauge of the rate limit that the local upstream names; infinite if it names none.
+    pub(super) fn set_rate_limit(&self, limit: Option<RateLimit>) {
+        self.rate_limit.set(limit.map_or(f64::INFINITY, RateLimit::per_second));
+    }
+
+    /// Counts an answer of the local upstream that names a rate limit which can't be read.
+    pub(super) fn count_malformed_report(&self) {
+        self.malformed_reports.inc();
+    }
+
     /// Counts an attempt by its `number` within the call, from 1: first attempts and retries.
     pub(super) fn count_attempt(&self, number: u8) {
         match number {
@@ -203,6 +223,19 @@
             "1 for the current state of the local upstream, 0 for the others",
             &["state"],
         )?,
+        sent: meter.counters(
+            "upstream_calls_total",
+            "Calls sent to the local upstream: first attempts, retries, and calls of upstreams",
+            &["kind"],
+        )?,
+        rate_limit: meter.level(
+            "upstream_rate_limit",
+            "Requests per second that the local upstream takes by its answers; +Inf without limit",
+        )?,
+        malformed_reports: meter.counter(
+            "upstream_rate_limit_malformed_total",
+            "Answers of the local upstream with a rate limit that can't be read",
+        )?,
         suppressed_lines: meter
             .counter("log_left_out_total", "Log lines about calls over the limit per second")?,
         names: RefCell::default(),
--- a/crates/sycamore-node/src/calls/mod.rs
+++ b/crates/sycamore-node/src/calls/mod.rs
@@ -22,6 +22,7 @@
 mod metrics;
 mod pipeline;
 mod pool;
+mod report;
 mod serve;
 mod slot;
 mod state;
--- a/crates/sycamore-node/src/calls/serve.rs
+++ b/crates/sycamore-node/src/calls/serve.rs
@@ -10,7 +10,7 @@
 use super::listen::ListenerKind;
 use super::memory::{Reservation, Role};
 use super::message::{Inbound, Message};
-use super::meta::{self, CallMeta, Depth};
+use super::meta::{self, first_bytes, CallMeta, Depth};
 use super::pipeline;
 use super::state::State;
 use crate::edge::RequestInfo;
@@ -286,6 +286,7 @@
         max_prior_age: state.unread.borrow().max_socket_wait(now),
         objective: route.policy.objective.map(|time| now + time.saturating_sub(waited)),
         origin: state.hub.settings.node.service.clone(),
+        attempt: 1,
         is_repeatable: match route.policy.repeat {
             Repeat::ByMethod => msg.head.method.is_idempotent(),
             Repeat::Always => true,
@@ -350,12 +351,6 @@
     Fingerprint(first_bytes(&ContentHash::of(&text)))
 }
 
-fn first_bytes(hash: &ContentHash) -> u64 {
-    let mut bytes = [0; 8];
-    bytes.copy_from_slice(&hash.0[..8]);
-    u64::from_be_bytes(bytes)
-}
-
 fn refuse_quarantined(state: &State, meta: &CallMeta) -> Option<Answer> {
     let now = state.hub.clock.wall();
     match state.crashes.borrow().verdict(now, meta.fingerprint) {
--- a/crates/sycamore-node/src/calls/state.rs
+++ b/crates/sycamore-node/src/calls/state.rs
@@ -5,6 +5,7 @@
 use super::memory::BodyMemory;
 use super::metrics::Metrics;
 use super::pool::Pool;
+use super::report::Reports;
 use super::slot::Waiters;
 use crate::edge::Edges;
 use crate::hub::{AnnouncedUpstream, Hub};
@@ -53,6 +54,8 @@
     pub(super) edges: Edges,
     /// Order of the upstream's starts and announcements, used to drop outdated messages.
     pub(super) announcements: RefCell<AnnouncementLog>,
+    /// State that the local upstream reported about itself in its answers.
+    pub(super) reports: Reports,
     pub(super) router: RefCell<Router>,
     /// Versions found bad or aborted, which get no calls.
     pub(super) bans: RefCell<VersionBans>,
@@ -108,6 +111,7 @@
             hub: hub.clone(),
             edges: edges.clone(),
             announcements: RefCell::default(),
+            reports: Reports::default(),
             router: RefCell::new(Router::new(RouterConfig::default(), rng.random())),
             bans: RefCell::default(),
             gate: RefCell::default(),
--- a/crates/sycamore-node/src/calls/watch.rs
+++ b/crates/sycamore-node/src/calls/watch.rs
@@ -4,6 +4,7 @@
 use super::announce;
 use super::crash;
 use super::introduce;
+use super::report;
 use super::slot;
 use super::state::State;
 use crate::tasks::TaskGroup;
@@ -57,6 +58,7 @@
         state.relays.close_expired();
         announce::check_announcement_timeout(&state);
         announce::update_state_metric(&state);
+        report::log_summary(&state);
     }
 }
 
@@ -114,6 +116,7 @@
     let capacity = announced.as_ref().map_or((0, 0), |up| (up.slots, up.connections));
     slot::step(state, Input::Announce { slots: capacity.0, connections: capacity.1 });
     let Some(announced) = announced else { return };
+    report::begin(state, &announced);
     let known = state.gate.borrow().as_ref().map(|gate| gate.version().clone());
     if known.as_ref() != Some(&announced.version) {
         let service = state.hub.settings.node.service.clone();
--- a/crates/sycamore-node/src/edge/mod.rs
+++ b/crates/sycamore-node/src/edge/mod.rs
@@ -90,11 +90,46 @@
     Shed,
     /// The call has not run, for this reason; the node answers instead of relaying.
     NotRun(RefusalReason),
-    /// The answer belongs to another call or is not the upstream's complete answer, for this
-    /// reason.
+    /// The upstream answered the call, but the answer can't be relayed, for this reason.
+    Invalid(&'static str),
+    /// The answer belongs to another call, for this reason.
     Foreign(&'static str),
 }
 
+/// State that an upstream reports about itself in the head of an answer, whatever the answer says
+/// about its call.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct UpstreamReport {
+    /// Maximum rate at which the upstream takes requests at the moment.
+    pub rate: ReportedRate,
+    /// Whether the upstream is leaving and takes no new calls.
+    pub leaving: bool,
+}
+
+/// Rate limit as an answer reports it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum ReportedRate {
+    /// The answer names no limit: there is none at the moment.
+    Unlimited,
+    /// Limit that the answer names.
+    Limit(RateLimit),
+    /// The answer names a limit that can't be read, which says nothing about the limit in force.
+    Malformed,
+}
+
+impl ReportedRate {
+    /// Reads the rate from the header field `name`, which must occur at most once.
+    pub fn from_field(fields: &HeaderMap, name: &str) -> Self {
+        let mut values = fields.get_all(name).iter();
+        let limit = match (values.next(), values.next()) {
+            (None, _) => return Self::Unlimited,
+            (Some(value), None) => value.to_str().ok().and_then(|text| text.parse().ok()),
+            (Some(_), Some(_)) => None,
+        };
+        limit.map_or(Self::Malformed, Self::Limit)
+    }
+}
+
 /// Protocol adapter for calls.
 pub trait CallEdge {
     /// Reads the metadata of a request from its head.
@@ -112,6 +147,9 @@
         history: History,
     ) -> UpstreamAnswer;
 
+    /// Reads what an upstream reports about itself in the head of an answer.
+    fn upstream_report(&self, answer: &ResponseHead) -> UpstreamReport;
+
     /// Formats an answer of the node itself for a caller whose request has the metadata `info`.
     fn answer(&self, answer: &Answer, info: &RequestInfo) -> Response<Bytes>;
 }
--- a/crates/sycamore-node/src/edge/native.rs
+++ b/crates/sycamore-node/src/edge/native.rs
@@ -1,8 +1,8 @@
 //! Adapters for the native protocol of callers and upstreams, described in `docs/INTERFACES.md`.
 
 use super::{
-    Announcement, CallEdge, History, Process, RequestInfo, UpstreamAnswer, UpstreamCall,
-    UpstreamEdge, UpstreamMessage,
+    Announcement, CallEdge, History, Process, ReportedRate, RequestInfo, UpstreamAnswer,
+    UpstreamCall, UpstreamEdge, UpstreamMessage, UpstreamReport,
 };
 use crate::calls::Answer;
 use bytes::Bytes;
@@ -52,6 +52,14 @@
         }
     }
 
+    fn upstream_report(&self, answer: &ResponseHead) -> UpstreamReport {
+        let fields = &answer.headers;
+        UpstreamReport {
+            rate: ReportedRate::from_field(fields, headers::RATE_LIMIT),
+            leaving: fields.get_all(headers::LEAVING).iter().any(|value| value == "1"),
+        }
+    }
+
     fn answer(&self, answer: &Answer, _: &RequestInfo) -> Response<Bytes> {
         answer.to_response()
     }
--- a/crates/sycamore-node/src/hub/mod.rs
+++ b/crates/sycamore-node/src/hub/mod.rs
@@ -49,6 +49,8 @@
 /// Local upstream as described by its latest announcement.
 #[derive(Debug, Clone, PartialEq)]
 pub struct AnnouncedUpstream {
+    /// Process that sent the announcement.
+    pub process: ProcessId,
     /// Name the upstream gives its process; `None` if it gives none.
     pub name: Option<String>,
     /// Version of the upstream's software.
--- a/crates/sycamore-node/tests/calls/metrics.rs
+++ b/crates/sycamore-node/tests/calls/metrics.rs
@@ -4,14 +4,14 @@
 use http::StatusCode;
 use prometheus::{Encoder, TextEncoder};
 
-fn page(cluster: &Cluster, node: usize) -> String {
+pub fn page(cluster: &Cluster, node: usize) -> String {
     let mut text = Vec::new();
     let families = cluster.nodes[node].hub.registry.gather();
     TextEncoder::new().encode(&families, &mut text).unwrap();
     String::from_utf8(text).unwrap()
 }
 
-fn value(page: &str, series: &str) -> f64 {
+pub fn value(page: &str, series: &str) -> f64 {
     let line = page.lines().find_map(|line| line.strip_prefix(series)?.strip_prefix(' '));
     line.map_or(0.0, |value| value.parse().unwrap())
 }
@@ -52,3 +52,30 @@
         cluster.stop().await;
     });
 }
+
+/// What an upstream says of its own limit must show in the metrics of its node, and a value that
+/// can't be read must show as such and change nothing.
+#[test]
+fn the_rate_limit_of_an_upstream_shows_in_its_nodes_metrics() {
+    run(async {
+        let cluster = Cluster::start(&Options { nodes: 1, ..Options::default() }).await;
+        let call_with = async |fields: &str| {
+            cluster.nodes[0].upstream.set_fields(fields);
+            cluster.call(get("/counter/echo"), "").await;
+            page(&cluster, 0)
+        };
+        let limit = "sycamoreshift_upstream_rate_limit";
+        let malformed = "sycamoreshift_upstream_rate_limit_malformed_total";
+        assert_eq!(value(&call_with("").await, limit), f64::INFINITY);
+        assert_eq!(value(&call_with("shift-rate-limit: 900.5\r\n").await, limit), 900.5);
+        let page = call_with("shift-rate-limit: -1\r\n").await;
+        assert_eq!((value(&page, limit), value(&page, malformed)), (900.5, 1.0));
+        let twice = "shift-rate-limit: 9000\r\nshift-rate-limit: 9000\r\n";
+        let page = call_with(twice).await;
+        assert_eq!((value(&page, limit), value(&page, malformed)), (900.5, 2.0));
+        let page = call_with("").await;
+        assert_eq!(value(&page, limit), f64::INFINITY);
+        assert_eq!(value(&page, "sycamoreshift_upstream_calls_total{kind=\"first\"}"), 5.0);
+        cluster.stop().await;
+    });
+}
--- a/crates/sycamore-node/tests/calls/upstream.rs
+++ b/crates/sycamore-node/tests/calls/upstream.rs
@@ -6,7 +6,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use sycamore_http::conn::{write_all, Reader};
 use sycamore_http::wire::request_framing;
 use sycamore_http::{BodyDecoder, HeadLimits, RequestHead};
@@ -28,6 +28,10 @@
     opened: Cell<u64>,
     /// Number below which connections answer no further request.
     muted: Cell<u64>,
+    /// Header lines that every answer has in addition, each with its line break.
+    fields: RefCell<String>,
+    /// Times at which the requests that ran arrived.
+    arrivals: RefCell<Vec<Instant>>,
 }
 
 /// Fake upstream that listens on loopback.
@@ -82,6 +86,23 @@
         self.shared.muted.set(self.shared.opened.get());
     }
 
+    /// Has every later answer carry `fields`, header lines with their line breaks.
+    #[allow(dead_code, reason = "tests/endless needs no such fields")]
+    pub fn set_fields(&self, fields: &str) {
+        *self.shared.fields.borrow_mut() = fields.to_owned();
+    }
+
+    /// Returns the maximum number of requests that arrived within any span of `window` since
+    /// `start`.
+    #[allow(dead_code, reason = "tests/endless counts no arrivals")]
+    pub fn most_arrivals(&self, start: Instant, window: Duration) -> usize {
+        let arrivals = self.shared.arrivals.borrow();
+        let counted: Vec<Instant> = arrivals.iter().copied().filter(|at| *at >= start).collect();
+        let within =
+            |(i, from): (usize, &Instant)| counted.partition_point(|at| *at < *from + window) - i;
+        counted.iter().enumerate().map(within).max().unwrap_or_default()
+    }
+
     /// Has every request for `wait` answered, running and later ones.
     pub fn release(&self) {
         self.shared.released.set(true);
@@ -122,6 +143,7 @@
         let framing = request_framing(&head).unwrap();
         shared.heads.borrow_mut().push(head);
         shared.runs.borrow_mut().push(path.clone());
+        shared.arrivals.borrow_mut().push(Instant::now());
         let running = Running::new(shared);
         let Ok(body) = reader.body(BodyDecoder::new(framing), usize::MAX).await else { return };
         let answer = {
@@ -140,12 +162,22 @@
             return write_without_end(&mut writer, prefix, repeated, &path, shared).await;
         }
         let Some((bytes, keep)) = answer else { return };
+        let bytes = with_fields(&bytes, &shared.fields.borrow());
         if write_all(&mut writer, bytes).await.is_err() || !keep {
             return;
         }
     }
 }
 
+/// Returns an answer with `fields` behind its status line.
+fn with_fields(answer: &Bytes, fields: &str) -> Bytes {
+    let status_line = answer.windows(2).position(|pair| pair == b"\r\n").map_or(0, |at| at + 2);
+    let mut bytes = BytesMut::from(&answer[..status_line]);
+    bytes.extend_from_slice(fields.as_bytes());
+    bytes.extend_from_slice(&answer[status_line..]);
+    bytes.freeze()
+}
+
 /// Returns the first bytes of an answer without end and those that follow again and again.
 fn endless(path: &str) -> Option<(&'static str, &'static str)> {
     let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
--- a/crates/sycamore-node/tests/calls/world.rs
+++ b/crates/sycamore-node/tests/calls/world.rs
@@ -195,6 +195,7 @@
         hub.publish_snapshot(snapshot(options));
     }
     hub.upstream.send_replace(Some(AnnouncedUpstream {
+        process: ProcessId(1),
         version: version("1.0.0"),
         address: upstream.address(),
         slots: options.slots,
--- a/crates/sycamore-types/src/headers.rs
+++ b/crates/sycamore-types/src/headers.rs
@@ -5,6 +5,11 @@
 /// Prefix of the headers that only nodes may set.
 pub const INTERNAL_PREFIX: &str = "x-shift-";
 
+/// Set by upstreams on answers: maximum rate of requests that the upstream takes from all callers
+/// together, in requests per second; an answer without it states that there is none.
+pub const RATE_LIMIT: &str = "shift-rate-limit";
+/// Set by upstreams on answers: `1` where the upstream is leaving and takes no new calls.
+pub const LEAVING: &str = "shift-leaving";
 /// Set by callers: identifier of the request, which log lines repeat. An upstream that makes a call
 /// of its own sends this identifier, a dot and a suffix of its choice.
 pub const REQUEST: &str = "shift-request";
--- a/crates/sycamore-types/src/id.rs
+++ b/crates/sycamore-types/src/id.rs
@@ -201,6 +201,11 @@
     /// start of the body.
     Fingerprint(u64), "16"
 }
+number_id! {
+    /// Identifier of one start of an upstream process, the same at all nodes: hash of its name and
+    /// start time.
+    ProcessId(u64), "16"
+}
 
 /// Number of a configuration; a higher number replaces a lower one.
 #[derive(
--- a/crates/sycamore-types/src/lib.rs
+++ b/crates/sycamore-types/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod member;
 pub mod outcome;
 pub mod prelude;
+pub mod rate;
 pub mod resource;
 pub mod route_table;
 pub mod share;
--- a/crates/sycamore-types/src/prelude.rs
+++ b/crates/sycamore-types/src/prelude.rs
@@ -6,6 +6,7 @@
 pub use crate::id::*;
 pub use crate::member::{Endpoints, Incarnation, Member, MemberState, MemberView};
 pub use crate::outcome::{CallOutcome, OutcomeKind, RefusalReason};
+pub use crate::rate::RateLimit;
 pub use crate::resource::{
     CallerLimits, ConfigHead, FetchLimit, Limits, Repeat, Resource, RetryPolicy, Route,
     RoutePolicy, Service, WeightedService,
--- /dev/null
+++ b/crates/sycamore-types/src/rate.rs
@@ -0,0 +1,66 @@
+//! Rate limits that upstreams state about themselves.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+/// Maximum value of a [`RateLimit`]; a higher number is no rate that an upstream could serve, so it
+/// is read as a mistake.
+const MAX_PER_SECOND: f64 = 1e6;
+
+/// Maximum rate at which an upstream takes requests, in requests per second of all nodes together:
+/// 0 to 1,000,000, with fractions.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+pub struct RateLimit(f64);
+
+/// Error of a number or text that is not a rate limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct InvalidRateLimit;
+
+impl RateLimit {
+    /// Creates a limit of `per_second` requests per second.
+    ///
+    /// # Errors
+    /// Returns [`InvalidRateLimit`] for a number that is negative, not finite or too large.
+    pub fn new(per_second: f64) -> Result<Self, InvalidRateLimit> {
+        match (0.0..=MAX_PER_SECOND).contains(&per_second) {
+            true => Ok(Self(per_second)),
+            false => Err(InvalidRateLimit),
+        }
+    }
+
+    /// Returns the limit in requests per second.
+    pub fn per_second(self) -> f64 {
+        self.0
+    }
+
+    /// Returns the mean time between two requests, at most `max`.
+    pub fn interval(self, max: Duration) -> Duration {
+        match self.0 * max.as_secs_f64() > 1.0 {
+            true => Duration::from_secs_f64(1.0 / self.0),
+            false => max,
+        }
+    }
+}
+
+impl fmt::Display for RateLimit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for RateLimit {
+    type Err = InvalidRateLimit;
+
+    fn from_str(text: &str) -> Result<Self, InvalidRateLimit> {
+        text.trim().parse().map_err(|_| InvalidRateLimit).and_then(Self::new)
+    }
+}
+
+impl fmt::Display for InvalidRateLimit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "invalid rate limit: expected a number of 0 to {MAX_PER_SECOND}")
+    }
+}
+
+impl std::error::Error for InvalidRateLimit {}
