--- a/crates/sycamore-node/tests/calls/main.rs
+++ b/crates/sycamore-node/tests/calls/main.rs
@@ -6,6 +6,7 @@
 mod cancel;
 mod crash;
 mod key;
+mod limited;
 mod metrics;
 mod path;
 mod pipeline;
