--- a/crates/sycamore-call/src/admit/mod.rs
+++ b/crates/sycamore-call/src/admit/mod.rs
@@ -2,6 +2,7 @@
 //! more by class and deadline, and refuses at once the calls that can't finish in time.
 
 mod limit;
+mod pace;
 mod queue;
 mod turned_away;
 mod work;
@@ -11,6 +12,7 @@
 
 use crate::load::Load;
 use limit::Limiter;
+use pace::Pacer;
 use queue::{Queue, Waiting};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -27,6 +29,12 @@
 /// Maximum wait of a call that can't meet its objective. While the queue wait is longer, such a
 /// call would take a slot from one that can still meet its objective.
 const MAX_LATE_WAIT: Duration = Duration::from_millis(25);
+/// Maximum number of calls that run on an upstream before its first answer, which shows whether it has
+/// a rate limit.
+const MAX_UNHEARD_CALLS: u16 = 2;
+/// Time after the first call to an upstream after which more calls run although it has not answered:
+/// the first ones may take long.
+const UNHEARD_TIME: Duration = Duration::from_millis(500);
 /// Maximum delay that a refused caller is told to wait before it retries.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
 
@@ -111,6 +119,8 @@
     pub objective: Option<Time>,
     /// Hash of the kind of work: calls of one kind take about the same time on the upstream.
     pub work: u64,
+    /// Whether a running call of another upstream waits for this one; refusing it wastes that run.
+    pub is_inner: bool,
 }
 
 /// Outcome of a call that ran, reduced to what adapts the concurrency limit.
@@ -142,6 +152,11 @@
     Cancel(u64),
     /// Time passed; expires queued calls.
     Tick,
+    /// The upstream, which may have a rate limit since before this node started, hasn't reported one
+    /// yet.
+    Unheard,
+    /// The upstream reported this rate limit, or that it has none.
+    Limit(Option<RateLimit>),
     /// The upstream drains: queued and arriving calls are refused.
     Drain,
 }
@@ -162,12 +177,33 @@
     },
 }
 
+/// Upstream whose first answer to this node has not arrived yet.
+#[derive(Debug, Clone, Copy, Default)]
+struct Unheard {
+    /// Time at which the first call started.
+    called_at: Option<Time>,
+}
+
+impl Unheard {
+    /// Returns whether the first answer is still awaited.
+    fn is_waiting(self, now: Time) -> bool {
+        self.ends_at().is_none_or(|end| now < end)
+    }
+
+    /// Returns the end of the wait for the first answer; `None` before the first call.
+    fn ends_at(self) -> Option<Time> {
+        self.called_at.map(|at| at + UNHEARD_TIME)
+    }
+}
+
 /// Admission control of one upstream.
 #[derive(Debug, Clone)]
 pub struct Admission {
     config: AdmissionConfig,
     slots: u16,
     limiter: Limiter,
+    pacer: Pacer,
+    unheard: Option<Unheard>,
     running: BTreeMap<u64, (Arrival, Time)>,
     queue: Queue,
     service_times: ServiceTimes,
@@ -183,6 +219,8 @@
             config,
             slots: 0,
             limiter,
+            pacer: Pacer::default(),
+            unheard: None,
             running: BTreeMap::new(),
             queue: Queue::default(),
             service_times: ServiceTimes::default(),
@@ -204,10 +242,16 @@
             Input::Finish(id, end) => self.finish(now, id, end),
             Input::Cancel(id) => drop(self.queue.remove(id)),
             Input::Tick => {}
+            Input::Unheard => self.unheard = Some(Unheard::default()),
+            Input::Limit(limit) => {
+                self.unheard = None;
+                self.pacer.set_limit(now, limit);
+            }
             Input::Drain => self.drain(now, &mut out),
         }
         self.expire(now, &mut out);
         self.admit_queued(now, &mut out);
+        self.refuse_late_starts(now, &mut out);
         out
     }
 
@@ -217,16 +261,22 @@
         self.config.queue_time = limits.queue_time;
     }
 
-    /// Returns the load to report to other nodes.
-    pub fn load(&self) -> Load {
+    /// Returns the load at `now` to report to other nodes.
+    pub fn load(&self, now: Time) -> Load {
         let count = |len: usize| u16::try_from(len).unwrap_or(u16::MAX);
         Load {
             running: count(self.running.len()),
             limit: self.limit(),
             queued: count(self.queue.len()),
+            rate_percent: self.pacer.used_percent(now, self.queue.len()),
         }
     }
 
+    /// Returns the rate limit that the upstream reported.
+    pub fn rate_limit(&self) -> Option<RateLimit> {
+        self.pacer.limit()
+    }
+
     /// Returns the current concurrency limit, in calls.
     pub fn limit(&self) -> u16 {
         self.limiter.limit().min(self.slots)
@@ -237,9 +287,16 @@
         self.draining
     }
 
-    /// Returns when the next queued call expires; the caller must then apply [`Input::Tick`].
-    pub fn next_tick(&self) -> Option<Time> {
-        self.queue.next_expiry()
+    /// Returns when the next queued call expires, or may start under the rate limit; the caller must
+    /// then apply [`Input::Tick`].
+    pub fn next_tick(&self, now: Time) -> Option<Time> {
+        let expiry = self.queue.next_expiry()?;
+        let next = match (self.has_slot(now), self.unheard.and_then(Unheard::ends_at)) {
+            (true, _) => now + self.pacer.wait(now, 0),
+            (false, Some(end)) => end,
+            (false, None) => expiry,
+        };
+        Some(next.min(expiry))
     }
 
     fn handle_arrival(&mut self, now: Time, arrival: Arrival, out: &mut Vec<Decision>) {
@@ -252,16 +309,17 @@
         if self.slots == 0 {
             return out.push(self.refuse(now, arrival.id, RefusalReason::NoUpstream));
         }
-        if self.has_slot() && self.queue.len() == 0 {
+        if self.may_start(now) && self.queue.len() == 0 {
             return self.admit(now, arrival, out);
         }
+        let reason = self.reason_to_wait(now);
         if !self.is_expected_in_time(now, &arrival) {
-            return out.push(self.refuse(now, arrival.id, RefusalReason::Overloaded));
+            return out.push(self.refuse(now, arrival.id, reason));
         }
         if !self.has_queue_space(arrival.class) {
             match self.queue.evict_for(&arrival, &self.running_calls_of(arrival.caller)) {
-                Some(id) => out.push(self.refuse(now, id, RefusalReason::Overloaded)),
-                None => return out.push(self.refuse(now, arrival.id, RefusalReason::Overloaded)),
+                Some(id) => out.push(self.refuse(now, id, reason)),
+                None => return out.push(self.refuse(now, arrival.id, reason)),
             }
         }
         let expires = (now + self.config.queue_time).min(self.latest_start(now, &arrival));
@@ -284,36 +342,68 @@
 
     /// Returns whether a call is expected to finish in time behind the calls that run before it.
     fn is_expected_in_time(&self, now: Time, arrival: &Arrival) -> bool {
-        let Some(service) = self.service_times.of(arrival.work) else { return true };
-        let wait = self.expected_wait(self.queue.ahead_of(arrival));
+        let service = match (self.service_times.of(arrival.work), self.pacer.limit()) {
+            (Some(service), _) => service,
+            (None, Some(_)) => Duration::ZERO,
+            (None, None) => return true,
+        };
+        let wait = self.expected_wait(now, self.queue.ahead_of(arrival));
         wait.mul_f64(WAIT_SAFETY_FACTOR) <= self.config.queue_time
             && is_wait_acceptable(now, arrival, wait.mul_f64(OBJECTIVE_WAIT_FACTOR), service)
     }
 
     /// Estimates the wait behind the calls in `ahead`: slots become free at the rate of `limit`
-    /// calls per service time.
-    fn expected_wait<'a>(&self, ahead: impl Iterator<Item = &'a Waiting>) -> Duration {
+    /// calls per service time, and calls start at the rate limit.
+    fn expected_wait<'a>(&self, now: Time, ahead: impl Iterator<Item = &'a Waiting>) -> Duration {
         let mean = self.service_times.mean().unwrap_or_default();
         let excess = self.running.len().saturating_sub(usize::from(self.limit())) + 1;
-        let queued_time: Duration =
-            ahead.map(|waiting| self.service_times.of(waiting.arrival.work).unwrap_or(mean)).sum();
-        (mean.mul_f64(excess as f64) + queued_time) / u32::from(self.limit().max(1))
+        let mut count = 0;
+        let queued_time: Duration = ahead
+            .map(|waiting| {
+                count += 1;
+                self.service_times.of(waiting.arrival.work).unwrap_or(mean)
+            })
+            .sum();
+        let for_slot = (mean.mul_f64(excess as f64) + queued_time) / u32::from(self.limit().max(1));
+        for_slot.max(self.pacer.wait(now, count))
     }
 
     /// Returns the latest start of a call that still meets its objective, or [`MAX_LATE_WAIT`] from
     /// now if that is later, but never so late that it misses the deadline.
     fn latest_start(&self, now: Time, arrival: &Arrival) -> Time {
-        let Some(objective) = arrival.objective else { return arrival.deadline };
         let service = self.service_times.of(arrival.work).unwrap_or_default();
+        let latest_by_deadline = time_before(arrival.deadline, service);
+        let Some(objective) = arrival.objective else { return latest_by_deadline };
         let latest = time_before(objective, service).max(now + MAX_LATE_WAIT);
-        latest.min(time_before(arrival.deadline, service))
+        latest.min(latest_by_deadline)
     }
 
-    fn has_slot(&self) -> bool {
-        self.running.len() < usize::from(self.limit())
+    fn has_slot(&self, now: Time) -> bool {
+        let limit = match self.unheard {
+            Some(unheard) if unheard.is_waiting(now) => self.limit().min(MAX_UNHEARD_CALLS),
+            _ => self.limit(),
+        };
+        self.running.len() < usize::from(limit)
+    }
+
+    /// Returns whether a call may start by the concurrency limit and the rate limit.
+    fn may_start(&self, now: Time) -> bool {
+        self.has_slot(now) && self.pacer.may_start(now)
+    }
+
+    /// Returns the reason for which a call that can't wait is refused.
+    fn reason_to_wait(&self, now: Time) -> RefusalReason {
+        match self.has_slot(now) && self.pacer.limit().is_some() {
+            true => RefusalReason::RateLimited,
+            false => RefusalReason::Overloaded,
+        }
     }
 
     fn admit(&mut self, now: Time, arrival: Arrival, out: &mut Vec<Decision>) {
+        self.pacer.record_start(now);
+        if let Some(unheard) = &mut self.unheard {
+            unheard.called_at.get_or_insert(now);
+        }
         self.running.insert(arrival.id, (arrival, now));
         out.push(Decision::Admit(arrival.id));
     }
@@ -337,12 +427,12 @@
 
     fn expire(&mut self, now: Time, out: &mut Vec<Decision>) {
         while let Some(id) = self.queue.take_expired(now) {
-            out.push(self.refuse(now, id, RefusalReason::Overloaded));
+            out.push(self.refuse(now, id, self.reason_to_wait(now)));
         }
     }
 
     fn admit_queued(&mut self, now: Time, out: &mut Vec<Decision>) {
-        while self.has_slot() {
+        while self.may_start(now) {
             let Some(waiting) = self.queue.pop_at(now, &self.service_times) else { return };
             if self.can_meet_deadline(now, &waiting.arrival) {
                 self.admit(now, waiting.arrival, out);
@@ -352,16 +442,34 @@
         }
     }
 
+    /// Refuses the queued calls that the rate limit lets start too late only, since more urgent ones
+    /// have overtaken them or the limit has fallen.
+    fn refuse_late_starts(&mut self, now: Time, out: &mut Vec<Decision>) {
+        if self.pacer.limit().is_none() {
+            return;
+        }
+        let pacer = &self.pacer;
+        let late = self.queue.take_late(|ahead| now + pacer.wait(now, ahead));
+        for id in late {
+            out.push(self.refuse(now, id, RefusalReason::RateLimited));
+        }
+    }
+
     fn can_meet_deadline(&self, now: Time, arrival: &Arrival) -> bool {
         now + self.service_times.of(arrival.work).unwrap_or_default() <= arrival.deadline
     }
 
     fn refuse(&mut self, now: Time, id: u64, reason: RefusalReason) -> Decision {
-        let mut wait = self.expected_wait(self.queue.all());
-        if reason == RefusalReason::Overloaded {
-            let slot_time =
-                self.service_times.mean().unwrap_or_default() / u32::from(self.limit().max(1));
-            wait += self.refused_callers.enqueue(now, slot_time);
+        let mut wait = self.expected_wait(now, self.queue.all());
+        let start_time = match reason {
+            RefusalReason::Overloaded => {
+                self.service_times.mean().unwrap_or_default() / u32::from(self.limit().max(1))
+            }
+            RefusalReason::RateLimited => self.pacer.interval(now),
+            _ => Duration::ZERO,
+        };
+        if !start_time.is_zero() {
+            wait += self.refused_callers.enqueue(now, start_time);
         }
         let retry_after = wait.clamp(self.config.min_retry_after, MAX_RETRY_AFTER);
         Decision::Refuse { id, reason, retry_after }
--- a/crates/sycamore-call/src/admit/queue.rs
+++ b/crates/sycamore-call/src/admit/queue.rs
@@ -1,7 +1,7 @@
 //! Bounded queue of calls that wait for a slot of the upstream.
 
 use super::work::ServiceTimes;
-use super::Arrival;
+use super::{Arrival, Criticality};
 use std::cmp::Reverse;
 use sycamore_types::prelude::*;
 
@@ -52,8 +52,8 @@
         }
     }
 
-    /// Removes the first call in priority order: highest class, then earliest objective or else
-    /// deadline.
+    /// Removes the first call in priority order: highest class, then calls of running calls, then
+    /// earliest objective or else deadline.
     pub(super) fn pop(&mut self) -> Option<Waiting> {
         let first = self.0.iter().min_by_key(|waiting| priority_key(&waiting.arrival))?.arrival.id;
         self.remove(first)
@@ -70,6 +70,22 @@
         self.0.iter()
     }
 
+    /// Removes the calls that expire before they start; `start_behind` returns the start of a call
+    /// behind a number of others.
+    pub(super) fn take_late(&mut self, start_behind: impl Fn(usize) -> Time) -> Vec<u64> {
+        self.0.sort_unstable_by_key(|waiting| priority_key(&waiting.arrival));
+        let (mut ahead, mut late) = (0, Vec::new());
+        self.0.retain(|waiting| {
+            let is_in_time = start_behind(ahead) <= waiting.expires;
+            ahead += usize::from(is_in_time);
+            if !is_in_time {
+                late.push(waiting.arrival.id);
+            }
+            is_in_time
+        });
+        late
+    }
+
     pub(super) fn next_expiry(&self) -> Option<Time> {
         self.0.iter().map(|waiting| waiting.expires).min()
     }
@@ -110,6 +126,8 @@
     }
 }
 
-fn priority_key(arrival: &Arrival) -> (Reverse<super::Criticality>, Time, u64) {
-    (Reverse(arrival.class), arrival.objective.unwrap_or(arrival.deadline), arrival.id)
+/// Orders calls by class, then those that a running call waits for, then by time.
+fn priority_key(arrival: &Arrival) -> (Reverse<Criticality>, Reverse<bool>, Time, u64) {
+    let due = arrival.objective.unwrap_or(arrival.deadline);
+    (Reverse(arrival.class), Reverse(arrival.is_inner), due, arrival.id)
 }
--- a/crates/sycamore-call/src/load.rs
+++ b/crates/sycamore-call/src/load.rs
@@ -3,7 +3,8 @@
 use std::fmt;
 use std::str::FromStr;
 
-/// Load of an upstream, in calls; its text form is `running/limit/queued`.
+/// Load of an upstream, in calls; its text form is `running/limit/queued`, with `/rate_percent` where
+/// the upstream reports a rate limit.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
 pub struct Load {
     /// Number of running calls.
@@ -12,6 +13,8 @@
     pub limit: u16,
     /// Number of calls that wait for a slot.
     pub queued: u16,
+    /// Share of the upstream's rate limit that is used, in percent; `None` if it reports no limit.
+    pub rate_percent: Option<u16>,
 }
 
 impl Load {
@@ -23,17 +26,21 @@
 
 impl fmt::Display for Load {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/{}/{}", self.running, self.limit, self.queued)
+        write!(f, "{}/{}/{}", self.running, self.limit, self.queued)?;
+        match self.rate_percent {
+            Some(percent) => write!(f, "/{percent}"),
+            None => Ok(()),
+        }
     }
 }
 
-/// Error of a text that is not of the form `running/limit/queued`.
+/// Error of a text that is not the form of a [`Load`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ParseLoadError;
 
 impl fmt::Display for ParseLoadError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("invalid load: expected running/limit/queued, three numbers of 0 to 65535")
+        f.write_str("invalid load: expected running/limit/queued or running/limit/queued/rate_percent, numbers of 0 to 65535")
     }
 }
 
@@ -43,8 +50,13 @@
     type Err = ParseLoadError;
 
     fn from_str(text: &str) -> Result<Self, ParseLoadError> {
-        let mut parts = text.splitn(3, '/').map(|part| part.parse().ok());
-        let mut next = || parts.next().flatten().ok_or(ParseLoadError);
-        Ok(Self { running: next()?, limit: next()?, queued: next()? })
+        let mut numbers = text.split('/').map(|part| part.parse().map_err(|_| ParseLoadError));
+        let mut next = || numbers.next().unwrap_or(Err(ParseLoadError));
+        let (running, limit, queued) = (next()?, next()?, next()?);
+        let rate_percent = numbers.next().transpose()?;
+        match numbers.next() {
+            None => Ok(Self { running, limit, queued, rate_percent }),
+            Some(_) => Err(ParseLoadError),
+        }
     }
 }
--- a/crates/sycamore-call/src/retry/mod.rs
+++ b/crates/sycamore-call/src/retry/mod.rs
@@ -20,6 +20,11 @@
 /// below it repeats, so the retries that all nodes may accumulate are divided by this number.
 const CHAIN_LENGTH: f64 = 2.0;
 
+/// Minimum number of refusals for a rate limit after which a call is sent to another upstream for
+/// free: others of the service may have no limit. It is small, since each refusal makes it likelier
+/// that all of them are limited.
+const MIN_RATE_REROUTES: u8 = 3;
+
 /// Settings of a [`RetryBudget`].
 #[derive(Debug, Clone)]
 pub struct RetryConfig {
@@ -81,6 +86,12 @@
 }
 
 impl AttemptFailure {
+    /// Returns whether the node beside an upstream refused the attempt for load before it sent
+    /// anything on.
+    pub fn is_refusal_for_load(self) -> bool {
+        matches!(self, Self::NotRun(RefusalReason::Overloaded | RefusalReason::RateLimited))
+    }
+
     /// Returns the failure's name in metrics.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -178,9 +189,14 @@
     }
 
     fn is_free_reroute(&self, call: &CallState, failure: AttemptFailure) -> bool {
-        failure == AttemptFailure::NotRun(RefusalReason::Overloaded)
-            && call.has_room
-            && call.rerouted < self.config.free_reroutes
+        let max = match failure {
+            AttemptFailure::NotRun(RefusalReason::Overloaded) => self.config.free_reroutes,
+            AttemptFailure::NotRun(RefusalReason::RateLimited) => {
+                self.config.free_reroutes.max(MIN_RATE_REROUTES)
+            }
+            AttemptFailure::NotRun(_) | AttemptFailure::Unknown { .. } => return false,
+        };
+        call.has_room && call.rerouted < max
     }
 
     fn decide_after_refusal(&mut self, call: &CallState, reason: RefusalReason) -> RetryDecision {
@@ -197,6 +213,7 @@
             }
             RefusalReason::NoUpstream
             | RefusalReason::Overloaded
+            | RefusalReason::RateLimited
             | RefusalReason::Shed
             | RefusalReason::Deadline
             | RefusalReason::Quarantined
--- a/crates/sycamore-call/src/route/mod.rs
+++ b/crates/sycamore-call/src/route/mod.rs
@@ -2,15 +2,18 @@
 //! less loaded of two random instances (Mitzenmacher, "The Power of Two Choices", 2001).
 
 mod peer;
+mod reports;
 mod unproven;
 mod version;
 
 pub use version::VersionBans;
 
 use crate::load::Load;
+use crate::report::ProcessReport;
 use peer::Peer;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use reports::PeerReports;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -42,6 +45,9 @@
     pub heavy_bytes: u64,
     /// Age after which a reported load is ignored.
     pub max_load_age: Duration,
+    /// Age after which the reported use of a rate limit is ignored; it changes more slowly than the
+    /// load, and an instance with a low limit answers rarely.
+    pub max_rate_age: Duration,
 }
 
 impl Default for RouterConfig {
@@ -58,6 +64,7 @@
             heavy_spill_min_gain: 0.8,
             heavy_bytes: 4 << 10,
             max_load_age: Duration::from_secs(1),
+            max_rate_age: Duration::from_secs(3),
         }
     }
 }
@@ -101,6 +108,9 @@
 pub enum AttemptEnd {
     /// The instance's node answered and reported its load.
     Answered(Load),
+    /// The instance's node refused the call since its upstream's rate limit is used up, and reported
+    /// its load and the time after which it expects to take a call.
+    RateLimited(Load, Duration),
     /// The instance's node is draining.
     Draining,
     /// The instance is unreachable, or its node reported that it has no upstream.
@@ -116,18 +126,21 @@
 pub struct Router {
     config: RouterConfig,
     peers: BTreeMap<InstanceId, Peer>,
+    reports: PeerReports,
     rng: SmallRng,
 }
 
 impl Router {
     /// Creates a router whose random choices are seeded with `seed`.
     pub fn new(config: RouterConfig, seed: u64) -> Self {
-        Self { config, peers: BTreeMap::new(), rng: SmallRng::seed_from_u64(seed) }
+        let rng = SmallRng::seed_from_u64(seed);
+        Self { config, peers: BTreeMap::new(), reports: PeerReports::default(), rng }
     }
 
     /// Applies a new member view: drops instances that left and begins the slow start of new ones.
     pub fn update(&mut self, now: Time, view: &MemberView) {
         self.peers.retain(|instance, _| view.members.contains_key(instance));
+        self.reports.update(now, view);
         let is_first_view = self.peers.is_empty();
         for member in view.members.values() {
             let peer = self.peers.entry(member.instance.clone()).or_insert_with(|| {
@@ -148,6 +161,7 @@
         let (version, share) = version::choose_version(&mut self.rng, pick, &candidates)?;
         let (of_version, others): (Vec<&Member>, Vec<&Member>) =
             candidates.into_iter().partition(|member| member.version == version);
+        let of_version = self.with_rate_left(now, of_version);
         let concentrated = match unproven::is_unproven(pick, &version) {
             true => self.pick_concentrated(now, &of_version, &others),
             false => None,
@@ -163,10 +177,27 @@
             share,
         };
         let peer = self.peers.entry(choice.instance.clone());
-        peer.or_insert_with(|| Peer::new(chosen, None)).in_flight += 1;
+        peer.or_insert_with(|| Peer::new(chosen, None)).record_attempt();
         Some(choice)
     }
 
+    /// Records what the node of `instance` said of its upstream process.
+    pub fn learn_report(&mut self, now: Time, instance: &InstanceId, report: ProcessReport) {
+        self.reports.learn(now, instance, report);
+    }
+
+    /// Records that an upstream answer from `instance` came without a report: its process names no
+    /// rate limit and isn't leaving.
+    pub fn learn_unrestricted(&mut self, instance: &InstanceId) {
+        self.reports.learn_unrestricted(instance);
+    }
+
+    /// Returns what a call to `instance` tells its node about the upstream process there: the node
+    /// may have restarted, and not know it yet.
+    pub fn report_of(&self, instance: &InstanceId) -> Option<ProcessReport> {
+        self.reports.get(instance)
+    }
+
     /// Records the outcome of an attempt at `instance`.
     pub fn record_end(&mut self, now: Time, instance: &InstanceId, end: AttemptEnd) {
         if let Some(peer) = self.peers.get_mut(instance) {
@@ -184,14 +215,26 @@
         tried: &[InstanceId],
     ) -> bool {
         view.serving(service).filter(|member| !tried.contains(&member.instance)).any(|member| {
-            self.peers.get(&member.instance).is_none_or(|peer| {
-                peer.utilisation(now, &self.config) < 1.0
-                    && !peer.is_draining(now)
-                    && peer.ejected_until(now).is_none()
-            })
+            let is_open = self
+                .peers
+                .get(&member.instance)
+                .is_none_or(|peer| !peer.is_draining(now) && peer.ejected_until(now).is_none());
+            is_open && self.utilisation(now, &member.instance) < 1.0
         })
     }
 
+    /// Returns the members whose rate limit, if they have one, is not known to be used up; all
+    /// members where none has any rate left.
+    fn with_rate_left<'a>(&self, now: Time, members: Vec<&'a Member>) -> Vec<&'a Member> {
+        let is_spent = |member: &Member| {
+            self.peers.get(&member.instance).is_some_and(|peer| peer.is_rate_spent(now))
+        };
+        match members.iter().all(|member| is_spent(member)) {
+            true => members,
+            false => members.into_iter().filter(|member| !is_spent(member)).collect(),
+        }
+    }
+
     /// Returns the members that may take the call: untried, not banned, not draining and not
     /// ejected. Ejected ones are included where no other is left.
     fn candidates<'a>(&self, now: Time, pick: &Pick<'a>) -> Vec<&'a Member> {
@@ -316,7 +359,8 @@
     }
 
     fn utilisation(&self, now: Time, instance: &InstanceId) -> f64 {
-        self.peers.get(instance).map_or(0.0, |peer| peer.utilisation(now, &self.config))
+        let limit = self.reports.limit(instance);
+        self.peers.get(instance).map_or(0.0, |peer| peer.utilisation(now, &self.config, limit))
     }
 }
 
--- a/crates/sycamore-call/tests/decisions/admit.rs
+++ b/crates/sycamore-call/tests/decisions/admit.rs
@@ -15,7 +15,15 @@
 
 fn call(id: u64, deadline: u64) -> Arrival {
     let class = Criticality::Normal;
-    Arrival { id, caller: id, class, deadline: at(deadline), objective: None, work: 0 }
+    Arrival {
+        id,
+        caller: id,
+        class,
+        deadline: at(deadline),
+        objective: None,
+        work: 0,
+        is_inner: false,
+    }
 }
 
 fn refused(id: u64, decisions: &[Decision]) -> Option<RefusalReason> {
@@ -83,7 +91,7 @@
     let mut admission = admission(1, 8);
     admission.step(at(0), Input::Arrive(call(1, 9_000)));
     admission.step(at(0), Input::Arrive(call(2, 9_000)));
-    assert_eq!(admission.next_tick(), Some(at(250)));
+    assert_eq!(admission.next_tick(at(0)), Some(at(250)));
     let decisions = admission.step(at(250), Input::Tick);
     assert_eq!(refused(2, &decisions), Some(RefusalReason::Overloaded));
 }
@@ -129,7 +137,7 @@
     assert_eq!(refused(2, &decisions), Some(RefusalReason::Draining));
     let decisions = admission.step(at(2), Input::Arrive(call(3, 9_000)));
     assert_eq!(refused(3, &decisions), Some(RefusalReason::Draining));
-    assert_eq!(admission.load().running, 1, "what runs goes on");
+    assert_eq!(admission.load(Time(0)).running, 1, "what runs goes on");
 }
 
 /// Guards against a limit that ignores refusals of the upstream, or stays low after they stop.
@@ -174,6 +182,7 @@
             deadline: at(u64::from(step.1) * 8),
             objective: step.1.is_multiple_of(2).then(|| at(u64::from(step.1) * 4)),
             work: id % 5,
+            is_inner: false,
         }),
         2 => Input::Finish(id, RunEnd::Answered),
         3 => Input::Finish(id, RunEnd::Overloaded),
@@ -209,7 +218,7 @@
                     open.remove(&id);
                 }
             }
-            let load = admission.load();
+            let load = admission.load(Time(0));
             if load.running > 2 || load.queued > 3 || admission.limit() < 1 {
                 return false;
             }
--- a/crates/sycamore-call/tests/decisions/limit.rs
+++ b/crates/sycamore-call/tests/decisions/limit.rs
@@ -82,13 +82,14 @@
                         deadline,
                         objective: None,
                         work: 0,
+                        is_inner: false,
                     }),
                 )
             }
         };
         for decision in admission.step(Time(now), input) {
             if let Decision::Admit(call) = decision {
-                let running = usize::from(admission.load().running);
+                let running = usize::from(admission.load(Time(0)).running);
                 let end = match slowness.time_us(running) {
                     Some(time) => (now + time, call, true),
                     None => (now + 200, call, false),
--- a/crates/sycamore-call/tests/decisions/load/heavy_calls_across_data_centres.rs
+++ b/crates/sycamore-call/tests/decisions/load/heavy_calls_across_data_centres.rs
@@ -33,7 +33,7 @@
 }
 
 fn load(running: u16, queued: u16) -> Load {
-    Load { running, limit: 10, queued }
+    Load { running, limit: 10, queued, rate_percent: None }
 }
 
 /// Guards against sending a large body to another data centre for a short queue.
--- a/crates/sycamore-call/tests/decisions/load/line.rs
+++ b/crates/sycamore-call/tests/decisions/load/line.rs
@@ -64,7 +64,7 @@
         let (stream_index, arrival) =
             (0..streams.len()).map(|i| (i, next[i])).min_by_key(|n| n.1).unwrap();
         let end = ends.peek().map(|Reverse((at, _))| *at).unwrap_or(u64::MAX);
-        let tick = admission.next_tick().map_or(u64::MAX, |at| at.0);
+        let tick = admission.next_tick(Time(0)).map_or(u64::MAX, |at| at.0);
         let now = arrival.min(end).min(tick);
         if now > SECONDS * 1_000_000 {
             return tallies;
@@ -130,5 +130,6 @@
         deadline: now + stream.deadline,
         objective: by_objective.then(|| now + stream.objective),
         work: if by_objective { stream_index as u64 + 1 } else { 0 },
+        is_inner: false,
     }
 }
--- a/crates/sycamore-call/tests/decisions/load/mod.rs
+++ b/crates/sycamore-call/tests/decisions/load/mod.rs
@@ -3,6 +3,7 @@
 mod demand_above_slots;
 mod heavy_calls_across_data_centres;
 mod inner_calls_behind_long_ones;
+mod limited_fleet;
 mod line;
 mod retry_storm_of_a_fleet;
 mod thundering_return;
--- a/crates/sycamore-call/tests/decisions/load/thundering_return.rs
+++ b/crates/sycamore-call/tests/decisions/load/thundering_return.rs
@@ -16,6 +16,7 @@
         deadline: at(now + 1_000),
         objective: Some(at(now + 150)),
         work: 1,
+        is_inner: false,
     })
 }
 
--- a/crates/sycamore-call/tests/decisions/load/unproven_version_under_load.rs
+++ b/crates/sycamore-call/tests/decisions/load/unproven_version_under_load.rs
@@ -16,7 +16,7 @@
     let view = view(old.iter().chain(&new).cloned());
     let mut router = Router::new(RouterConfig::default(), 3);
     router.update(at(0), &view);
-    let half = Load { running: 5, limit: 10, queued: 0 };
+    let half = Load { running: 5, limit: 10, queued: 0, rate_percent: None };
     for member in &old {
         router.record_end(at(1), &member.instance, AttemptEnd::Answered(half));
     }
--- a/crates/sycamore-call/tests/decisions/main.rs
+++ b/crates/sycamore-call/tests/decisions/main.rs
@@ -11,6 +11,7 @@
 mod load;
 mod model;
 mod quarantine;
+mod rate;
 mod report;
 mod retry;
 mod route;
--- a/crates/sycamore-call/tests/decisions/model/attempt.rs
+++ b/crates/sycamore-call/tests/decisions/model/attempt.rs
@@ -131,6 +131,7 @@
             deadline: at(10_000),
             objective: None,
             work: 0,
+            is_inner: false,
         })
     }
 
--- a/crates/sycamore-call/tests/decisions/route.rs
+++ b/crates/sycamore-call/tests/decisions/route.rs
@@ -51,8 +51,8 @@
     }
 }
 
-const IDLE: Load = Load { running: 0, limit: 10, queued: 0 };
-const FULL: Load = Load { running: 10, limit: 10, queued: 10 };
+const IDLE: Load = Load { running: 0, limit: 10, queued: 0, rate_percent: None };
+const FULL: Load = Load { running: 10, limit: 10, queued: 10, rate_percent: None };
 
 /// Guards against sending calls far away without need, and against queueing them near while a far
 /// instance is idle.
@@ -189,9 +189,11 @@
 /// for.
 #[test]
 fn loads_survive_formatting_and_parsing() {
-    let load = Load { running: 3, limit: 12, queued: 1 };
-    assert_eq!(load.to_string().parse(), Ok(load));
-    for bad in ["", "1/2", "1/2/x", "1/2/3/4", "-1/2/3"] {
+    for rate_percent in [None, Some(0), Some(140)] {
+        let load = Load { running: 3, limit: 12, queued: 1, rate_percent };
+        assert_eq!(load.to_string().parse(), Ok(load));
+    }
+    for bad in ["", "1/2", "1/2/x", "1/2/3/x", "1/2/3/", "1/2/3/4/5", "-1/2/3"] {
         assert!(bad.parse::<Load>().is_err(), "{bad}");
     }
     assert!(ms(1) > ms(0));
--- a/crates/sycamore-call/tests/decisions/scenario.rs
+++ b/crates/sycamore-call/tests/decisions/scenario.rs
@@ -45,6 +45,7 @@
                     deadline: at(number_arg(case, "deadline")),
                     objective: None,
                     work: 0,
+                    is_inner: false,
                 }),
                 "answer" => Input::Finish(number_arg(case, "id"), RunEnd::Answered),
                 "leave" => Input::Cancel(number_arg(case, "id")),
@@ -53,7 +54,7 @@
                 other => panic!("unknown directive {other}"),
             };
             let decisions = admission.step(now, input);
-            format_decisions(&decisions) + &format!("load {}\n", admission.load())
+            format_decisions(&decisions) + &format!("load {}\n", admission.load(now))
         });
     });
 }
--- a/crates/sycamore-call/tests/decisions/work.rs
+++ b/crates/sycamore-call/tests/decisions/work.rs
@@ -23,7 +23,8 @@
     fn arrive(&mut self, id: u64, work: u64, left: u64) -> Vec<Decision> {
         let class = Criticality::Normal;
         let deadline = at(self.now + left);
-        let arrival = Arrival { id, caller: id, class, deadline, objective: None, work };
+        let arrival =
+            Arrival { id, caller: id, class, deadline, objective: None, work, is_inner: false };
         self.admission.step(at(self.now), Input::Arrive(arrival))
     }
 
--- a/crates/sycamore-node/src/calls/announce.rs
+++ b/crates/sycamore-node/src/calls/announce.rs
@@ -31,7 +31,7 @@
     };
     match order {
         Ok(MessageOrder::Current | MessageOrder::Repeated) => {
-            let in_flight = state.admission.borrow().load().running;
+            let in_flight = state.admission.borrow().load(state.now()).running;
             respond(inbound, &state.edges.upstream.acknowledge(in_flight)).await
         }
         Ok(MessageOrder::Earlier) => {
@@ -79,6 +79,7 @@
         let next = AnnouncedUpstream {
             process,
             name: announcement.process.name,
+            started: announcement.process.started,
             version: announcement.version,
             address: announcement.address,
             slots: announcement.slots,
--- a/crates/sycamore-node/src/calls/answer.rs
+++ b/crates/sycamore-node/src/calls/answer.rs
@@ -112,6 +112,7 @@
         RefusalReason::Quarantined => StatusCode::TOO_MANY_REQUESTS,
         RefusalReason::InProgress => StatusCode::CONFLICT,
         RefusalReason::Overloaded
+        | RefusalReason::RateLimited
         | RefusalReason::Shed
         | RefusalReason::Deadline
         | RefusalReason::Draining
@@ -128,6 +129,7 @@
 fn refusal_detail(reason: RefusalReason) -> &'static str {
     match reason {
         RefusalReason::Overloaded => "the node has no capacity for the call in time",
+        RefusalReason::RateLimited => "the upstream's rate limit is used up",
         RefusalReason::Shed => "the upstream shed the call",
         RefusalReason::Deadline => "the call's deadline has passed",
         RefusalReason::Draining => "the upstream is draining",
--- a/crates/sycamore-node/src/calls/beside.rs
+++ b/crates/sycamore-node/src/calls/beside.rs
@@ -72,11 +72,13 @@
     super::answer::respond(inbound, &resp).await
 }
 
+/// Adds the upstream's load and what is known of its process to an answer to another node.
 fn add_load(state: &State, fields: &mut http::HeaderMap) {
-    let load = state.admission.borrow().load().to_string();
+    let load = state.admission.borrow().load(state.now()).to_string();
     if let Ok(load) = HeaderValue::from_str(&load) {
         fields.insert(HeaderName::from_static(headers::LOAD), load);
     }
+    report::write_report(state, fields);
 }
 
 /// Waits for a slot of the upstream; `None` if the caller disconnects during the wait.
@@ -90,6 +92,9 @@
     target: &Target,
 ) -> Result<Option<(AnnouncedUpstream, Slot)>, Answer> {
     let refused = |reason| Answer::refused(reason, DEFAULT_RETRY_AFTER);
+    if let (Some(upstream), Some(report)) = (state.upstream(), &meta.report) {
+        report::adopt(state, &upstream, report);
+    }
     check_call(state, meta, target).map_err(refused)?;
     let arrival = Arrival {
         id: state.next_id(),
@@ -98,6 +103,7 @@
         deadline: meta.deadline,
         objective: meta.objective,
         work: meta.work(),
+        is_inner: meta.depth.level > 1,
     };
     let slot = match select(pin!(acquire(state, arrival)), pin!(inbound.reader.wait_until_closed()))
         .await
@@ -140,7 +146,7 @@
         }
         Verdict::Suspect | Verdict::Clear => {}
     }
-    let running = u32::from(state.admission.borrow().load().running);
+    let running = u32::from(state.admission.borrow().load(state.now()).running);
     let req = GateRequest { version: &target.version, share: target.share, draw: meta.draw() };
     let gate = state.gate.borrow();
     gate.as_ref().ok_or(RefusalReason::NoUpstream)?.check(&req, running)?;
@@ -167,6 +173,7 @@
         id: Option<HeaderValue>,
     ) -> Self {
         state.running.borrow_mut().insert(slot.id(), meta.fingerprint);
+        report::begin(state, upstream);
         Self { state, slot, meta, upstream, id, started: state.now() }
     }
 
--- a/crates/sycamore-node/src/calls/failed.rs
+++ b/crates/sycamore-node/src/calls/failed.rs
@@ -38,6 +38,7 @@
         AttemptFailure::NotRun(
             RefusalReason::BadVersion
                 | RefusalReason::ShareSpent
+                | RefusalReason::RateLimited
                 | RefusalReason::Draining
                 | RefusalReason::NoUpstream
                 | RefusalReason::NotReady
@@ -52,8 +53,12 @@
     }
 }
 
-pub(super) fn attempt_end(failure: AttemptFailure, load: Load) -> AttemptEnd {
-    match failure {
+pub(super) fn attempt_end(failed: &FailedAttempt, load: Load) -> AttemptEnd {
+    match failed.failure {
+        AttemptFailure::NotRun(RefusalReason::RateLimited) => {
+            let wait = failed.answer.retry_after.unwrap_or(DEFAULT_RETRY_AFTER);
+            AttemptEnd::RateLimited(load, wait)
+        }
         AttemptFailure::NotRun(RefusalReason::Draining) => AttemptEnd::Draining,
         AttemptFailure::NotRun(RefusalReason::NoUpstream) => AttemptEnd::NoUpstream,
         AttemptFailure::NotRun(_) => AttemptEnd::Answered(load),
@@ -115,6 +120,7 @@
 fn refusal_reason(text: &str) -> RefusalReason {
     [
         RefusalReason::Overloaded,
+        RefusalReason::RateLimited,
         RefusalReason::Shed,
         RefusalReason::Deadline,
         RefusalReason::Draining,
--- a/crates/sycamore-node/src/calls/forward.rs
+++ b/crates/sycamore-node/src/calls/forward.rs
@@ -9,8 +9,9 @@
 use super::journal;
 use super::listen::ListenerKind;
 use super::message::{strip_internal, Inbound, Message};
-use super::meta::{text, CallMeta, Target};
+use super::meta::{set, text, CallMeta, Target};
 use super::pool::Stream;
+use super::report::read_report;
 use super::state::State;
 use crate::edge::History;
 use http::HeaderMap;
@@ -167,8 +168,7 @@
                 if !backoff.is_zero() {
                     monoio::time::sleep(backoff).await;
                 }
-                let overloaded = AttemptFailure::NotRun(RefusalReason::Overloaded);
-                rerouted += u8::from(failed.failure == overloaded);
+                rerouted += u8::from(failed.failure.is_refusal_for_load());
                 out.meta.depth.is_retry |= !is_reroute(failed.failure);
                 may_have_run = Some(failed.or_earlier(may_have_run));
             }
@@ -294,6 +294,9 @@
     let mut head = out.msg.head.clone();
     let deployment = &state.hub.settings.node.deployment;
     out.meta.write(state.now(), deployment, Some(&target), attempt, &mut head.headers);
+    if let Some(report) = state.router.borrow().report_of(&choice.instance) {
+        set(&mut head.headers, headers::REPORT, &report.to_string());
+    }
     let left = out.meta.left(state.now());
     let sent_at = Instant::now();
     let sent = send(inbound, out.msg, &mut stream, head, true, left).await;
@@ -311,14 +314,16 @@
         }
         Ok(answered) => {
             let load = load_of(&answered.head.headers);
-            match failure_from_answer(&answered) {
+            let failed = failure_from_answer(&answered);
+            learn_report(state, &choice.instance, &answered.head.headers, failed.is_none());
+            match failed {
                 None => {
                     guard.ended = true;
                     let (instance, address) = (choice.instance.clone(), choice.relay);
                     Attempt::Answered(Box::new(Reply { stream, answered, instance, address, load }))
                 }
                 Some(failed) => {
-                    guard.end(attempt_end(failed.failure, load));
+                    guard.end(attempt_end(&failed, load));
                     // The refusal's body is small; the connection can be reused once it is read.
                     reuse_after_refusal(state, stream, answered, choice.relay).await;
                     Attempt::Failed(failed)
@@ -328,6 +333,17 @@
     }
 }
 
+/// Records what the node of `instance` said of its upstream process, with an answer of that process
+/// or a refusal of its own.
+fn learn_report(state: &State, instance: &InstanceId, fields: &HeaderMap, is_answered: bool) {
+    let mut router = state.router.borrow_mut();
+    match read_report(fields) {
+        Some(report) => router.learn_report(state.now(), instance, report),
+        None if is_answered => router.learn_unrestricted(instance),
+        None => {}
+    }
+}
+
 /// Guard that reports the end of an attempt to the router; [`AttemptEnd::Cancelled`] if it is
 /// dropped before the end is known.
 struct AttemptGuard<'a> {
--- a/crates/sycamore-node/src/calls/journal.rs
+++ b/crates/sycamore-node/src/calls/journal.rs
@@ -61,7 +61,7 @@
 pub(super) fn log_own_answer(state: &State, id: Option<&HeaderValue>, answer: &Answer) {
     let call_log = &state.call_log;
     let Some(left_out) = call_log.admit(state, &call_log.failures) else { return };
-    let load = state.admission.borrow().load();
+    let load = state.admission.borrow().load(state.now());
     let line = match answer.outcome {
         Outcome::NotRun => "call refused",
         Outcome::Unknown => "call failed",
@@ -156,6 +156,6 @@
         "end" => kind.as_str(),
         "took_ms" => took.as_millis(),
         "left_ms" => meta.left(state.now()).as_millis(),
-        "beside" => state.admission.borrow().load().to_string(),
+        "beside" => state.admission.borrow().load(state.now()).to_string(),
         "left_out" => left_out);
 }
--- a/crates/sycamore-node/src/calls/meta.rs
+++ b/crates/sycamore-node/src/calls/meta.rs
@@ -1,12 +1,14 @@
 //! Metadata of a call, and the header fields that carry it between nodes.
 
-pub(super) use crate::edge::native::text;
+pub(super) use crate::edge::native::{set, text};
 
-use crate::edge::native::{class, set, timeout};
+use super::report::read_report;
+use crate::edge::native::{class, timeout};
 use http::HeaderMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 use sycamore_call::admit::MAX_KINDS;
+use sycamore_call::report::ProcessReport;
 use sycamore_call::Criticality;
 use sycamore_config::bundle::MAX_RESOURCES;
 use sycamore_types::headers;
@@ -58,6 +60,8 @@
     pub(super) received_at: Time,
     /// Upper bound on the call's age at `received_at`.
     pub(super) max_prior_age: Duration,
+    /// What the sender knows of the upstream process at the receiving node.
+    pub(super) report: Option<ProcessReport>,
     /// Number of the attempt within the call, from 1.
     pub(super) attempt: u8,
     /// Whether the call may run more than once.
@@ -173,6 +177,7 @@
                 .and_then(|age| age.parse().ok())
                 .map_or(Duration::MAX, Duration::from_millis)
                 .saturating_add(unread),
+            report: read_report(fields),
             attempt: text(fields, headers::ATTEMPT).and_then(|text| text.parse().ok()).unwrap_or(1),
             is_repeatable: text(fields, headers::REPEATS) == Some("1"),
             objective: text(fields, headers::OBJECTIVE_MS)
--- a/crates/sycamore-node/src/calls/mod.rs
+++ b/crates/sycamore-node/src/calls/mod.rs
@@ -44,7 +44,7 @@
 impl Calls {
     /// Returns the load of this node's upstream: calls running, concurrency limit and calls queued.
     pub fn load(&self) -> sycamore_call::Load {
-        self.0.admission.borrow().load()
+        self.0.admission.borrow().load(self.0.now())
     }
 }
 
--- a/crates/sycamore-node/src/calls/report.rs
+++ b/crates/sycamore-node/src/calls/report.rs
@@ -1,19 +1,26 @@
 //! State that the local upstream reports about itself in its answers, and the calls sent to it while
 //! it names a rate limit.
 
-use super::meta::CallMeta;
+use super::meta::{set, text, CallMeta};
+use super::slot;
 use super::state::State;
 use crate::edge::{ReportedRate, UpstreamReport};
 use crate::hub::AnnouncedUpstream;
+use http::HeaderMap;
 use slog::{info, warn};
 use std::cell::{Cell, RefCell};
-use std::time::Duration;
-use sycamore_call::report::{LimitReport, ReportChange, ReportLog};
+use std::time::{Duration, Instant};
+use sycamore_call::admit::Input;
+use sycamore_call::report::{LimitReport, ProcessReport, ReportChange, ReportLog};
+use sycamore_types::headers;
 use sycamore_types::prelude::*;
 
 /// Time between two log lines about the calls sent to an upstream that names a rate limit.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(4);
 
+/// Maximum time by which the processes of an instance that starts anew start apart.
+const START_SKEW: Duration = Duration::from_secs(1);
+
 /// Reports of the local upstream, and counts of the calls sent to it.
 #[derive(Default)]
 pub(super) struct Reports {
@@ -76,6 +83,49 @@
         state.reports.log.borrow_mut().begin(upstream.process);
         state.reports.malformed.set(false);
         state.metrics.set_rate_limit(None);
+        state.upstreams.close_idle_before(upstream.address, Instant::now());
+        slot::step(state, Input::Limit(None));
+        if is_older_than_node(state, upstream) {
+            slot::step(state, Input::Unheard);
+        }
+    }
+}
+
+/// Returns whether the process started before this node did, so that it may have told an earlier
+/// process of the node about a limit.
+fn is_older_than_node(state: &State, upstream: &AnnouncedUpstream) -> bool {
+    let node_started = WallTime(state.hub.incarnation.0);
+    upstream.started.is_some_and(|started| node_started.since(started) > START_SKEW)
+}
+
+/// Adds what this node knows of its upstream process to the header fields of an answer to another
+/// node, if that keeps calls from the process.
+pub(super) fn write_report(state: &State, fields: &mut HeaderMap) {
+    let report = state.reports.log.borrow().report();
+    if let Some(report) = report.filter(ProcessReport::is_restrictive) {
+        set(fields, headers::REPORT, &report.to_string());
+    }
+}
+
+/// Returns what another node said of an upstream process in the header fields of its message; `None`
+/// if that is nothing, or can't be read.
+pub(super) fn read_report(fields: &HeaderMap) -> Option<ProcessReport> {
+    text(fields, headers::REPORT)?.parse().ok()
+}
+
+/// Takes over what the sender of a relayed call heard from the local upstream process, which this
+/// node may not know after its restart.
+pub(super) fn adopt(state: &State, upstream: &AnnouncedUpstream, report: &ProcessReport) {
+    begin(state, upstream);
+    let mut log = state.reports.log.borrow_mut();
+    let limited = match report.limit {
+        LimitReport::Limit(limit) => log.adopt_limit(report.process, state.now(), limit),
+        LimitReport::Unlimited | LimitReport::Unknown => None,
+    };
+    let leaving = report.is_leaving.then(|| log.record_leaving(report.process)).flatten();
+    drop(log);
+    for change in limited.into_iter().chain(leaving) {
+        apply(state, upstream, change, "peer");
     }
 }
 
@@ -106,25 +156,34 @@
     };
     log_malformed(state, upstream, limit == LimitReport::Unknown);
     let mut log = state.reports.log.borrow_mut();
+    let was_heard = log.is_heard();
     let limited = log.record_limit(upstream.process, sent_at, state.now(), limit);
     let leaving = report.leaving.then(|| log.record_leaving(upstream.process)).flatten();
+    let in_force = log.limit();
+    let is_first = !was_heard && log.is_heard();
     drop(log);
+    if is_first {
+        slot::step(state, Input::Limit(in_force));
+    }
     for change in limited.into_iter().chain(leaving) {
-        apply(state, upstream, change);
+        apply(state, upstream, change, "answer");
     }
 }
 
-fn apply(state: &State, upstream: &AnnouncedUpstream, change: ReportChange) {
+/// Applies a change of what is known of the local upstream, heard `from` an answer or a peer.
+fn apply(state: &State, upstream: &AnnouncedUpstream, change: ReportChange, from: &str) {
     let name = upstream.name.as_deref().unwrap_or("-");
     match change {
         ReportChange::Limit(limit) => {
             state.metrics.set_rate_limit(limit);
             info!(state.hub.log, "upstream rate limit changed";
                 "upstream" => name,
-                "rate_limit" => limit_text(limit));
+                "rate_limit" => limit_text(limit),
+                "from" => from);
+            slot::step(state, Input::Limit(limit));
         }
         ReportChange::Leaving => {
-            info!(state.hub.log, "upstream reported leaving"; "upstream" => name);
+            info!(state.hub.log, "upstream reported leaving"; "upstream" => name, "from" => from);
         }
     }
 }
@@ -159,7 +218,7 @@
         "first" => sent.first,
         "retry" => sent.retry,
         "inner" => sent.inner,
-        "beside" => state.admission.borrow().load().to_string());
+        "beside" => state.admission.borrow().load(now).to_string());
 }
 
 /// Returns a rate limit as log lines carry it; `-` if there is none.
--- a/crates/sycamore-node/src/calls/serve.rs
+++ b/crates/sycamore-node/src/calls/serve.rs
@@ -286,6 +286,7 @@
         max_prior_age: state.unread.borrow().max_socket_wait(now),
         objective: route.policy.objective.map(|time| now + time.saturating_sub(waited)),
         origin: state.hub.settings.node.service.clone(),
+        report: None,
         attempt: 1,
         is_repeatable: match route.policy.repeat {
             Repeat::ByMethod => msg.head.method.is_idempotent(),
--- a/crates/sycamore-node/src/calls/slot.rs
+++ b/crates/sycamore-node/src/calls/slot.rs
@@ -1,6 +1,7 @@
 //! Acquiring and releasing slots of the local upstream through admission control.
 
 use super::state::State;
+use monoio::time::timeout;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -90,24 +91,27 @@
             step(state, Input::Finish(id, RunEnd::Aborted));
         }
     }
-    let load = state.admission.borrow().load();
+    let load = state.admission.borrow().load(state.now());
     state.metrics.set_load(load);
     if load.queued > 0 {
         state.queue_changed.notify_one();
     }
 }
 
-/// Refuses queued calls whose maximum wait has passed, until the node stops.
-pub(super) async fn expire_waits(state: Rc<State>) {
+/// Starts queued calls when the rate limit lets them, and refuses those whose maximum wait has passed,
+/// until the node stops.
+pub(super) async fn run_queue(state: Rc<State>) {
     loop {
-        let next = state.admission.borrow().next_tick();
-        match next {
-            None => state.queue_changed.notified().await,
-            Some(at) => {
-                let left = at.since(state.now()).max(Duration::from_millis(1));
-                monoio::time::sleep(left).await;
-                step(&state, Input::Tick);
-            }
+        let next = state.admission.borrow().next_tick(state.now());
+        let changed = state.queue_changed.notified();
+        let Some(at) = next else {
+            changed.await;
+            continue;
+        };
+        let left = at.since(state.now()).max(Duration::from_millis(1));
+        // A change of the queue or the limit may bring the next start forward.
+        if timeout(left, changed).await.is_err() {
+            step(&state, Input::Tick);
         }
     }
 }
--- a/crates/sycamore-node/src/calls/watch.rs
+++ b/crates/sycamore-node/src/calls/watch.rs
@@ -28,7 +28,7 @@
     tasks.spawn_until_stop(watch(hub.facts.subscribe(), state.clone(), apply_facts));
     tasks.spawn_until_stop(watch(hub.upstream.subscribe(), state.clone(), apply_upstream));
     tasks.spawn_until_stop(watch(hub.snapshot.subscribe(), state.clone(), apply_services));
-    tasks.spawn_until_stop(slot::expire_waits(state.clone()));
+    tasks.spawn_until_stop(slot::run_queue(state.clone()));
     tasks.spawn_until_stop(crash::raise_facts_on_crash(state.clone()));
     tasks.spawn_until_stop(introduce::run(state.clone()));
     tasks.spawn_until_stop(tick(state.clone()));
--- a/crates/sycamore-node/src/edge/native.rs
+++ b/crates/sycamore-node/src/edge/native.rs
@@ -101,6 +101,23 @@
     /// Remaining warm-up time of the upstream in milliseconds; zero if left out.
     #[serde(default)]
     cold_ms: u64,
+    #[serde(flatten)]
+    process: ProcessBody,
+}
+
+/// Identity of an upstream process in the JSON body of its messages; its fields may be left out.
+#[derive(Debug, Default, Deserialize)]
+struct ProcessBody {
+    /// Name of the process.
+    process: Option<String>,
+    /// Time at which the process started, in milliseconds since the Unix epoch.
+    started_ms: Option<u64>,
+}
+
+impl From<ProcessBody> for Process {
+    fn from(body: ProcessBody) -> Self {
+        Self { name: body.process, started: body.started_ms.map(WallTime) }
+    }
 }
 
 impl UpstreamEdge for Upstream {
@@ -110,11 +127,15 @@
 
     fn read(&self, head: &RequestHead, body: &[u8]) -> Result<UpstreamMessage, String> {
         if head.uri.path() == DRAIN_PATH {
-            return Ok(UpstreamMessage::Leave(Process::default()));
+            let body = match body.is_empty() {
+                true => ProcessBody::default(),
+                false => serde_json::from_slice(body).map_err(|err| err.to_string())?,
+            };
+            return Ok(UpstreamMessage::Leave(body.into()));
         }
         let body: AnnouncementBody = serde_json::from_slice(body).map_err(|err| err.to_string())?;
         Ok(UpstreamMessage::Announce(Announcement {
-            process: Process::default(),
+            process: body.process.into(),
             sequence: None,
             service: None,
             version: body.version,
--- a/crates/sycamore-node/src/hub/mod.rs
+++ b/crates/sycamore-node/src/hub/mod.rs
@@ -53,6 +53,8 @@
     pub process: ProcessId,
     /// Name the upstream gives its process; `None` if it gives none.
     pub name: Option<String>,
+    /// Time at which the process started, by its own clock; `None` if it doesn't say.
+    pub started: Option<WallTime>,
     /// Version of the upstream's software.
     pub version: UpstreamVersion,
     /// Address at which the upstream accepts calls.
--- a/crates/sycamore-node/tests/calls/limited.rs
+++ b/crates/sycamore-node/tests/calls/limited.rs
@@ -1,9 +1,18 @@
 //! Upstreams that name a rate limit in their answers, or that they are leaving.
 
-use super::world::{get, run, Cluster, Options};
+use super::metrics::{page, value};
+use super::world::{field, get, post, run, service, settle, version, Cluster, Options};
+use bytes::Bytes;
 use futures::future::join_all;
 use http::StatusCode;
 use std::time::{Duration, Instant};
+use sycamore_http::{Client, ClientConfig};
+use sycamore_settings::calls::Calls as CallSettings;
+use sycamore_types::headers;
+use sycamore_types::prelude::*;
+
+/// Metric of the limit that a node's upstream reports.
+const RATE_LIMIT: &str = "sycamoreshift_upstream_rate_limit";
 
 /// Span over which the users count the requests of a limited upstream.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -69,3 +78,209 @@
         cluster.stop().await;
     });
 }
+
+/// Guards against a limit that is kept but not used, and against refusals that come late or don't say
+/// when to come back, when all upstreams are limited and get five times as many calls.
+#[test]
+fn what_no_upstream_may_take_is_refused_at_once_and_the_limits_are_used() {
+    run(async {
+        let options = Options { nodes: 2, slots: 64, ..Options::default() };
+        let cluster = Cluster::start(&options).await;
+        for node in &cluster.nodes {
+            node.upstream.set_fields("shift-rate-limit: 20\r\n");
+        }
+        send_calls(&cluster, &[0, 1], Duration::from_millis(1), Duration::from_millis(50)).await;
+        let (start, end) = (Instant::now(), Instant::now() + WINDOW);
+        let before = cluster.runs("echo");
+        let caller = |node: usize| {
+            let cluster = &cluster;
+            async move {
+                let mut slowest = Duration::ZERO;
+                while Instant::now() < end {
+                    let began = Instant::now();
+                    let req = get("/counter/echo").header(headers::TIMEOUT_MS, "400");
+                    let resp = cluster.try_call(node, req, "").await.expect("the node answers");
+                    if resp.status() != StatusCode::OK {
+                        assert_eq!(resp.status(), StatusCode::SERVICE_UNAVAILABLE);
+                        assert_eq!(field(&resp, headers::OUTCOME), "not-run");
+                        assert_eq!(field(&resp, headers::REASON), "rate-limited");
+                        assert!(!field(&resp, "retry-after").is_empty(), "{resp:?}");
+                        slowest = slowest.max(began.elapsed());
+                    }
+                    monoio::time::sleep(Duration::from_millis(200)).await;
+                }
+                slowest
+            }
+        };
+        let callers: Vec<usize> = (0..40).map(|i| i % 2).collect();
+        let slowest = join_all(callers.into_iter().map(caller)).await;
+        let used = (cluster.runs("echo") - before) as f64 / (40.0 * WINDOW.as_secs_f64());
+        assert!(used >= 0.95, "{used} of the limits was used");
+        for node in &cluster.nodes {
+            let most = node.upstream.most_arrivals(start, WINDOW);
+            assert!(most <= allowed(20.0), "{most} requests in 4 s");
+        }
+        // A call that the limit lets start too late isn't held until then.
+        let slowest = slowest.into_iter().max().unwrap();
+        assert!(slowest < Duration::from_millis(300), "{slowest:?}");
+        cluster.stop().await;
+    });
+}
+
+/// Guards against a limit that only some answers set: an upstream in need reports it with failures and
+/// refusals as well, and to calls of every kind.
+#[test]
+fn every_answer_of_an_upstream_reports_its_limit() {
+    run(async {
+        let calls = CallSettings::default();
+        let cluster = Cluster::start(&Options { nodes: 1, calls, ..Options::default() }).await;
+        let upstream = &cluster.nodes[0].upstream;
+        for (i, path) in ["echo", "fail", "shed", "cut", "unframed", "chunks"].iter().enumerate() {
+            let limit = 900.0 + i as f64;
+            upstream.set_fields(&format!("shift-rate-limit: {limit}\r\n"));
+            let path = format!("/counter/{path}");
+            let _ = cluster.try_call(0, get(&path), "").await;
+            assert_eq!(value(&page(&cluster, 0), RATE_LIMIT), limit, "{path}");
+        }
+        upstream.set_fields("shift-rate-limit: 800\r\n");
+        let inner = get("/counter/echo").header(headers::HOPS, "1");
+        let address = cluster.nodes[0].hub.settings.listen.upstream;
+        let client = Client::new(address, ClientConfig::default());
+        client.send(inner.body(Bytes::new()).unwrap()).await.expect("the node answers");
+        let page = page(&cluster, 0);
+        assert_eq!(value(&page, RATE_LIMIT), 800.0, "an inner call");
+        assert_eq!(value(&page, "sycamoreshift_upstream_calls_total{kind=\"inner\"}"), 1.0);
+        cluster.stop().await;
+    });
+}
+
+/// Guards against callers that don't get what the upstream said of itself, and against a node's own
+/// field that reaches them.
+#[test]
+fn the_fields_reach_the_caller_as_they_were_sent() {
+    run(async {
+        let cluster = Cluster::start(&Options { nodes: 1, ..Options::default() }).await;
+        let fields = "shift-rate-limit: 12.50\r\nshift-leaving: 1\r\n";
+        cluster.nodes[0].upstream.set_fields(fields);
+        let resp = cluster.call(get("/counter/echo"), "").await;
+        assert_eq!(
+            (field(&resp, headers::RATE_LIMIT), field(&resp, headers::LEAVING)),
+            ("12.50", "1")
+        );
+        assert_eq!(field(&resp, headers::REPORT), "");
+        cluster.stop().await;
+    });
+}
+
+/// Guards against a limit that outlives the answers which report it, or the process that did.
+#[test]
+fn a_limit_ends_with_the_first_answer_without_it_and_with_its_process() {
+    run(async {
+        let cluster = Cluster::start(&Options { nodes: 1, ..Options::default() }).await;
+        let node = &cluster.nodes[0];
+        let limit = || value(&page(&cluster, 0), RATE_LIMIT);
+        for end_by_answer in [true, false] {
+            node.upstream.set_fields("shift-rate-limit: 2\r\n");
+            cluster.call(get("/counter/echo"), "").await;
+            assert_eq!(limit(), 2.0);
+            node.upstream.set_fields("");
+            if end_by_answer {
+                cluster.call(get("/counter/echo"), "").await;
+            } else {
+                node.hub.upstream.send_modify(|upstream| {
+                    upstream.as_mut().expect("an announced upstream").process = ProcessId(2);
+                });
+                settle().await;
+            }
+            assert_eq!(limit(), f64::INFINITY, "ended by an answer: {end_by_answer}");
+            let burst = (0..8).map(|_| cluster.call(get("/counter/echo"), ""));
+            let burst = join_all(burst).await;
+            assert!(burst.iter().all(|resp| resp.status() == StatusCode::OK), "{burst:?}");
+        }
+        cluster.stop().await;
+    });
+}
+
+/// Guards against a burst at an upstream that lives on while the node beside it is started again: the
+/// nodes of its callers know the limit and tell the new process.
+#[test]
+fn a_limit_holds_when_the_node_beside_the_upstream_restarts() {
+    run(async {
+        let mut cluster = Cluster::start(&Options { nodes: 2, ..Options::default() }).await;
+        cluster.nodes[1].upstream.set_fields("shift-rate-limit: 1\r\n");
+        let (gap, time) = (Duration::from_millis(5), Duration::from_millis(300));
+        send_calls(&cluster, &[0], gap, time).await;
+        for _ in 0..3 {
+            cluster.restart(1).await;
+            let before = cluster.nodes[1].upstream.runs("echo");
+            send_calls(&cluster, &[0], gap, time).await;
+            let after = cluster.nodes[1].upstream.runs("echo") - before;
+            assert!(after <= 2, "{after} calls in 300 ms of 1 a second");
+            assert_eq!(value(&page(&cluster, 1), RATE_LIMIT), 1.0);
+        }
+        cluster.stop().await;
+    });
+}
+
+/// Guards against a move whose version is found bad, or gets more than its share, since its upstream
+/// names a limit.
+#[test]
+fn a_limit_of_an_unproven_version_sends_its_calls_to_the_stable_one() {
+    run(async {
+        let cluster = Cluster::start(&Options { nodes: 2, ..Options::default() }).await;
+        let mut outcomes = cluster.nodes[1].hub.take_outcomes().expect("the first receiver");
+        cluster.nodes[1].hub.upstream.send_modify(|upstream| {
+            upstream.as_mut().expect("an announced upstream").version = version("2.0.0");
+        });
+        let mut members = MemberView::default();
+        for (node, of_version) in cluster.nodes.iter().zip(["1.0.0", "2.0.0"]) {
+            let member = Member { version: version(of_version), ..node.member.clone() };
+            members.members.insert(member.instance.clone(), member);
+        }
+        for node in &cluster.nodes {
+            node.hub.members.send_replace(std::sync::Arc::new(members.clone()));
+        }
+        let share = |of_version, points, by| VersionShare {
+            version: version(of_version),
+            share: Share::from_basis_points(points),
+            by,
+        };
+        let by = Some(MoveId::new("m-1").unwrap());
+        cluster.publish_shares(&[share("1.0.0", 5_000, None), share("2.0.0", 5_000, by)]);
+        settle().await;
+        cluster.nodes[1].upstream.set_fields("shift-rate-limit: 5\r\n");
+        let gap = Duration::from_millis(5);
+        let statuses = send_calls(&cluster, &[0, 1], gap, Duration::from_secs(2)).await;
+        assert!(statuses.iter().all(|status| *status == StatusCode::OK), "{statuses:?}");
+        let runs = cluster.nodes[1].upstream.runs("echo");
+        assert!((8..=14).contains(&runs), "{runs} calls in 2 s of 5 a second");
+        while let Ok(outcome) = outcomes.try_recv() {
+            assert_eq!((outcome.service, outcome.kind), (service(), OutcomeKind::Ok));
+        }
+        cluster.stop().await;
+    });
+}
+
+/// Guards against calls that count for nobody: keyed ones, and those whose callers leave as soon as
+/// they were sent.
+#[test]
+fn keyed_and_abandoned_calls_count_against_the_limit() {
+    run(async {
+        let calls = CallSettings::default();
+        let cluster = Cluster::start(&Options { nodes: 1, calls, ..Options::default() }).await;
+        cluster.nodes[0].upstream.set_fields("shift-rate-limit: 10\r\n");
+        cluster.call(get("/counter/echo"), "").await;
+        let start = Instant::now();
+        for i in 0..200 {
+            let keyed = post("/counter/echo").header(headers::IDEMPOTENCY_KEY, format!("k-{i}"));
+            let keyed = keyed.header(headers::TIMEOUT_MS, "20");
+            let _ = cluster.try_call(0, keyed, "x").await;
+            let abandoned = cluster.try_call(0, get("/counter/slow"), "");
+            let _ = monoio::time::timeout(Duration::from_millis(5), abandoned).await;
+        }
+        let second = Duration::from_secs(1);
+        let most = cluster.nodes[0].upstream.most_arrivals(start, second);
+        assert!(most <= 13, "{most} requests in a second of 10");
+        cluster.stop().await;
+    });
+}
--- a/crates/sycamore-node/tests/calls/world.rs
+++ b/crates/sycamore-node/tests/calls/world.rs
@@ -60,7 +60,7 @@
 pub struct Node {
     pub hub: Rc<Hub>,
     pub calls: Rc<Calls>,
-    pub upstream: Upstream,
+    pub upstream: Rc<Upstream>,
     pub member: Member,
     /// Client of the node's caller listener.
     pub caller: Client,
@@ -70,6 +70,7 @@
 /// Cluster of nodes of one service, `counter`.
 pub struct Cluster {
     pub nodes: Vec<Node>,
+    options: Options,
 }
 
 pub fn service() -> ServiceName {
@@ -84,13 +85,25 @@
     pub async fn start(options: &Options) -> Self {
         let mut nodes = Vec::new();
         for i in 0..options.nodes {
-            nodes.push(start_node(i, options).await);
+            nodes.push(start_node(i, options, Rc::new(Upstream::start()), Incarnation(1)).await);
         }
-        let cluster = Self { nodes };
+        let cluster = Self { nodes, options: options.clone() };
         cluster.publish_members(|_| true);
         cluster
     }
 
+    /// Replaces the node with this index by a new process, which knows nothing; its upstream lives on.
+    #[allow(dead_code, reason = "tests/endless restarts no node")]
+    pub async fn restart(&mut self, i: usize) {
+        self.nodes[i].tasks.stop();
+        self.nodes[i].tasks.join().await;
+        let (upstream, member) = (self.nodes[i].upstream.clone(), &self.nodes[i].member);
+        let incarnation = Incarnation(member.incarnation.0 + 1);
+        self.nodes[i] = start_node(i, &self.options, upstream, incarnation).await;
+        self.publish_members(|_| true);
+        settle().await;
+    }
+
     /// Sets every node's membership view to the members that satisfy `keep`.
     pub fn publish_members(&self, keep: impl Fn(&Member) -> bool) {
         let members = self.nodes.iter().map(|node| node.member.clone()).filter(|m| keep(m));
@@ -154,7 +167,12 @@
     }
 }
 
-async fn start_node(i: usize, options: &Options) -> Node {
+async fn start_node(
+    i: usize,
+    options: &Options,
+    upstream: Rc<Upstream>,
+    incarnation: Incarnation,
+) -> Node {
     let listen = node::Listen {
         caller: unused_addr(),
         upstream: unused_addr(),
@@ -178,7 +196,7 @@
     };
     let member = Member {
         instance,
-        incarnation: Incarnation(1),
+        incarnation,
         state: MemberState::Serving,
         service: service(),
         version: version("1.0.0"),
@@ -190,12 +208,12 @@
     let hub = Hub::new(settings);
     let tasks = TaskGroup::default();
     let calls = calls::start(&hub, &tasks, &Edges::default()).await.unwrap();
-    let upstream = Upstream::start();
     if options.is_configured {
         hub.publish_snapshot(snapshot(options));
     }
     hub.upstream.send_replace(Some(AnnouncedUpstream {
         process: ProcessId(1),
+        started: None,
         version: version("1.0.0"),
         address: upstream.address(),
         slots: options.slots,
--- a/crates/sycamore-types/src/headers.rs
+++ b/crates/sycamore-types/src/headers.rs
@@ -38,6 +38,9 @@
 pub const ROUTE: &str = "x-shift-route";
 /// Between nodes, on answers: load of the upstream, `in-flight/limit/queued`.
 pub const LOAD: &str = "x-shift-load";
+/// Between nodes, on answers and on requests: what the sender knows of the upstream process beside
+/// the answering or receiving node, `process/limit/leaving`; absent where that restricts nothing.
+pub const REPORT: &str = "x-shift-report";
 /// Between nodes: fingerprint of the request, equal for all of its repeats.
 pub const FINGERPRINT: &str = "x-shift-fingerprint";
 /// Between nodes: asks the receiver to keep the record of the call's idempotency key.
--- a/crates/sycamore-types/src/outcome.rs
+++ b/crates/sycamore-types/src/outcome.rs
@@ -11,6 +11,8 @@
 pub enum RefusalReason {
     /// No slot became free in time, or none was expected to.
     Overloaded,
+    /// The rate limit that the upstream reports was used up.
+    RateLimited,
     /// The upstream refused the request because of its own load.
     Shed,
     /// The deadline had passed, or could not be met.
@@ -43,6 +45,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             RefusalReason::Overloaded => "overloaded",
+            RefusalReason::RateLimited => "rate-limited",
             RefusalReason::Shed => "shed",
             RefusalReason::Deadline => "deadline",
             RefusalReason::Draining => "draining",
--- a/crates/sycamore-types/src/rate.rs
+++ b/crates/sycamore-types/src/rate.rs
@@ -1,4 +1,4 @@
-//! Rate limits that upstreams state about themselves.
+//! Rate limits that upstreams report about themselves.
 
 use std::fmt;
 use std::str::FromStr;
@@ -7,11 +7,13 @@
 /// Maximum value of a [`RateLimit`]; a higher number is no rate that an upstream could serve, so it
 /// is read as a mistake.
 const MAX_PER_SECOND: f64 = 1e6;
+/// Units of a [`RateLimit`] per request per second.
+const UNITS: f64 = 1e6;
 
-/// Maximum rate at which an upstream takes requests, in requests per second of all nodes together:
-/// 0 to 1,000,000, with fractions.
-#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
-pub struct RateLimit(f64);
+/// Maximum rate at which an upstream takes requests, of all nodes together: 0 to 1,000,000 requests
+/// per second, in steps of a millionth.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RateLimit(u64);
 
 /// Error of a number or text that is not a rate limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -24,20 +26,21 @@
     /// Returns [`InvalidRateLimit`] for a number that is negative, not finite or too large.
     pub fn new(per_second: f64) -> Result<Self, InvalidRateLimit> {
         match (0.0..=MAX_PER_SECOND).contains(&per_second) {
-            true => Ok(Self(per_second)),
+            // The product is at most 1e12, which a u64 holds.
+            true => Ok(Self((per_second * UNITS).round() as u64)),
             false => Err(InvalidRateLimit),
         }
     }
 
     /// Returns the limit in requests per second.
     pub fn per_second(self) -> f64 {
-        self.0
+        self.0 as f64 / UNITS
     }
 
     /// Returns the mean time between two requests, at most `max`.
     pub fn interval(self, max: Duration) -> Duration {
-        match self.0 * max.as_secs_f64() > 1.0 {
-            true => Duration::from_secs_f64(1.0 / self.0),
+        match self.per_second() * max.as_secs_f64() > 1.0 {
+            true => Duration::from_secs_f64(1.0 / self.per_second()),
             false => max,
         }
     }
@@ -45,7 +48,7 @@
 
 impl fmt::Display for RateLimit {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
+        write!(f, "{}", self.per_second())
     }
 }
 
