fix(calls): an upstream that says in an answer that it is leaving gets no more calls

Cause: as of the rate limit, an answer could say nothing about its upstream; only announcements could.

Change: such an answer drains that process at once, whatever its announcements say, and for good: queued calls are refused as draining and go elsewhere, the member record says draining. Callers' nodes remember the process beyond the restart of the node beside it, and their calls name it, so that a new node there refuses them and drains as well. A process of another name or start time is not affected. An announced drain now ends the queue too, instead of refusing its calls as each gets a slot.

Ruled out: keeping this in the announcements' order, which an upstream without a process name would undo with its next announcement.

--- a/crates/sycamore-call/src/admit/mod.rs
+++ b/crates/sycamore-call/src/admit/mod.rs
@@ -159,6 +159,8 @@
     Limit(Option<RateLimit>),
     /// The upstream drains: queued and arriving calls are refused.
     Drain,
+    /// The upstream takes calls again after a drain, or another process took its place.
+    Resume,
 }
 
 /// Decision on a call, given by its identifier.
@@ -248,6 +250,7 @@
                 self.pacer.set_limit(now, limit);
             }
             Input::Drain => self.drain(now, &mut out),
+            Input::Resume => self.draining = false,
         }
         self.expire(now, &mut out);
         self.admit_queued(now, &mut out);
--- a/crates/sycamore-call/src/route/mod.rs
+++ b/crates/sycamore-call/src/route/mod.rs
@@ -149,6 +149,7 @@
                 Peer::new(member, if is_first_view { None } else { Some(now) })
             });
             if peer.incarnation != member.incarnation {
+                self.reports.record_restart(&member.instance);
                 *peer = Peer::new(member, Some(now));
             }
         }
@@ -219,7 +220,9 @@
                 .peers
                 .get(&member.instance)
                 .is_none_or(|peer| !peer.is_draining(now) && peer.ejected_until(now).is_none());
-            is_open && self.utilisation(now, &member.instance) < 1.0
+            is_open
+                && !self.reports.is_leaving(&member.instance)
+                && self.utilisation(now, &member.instance) < 1.0
         })
     }
 
@@ -257,7 +260,8 @@
     }
 
     fn is_draining(&self, now: Time, instance: &InstanceId) -> bool {
-        self.peers.get(instance).is_some_and(|peer| peer.is_draining(now))
+        self.reports.is_leaving(instance)
+            || self.peers.get(instance).is_some_and(|peer| peer.is_draining(now))
     }
 
     /// Removes ejected members, those with the latest end of ejection first, up to the maximum
--- a/crates/sycamore-call/src/route/reports.rs
+++ b/crates/sycamore-call/src/route/reports.rs
@@ -17,6 +17,9 @@
 #[derive(Debug, Clone, Copy)]
 struct Entry {
     report: ProcessReport,
+    /// Whether the node beside the process has restarted since the report: the instance may have
+    /// another process now.
+    is_restarted: bool,
     /// Time at which the instance was last a member, or reported.
     last_seen: Time,
 }
@@ -37,7 +40,7 @@
             },
         };
         if report.is_restrictive() {
-            let entry = Entry { report, last_seen: now };
+            let entry = Entry { report, is_restarted: false, last_seen: now };
             self.0.insert(instance.clone(), entry);
         } else {
             self.0.remove(instance);
@@ -49,6 +52,13 @@
         self.0.remove(instance);
     }
 
+    /// Records that the node of `instance` has restarted.
+    pub(super) fn record_restart(&mut self, instance: &InstanceId) {
+        if let Some(entry) = self.0.get_mut(instance) {
+            entry.is_restarted = true;
+        }
+    }
+
     /// Drops the reports of instances that have not been in a view for [`ABSENT_MEMORY`].
     pub(super) fn update(&mut self, now: Time, view: &MemberView) {
         self.0.retain(|instance, entry| {
@@ -64,6 +74,11 @@
         self.0.get(instance).map(|entry| entry.report)
     }
 
+    /// Returns whether the process of `instance` is leaving.
+    pub(super) fn is_leaving(&self, instance: &InstanceId) -> bool {
+        self.0.get(instance).is_some_and(|entry| entry.report.is_leaving && !entry.is_restarted)
+    }
+
     /// Returns the rate limit that the process of `instance` reports.
     pub(super) fn limit(&self, instance: &InstanceId) -> Option<RateLimit> {
         match self.0.get(instance)?.report.limit {
--- a/crates/sycamore-call/tests/decisions/rate.rs
+++ b/crates/sycamore-call/tests/decisions/rate.rs
@@ -230,3 +230,20 @@
     assert_eq!(silent.next_tick(at(0)), Some(at(500)));
     assert_eq!(admitted(&silent.step(at(500), Input::Tick)).len(), 8);
 }
+
+/// Guards against calls that wait at an upstream which is leaving, and against a successor that gets
+/// none.
+#[test]
+fn a_drain_refuses_queued_calls_and_ends_with_the_process() {
+    let mut admission = admission_with_queue();
+    let decisions = admission.step(at(10), Input::Drain);
+    let draining = |(id, reason, _): &(u64, RefusalReason, Duration)| {
+        assert_eq!(*reason, RefusalReason::Draining);
+        *id
+    };
+    assert_eq!(refused(&decisions).iter().map(draining).collect::<Vec<_>>(), [3, 4]);
+    assert_eq!(admitted(&admission.step(at(20), Input::Arrive(call(5, 20)))), []);
+    admission.step(at(30), Input::Resume);
+    admission.step(at(30), Input::Limit(None));
+    assert_eq!(admitted(&admission.step(at(30), Input::Arrive(call(6, 30)))), [6]);
+}
--- a/crates/sycamore-call/tests/decisions/report.rs
+++ b/crates/sycamore-call/tests/decisions/report.rs
@@ -1,7 +1,7 @@
 //! Tests of what is known of an upstream process from its answers.
 
 use super::common::at;
-use sycamore_call::report::{LimitReport, ReportChange, ReportLog};
+use sycamore_call::report::{LimitReport, ProcessReport, ReportChange, ReportLog};
 use sycamore_types::prelude::*;
 
 const PROCESS: ProcessId = ProcessId(7);
@@ -68,3 +68,34 @@
     assert_eq!(record(&mut log, 20, 30, LimitReport::Limit(limit(3.0))), None);
     assert_eq!(log.record_leaving(PROCESS), None);
 }
+
+/// Guards against a limit heard from another node that outweighs what the upstream itself said, and a
+/// higher one that outweighs a lower one.
+#[test]
+fn a_limit_from_another_node_holds_until_the_upstream_is_heard() {
+    let mut log = log();
+    assert!(log.adopt_limit(ProcessId(8), at(0), limit(1.0)).is_none(), "another process");
+    for (adopted, in_force) in [(9.0, 9.0), (12.0, 9.0), (4.0, 4.0)] {
+        log.adopt_limit(PROCESS, at(10), limit(adopted));
+        assert_eq!(log.limit(), Some(limit(in_force)));
+    }
+    assert_eq!(log.report().map(|report| report.limit), Some(LimitReport::Limit(limit(4.0))));
+    assert_eq!(record(&mut log, 5, 20, LimitReport::Unlimited), Some(limit(4.0)), "sent before");
+    assert_eq!(record(&mut log, 20, 30, LimitReport::Unlimited), None);
+    assert!(log.adopt_limit(PROCESS, at(40), limit(1.0)).is_none());
+    assert_eq!(log.report().map(|report| report.limit), Some(LimitReport::Unlimited));
+}
+
+/// Guards against a report that the receiving node can't parse or that malformed text passes for.
+#[test]
+fn reports_survive_formatting_and_parsing() {
+    for known in [LimitReport::Unlimited, LimitReport::Unknown, LimitReport::Limit(limit(18.4))] {
+        for is_leaving in [false, true] {
+            let report = ProcessReport { process: PROCESS, limit: known, is_leaving };
+            assert_eq!(report.to_string().parse(), Ok(report));
+        }
+    }
+    for bad in ["", "7", "7/-", "x/-/0", "7/-/2", "7/nan/0", "7/1e30/0", "7/-1/0", "7/-/0/0"] {
+        assert!(bad.parse::<ProcessReport>().is_err(), "{bad}");
+    }
+}
--- a/crates/sycamore-call/tests/decisions/route.rs
+++ b/crates/sycamore-call/tests/decisions/route.rs
@@ -2,6 +2,7 @@
 
 use super::common::{at, centre, instance, member, ms, region, service, shares, version, view};
 use std::collections::BTreeMap;
+use sycamore_call::report::{LimitReport, ProcessReport};
 use sycamore_call::route::{AttemptEnd, VersionBans};
 use sycamore_call::{Load, Pick, Router, RouterConfig};
 use sycamore_types::prelude::*;
@@ -198,3 +199,64 @@
     }
     assert!(ms(1) > ms(0));
 }
+
+fn report(process: u64, limit: LimitReport, is_leaving: bool) -> ProcessReport {
+    ProcessReport { process: ProcessId(process), limit, is_leaving }
+}
+
+/// Guards against a leave that is forgotten with the node beside the process, and against an instance
+/// that gets no calls for the leave of a process which is gone.
+#[test]
+fn a_leaving_process_gets_no_calls_and_is_named_to_a_restarted_node() {
+    let mut fixture = Fixture::new([member("x", "1", "a"), member("y", "1", "a")]);
+    let (x, leave) = (instance("x"), report(1, LimitReport::Unknown, true));
+    fixture.router.learn_report(at(0), &x, leave);
+    assert_eq!(fixture.spread(at(60_000), 50, IDLE).keys().collect::<Vec<_>>(), ["y"]);
+    fixture.view.members.get_mut(&x).unwrap().incarnation = Incarnation(2);
+    let view = fixture.view.clone();
+    fixture.router.update(at(60_000), &view);
+    assert!(fixture.spread(at(70_000), 50, IDLE).contains_key("x"));
+    assert_eq!(fixture.router.report_of(&x), Some(leave));
+    // The restarted node still has that process.
+    fixture.router.learn_report(at(70_000), &x, report(1, LimitReport::Unknown, false));
+    assert!(!fixture.spread(at(80_000), 50, IDLE).contains_key("x"));
+    fixture.router.learn_report(at(80_000), &x, report(2, LimitReport::Unlimited, false));
+    assert!(fixture.spread(at(90_000), 50, IDLE).contains_key("x"));
+    assert_eq!(fixture.router.report_of(&x), None);
+}
+
+/// Guards against a limit that is lifted by a node which hasn't heard from the upstream yet, and
+/// against one that outlives the answer which ends it.
+#[test]
+fn a_limit_is_kept_while_the_node_beside_does_not_know_it() {
+    let mut fixture = Fixture::new([member("x", "1", "a")]);
+    let x = instance("x");
+    let limit = LimitReport::Limit(RateLimit::new(3.0).unwrap());
+    fixture.router.learn_report(at(0), &x, report(1, limit, false));
+    fixture.router.learn_report(at(10), &x, report(1, LimitReport::Unknown, false));
+    assert_eq!(fixture.router.report_of(&x), Some(report(1, limit, false)));
+    let absent = view([]);
+    fixture.router.update(at(20), &absent);
+    assert_eq!(fixture.router.report_of(&x), Some(report(1, limit, false)), "while it is away");
+    fixture.router.learn_unrestricted(&x);
+    assert_eq!(fixture.router.report_of(&x), None);
+}
+
+/// Guards against calls that go to an instance whose rate limit is known to be used up while another
+/// has room, and against an instance that is avoided for longer than it asked.
+#[test]
+fn an_instance_without_rate_left_is_avoided_for_the_time_that_it_named() {
+    let mut fixture = Fixture::new([member("x", "1", "a"), member("y", "1", "a")]);
+    let x = instance("x");
+    let limit = LimitReport::Limit(RateLimit::new(5.0).unwrap());
+    fixture.router.learn_report(at(0), &x, report(1, limit, false));
+    let spent = Load { rate_percent: Some(100), ..IDLE };
+    fixture.router.record_end(at(0), &x, AttemptEnd::RateLimited(spent, ms(400)));
+    assert_eq!(fixture.spread(at(100), 50, IDLE).keys().collect::<Vec<_>>(), ["y"]);
+    fixture.tried = vec![instance("y")];
+    assert!(!fixture.router.has_room(at(100), &service(), &fixture.view, &fixture.tried));
+    assert_eq!(fixture.pick(at(100)).as_ref(), Some(&x), "with nowhere else to go");
+    fixture.router.record_end(at(200), &x, AttemptEnd::Cancelled);
+    fixture.tried.clear();
+    assert!(fixture.spread(at(4_000), 50, IDLE).contains_key("x"));
+}
--- a/crates/sycamore-node/src/calls/announce.rs
+++ b/crates/sycamore-node/src/calls/announce.rs
@@ -85,7 +85,7 @@
             slots: announcement.slots,
             connections: announcement.connections,
             warm_at,
-            draining: announcement.draining,
+            draining: announcement.draining || state.reports.is_leaving(process),
         };
         let changed = known.as_ref() != Some(&next);
         *known = Some(next);
@@ -103,7 +103,9 @@
 fn record_leave(state: &State, process: &Process) -> MessageOrder {
     let order = state.announcements.borrow_mut().record_leave(process_ref(process));
     if order == MessageOrder::Current {
-        mark_draining(state);
+        if let Some(upstream) = state.upstream() {
+            mark_draining(state, upstream.process);
+        }
         info!(state.hub.log, "upstream draining";
             "upstream" => process.name.as_deref().unwrap_or("-"));
     }
@@ -125,9 +127,10 @@
     ProcessId(first_bytes(&ContentHash::of(text.as_bytes())))
 }
 
-fn mark_draining(state: &State) {
+/// Marks the local upstream as draining if it is still `process`.
+pub(super) fn mark_draining(state: &State, process: ProcessId) {
     state.hub.upstream.send_if_modified(|known| match known {
-        Some(upstream) if !upstream.draining => {
+        Some(upstream) if !upstream.draining && upstream.process == process => {
             upstream.draining = true;
             true
         }
--- a/crates/sycamore-node/src/calls/report.rs
+++ b/crates/sycamore-node/src/calls/report.rs
@@ -1,6 +1,7 @@
 //! State that the local upstream reports about itself in its answers, and the calls sent to it while
 //! it names a rate limit.
 
+use super::announce::mark_draining;
 use super::meta::{set, text, CallMeta};
 use super::slot;
 use super::state::State;
@@ -74,6 +75,12 @@
     pub(super) fn limit(&self) -> Option<RateLimit> {
         self.log.borrow().limit()
     }
+
+    /// Returns whether `process` reported that it is leaving.
+    pub(super) fn is_leaving(&self, process: ProcessId) -> bool {
+        let log = self.log.borrow();
+        log.process() == Some(process) && log.is_leaving()
+    }
 }
 
 /// Begins the reports of an announced process, unless they have begun.
@@ -184,6 +191,7 @@
         }
         ReportChange::Leaving => {
             info!(state.hub.log, "upstream reported leaving"; "upstream" => name, "from" => from);
+            mark_draining(state, upstream.process);
         }
     }
 }
--- a/crates/sycamore-node/src/calls/watch.rs
+++ b/crates/sycamore-node/src/calls/watch.rs
@@ -117,6 +117,12 @@
     slot::step(state, Input::Announce { slots: capacity.0, connections: capacity.1 });
     let Some(announced) = announced else { return };
     report::begin(state, &announced);
+    let is_draining = state.admission.borrow().is_draining();
+    match (announced.draining, is_draining) {
+        (true, false) => slot::step(state, Input::Drain),
+        (false, true) => slot::step(state, Input::Resume),
+        (true, true) | (false, false) => {}
+    }
     let known = state.gate.borrow().as_ref().map(|gate| gate.version().clone());
     if known.as_ref() != Some(&announced.version) {
         let service = state.hub.settings.node.service.clone();
--- a/crates/sycamore-node/tests/calls/limited.rs
+++ b/crates/sycamore-node/tests/calls/limited.rs
@@ -4,7 +4,7 @@
 use super::world::{field, get, post, run, service, settle, version, Cluster, Options};
 use bytes::Bytes;
 use futures::future::join_all;
-use http::StatusCode;
+use http::{Request, StatusCode};
 use std::time::{Duration, Instant};
 use sycamore_http::{Client, ClientConfig};
 use sycamore_settings::calls::Calls as CallSettings;
@@ -222,6 +222,95 @@
     });
 }
 
+/// Guards against a leave that is forgotten by a new process of the node beside the upstream: callers'
+/// nodes that passed such an answer on must not reach that process again.
+#[test]
+fn a_leave_holds_when_the_node_beside_the_upstream_restarts() {
+    run(async {
+        let mut cluster = Cluster::start(&Options { nodes: 2, ..Options::default() }).await;
+        cluster.nodes[1].upstream.set_fields("shift-leaving: 1\r\n");
+        let (gap, time) = (Duration::from_millis(5), Duration::from_millis(200));
+        send_calls(&cluster, &[0], gap, time).await;
+        cluster.nodes[1].upstream.set_fields("");
+        let before = cluster.nodes[1].upstream.runs("echo");
+        for _ in 0..3 {
+            cluster.restart(1).await;
+            let statuses = send_calls(&cluster, &[0], gap, time).await;
+            assert_eq!(cluster.nodes[1].upstream.runs("echo") - before, 0);
+            assert!(statuses.iter().all(|status| *status == StatusCode::OK), "{statuses:?}");
+        }
+        // Another process at the same instance has not said that it leaves.
+        cluster.nodes[1].hub.upstream.send_modify(|upstream| {
+            let upstream = upstream.as_mut().expect("an announced upstream");
+            (upstream.process, upstream.draining) = (ProcessId(2), false);
+        });
+        cluster.nodes[1].member.incarnation.0 += 1;
+        cluster.publish_members(|_| true);
+        settle().await;
+        send_calls(&cluster, &[0], gap, time).await;
+        assert!(cluster.nodes[1].upstream.runs("echo") > before);
+        cluster.stop().await;
+    });
+}
+
+/// Guards against a leave that a late or repeated announcement undoes, and against calls that go on
+/// waiting for a slot of the leaving upstream.
+#[test]
+fn a_leave_ends_the_queue_and_no_announcement_undoes_it() {
+    run(async {
+        let mut cluster =
+            Cluster::start(&Options { nodes: 1, slots: 2, ..Options::default() }).await;
+        let node = &cluster.nodes[0];
+        let announce = async |process: &str, started_ms: u64| {
+            let address = node.upstream.address();
+            let body = format!(
+                r#"{{"version":"1.0.0","address":"{address}","slots":2,"connections":9,
+                "process":"{process}","started_ms":{started_ms}}}"#
+            );
+            let req = Request::post("/shift/announce").body(Bytes::from(body)).unwrap();
+            let address = node.hub.settings.listen.upstream;
+            let client = Client::new(address, ClientConfig::default());
+            let resp = client.send(req).await.expect("the node answers");
+            settle().await;
+            resp.status()
+        };
+        assert_eq!(announce("p-1", 1_000).await, StatusCode::OK);
+        let running = cluster.call(get("/counter/wait"), "");
+        let queued = async {
+            while node.calls.load().running < 2 {
+                settle().await;
+            }
+            cluster.call(get("/counter/echo"), "").await
+        };
+        let leave = async {
+            while node.calls.load().running < 1 {
+                settle().await;
+            }
+            node.upstream.set_fields("shift-leaving: 1\r\n");
+            let long = cluster.call(get("/counter/slow"), "");
+            let (resp, queued) = futures::future::join(long, queued).await;
+            assert_eq!(resp.status(), StatusCode::OK, "{resp:?}");
+            assert_eq!(queued.status(), StatusCode::SERVICE_UNAVAILABLE, "{queued:?}");
+            assert_eq!(field(&queued, headers::OUTCOME), "not-run", "{queued:?}");
+            assert_eq!(announce("p-1", 1_000).await, StatusCode::OK);
+            assert!(node.hub.upstream.borrow().as_ref().is_some_and(|up| up.draining));
+            let resp = cluster.call(get("/counter/echo"), "").await;
+            assert_eq!(resp.status(), StatusCode::SERVICE_UNAVAILABLE, "{resp:?}");
+            node.upstream.set_fields("");
+            node.upstream.release();
+        };
+        let (running, ()) = futures::future::join(running, leave).await;
+        assert_eq!(running.status(), StatusCode::OK, "a running call goes on");
+        assert_eq!(announce("p-2", 2_000).await, StatusCode::OK);
+        cluster.nodes[0].member.incarnation.0 += 1;
+        cluster.publish_members(|_| true);
+        settle().await;
+        let resp = cluster.call(get("/counter/echo"), "").await;
+        assert_eq!(resp.status(), StatusCode::OK, "the successor takes calls: {resp:?}");
+        cluster.stop().await;
+    });
+}
+
 /// Guards against a move whose version is found bad, or gets more than its share, since its upstream
 /// names a limit.
 #[test]
