fix(calls): the node that a keyed call entered at learns what the upstream said of itself

What callers saw: nothing yet; by the users' rule, a call of a node that has passed on an answer with a leave must not reach that process later. A keyed call's answer comes through the key's owner, which knew the instance; the node that it entered at did not, and reached the leaving process after the node beside that process had restarted.

Change: the owner names the instance and what it knows of its process in its answers to other nodes.

--- a/crates/sycamore-node/src/calls/forward.rs
+++ b/crates/sycamore-node/src/calls/forward.rs
@@ -11,7 +11,7 @@
 use super::message::{strip_internal, Inbound, Message};
 use super::meta::{set, text, CallMeta, Target};
 use super::pool::Stream;
-use super::report::read_report;
+use super::report::{self, read_report};
 use super::state::State;
 use crate::edge::History;
 use http::HeaderMap;
@@ -61,7 +61,7 @@
 pub(super) struct Reply {
     pub(super) stream: Stream,
     pub(super) answered: AnswerHead,
-    instance: InstanceId,
+    pub(super) instance: InstanceId,
     address: std::net::SocketAddr,
     load: Load,
 }
@@ -401,7 +401,13 @@
     let left = meta.left(state.now());
     let status = answered.head.status.as_u16();
     let rate = state.edges.calls.upstream_report(&answered.head).rate;
-    let edit = |head: &mut sycamore_http::ResponseHead| strip_internal(&mut head.headers);
+    let is_for_node = inbound.listener == ListenerKind::Relay;
+    let edit = |head: &mut sycamore_http::ResponseHead| {
+        strip_internal(&mut head.headers);
+        if is_for_node {
+            report::write_report_of(state, &instance, &mut head.headers);
+        }
+    };
     let mut guard = AttemptGuard { state, instance: &instance, ended: false };
     let relayed = relay_answer(inbound, &mut stream, answered, left, edit).await;
     match relayed {
--- a/crates/sycamore-node/src/calls/keyed.rs
+++ b/crates/sycamore-node/src/calls/keyed.rs
@@ -6,6 +6,7 @@
 use super::forward::{self, send_own_answer, Forwarded, Outgoing, Reply};
 use super::message::{strip_internal, Inbound, Message};
 use super::meta::{text, CallMeta};
+use super::report;
 use super::state::{State, StoredAnswer};
 use super::watch::members_of;
 use bytes::Bytes;
@@ -112,6 +113,7 @@
         }
     };
     let left = out.meta.left(state.now());
+    report::learn_report_of(state, &answered.head.headers);
     let edit = |head: &mut sycamore_http::ResponseHead| strip_internal(&mut head.headers);
     match relay_answer(out.inbound, &mut stream, answered, left, edit).await {
         Relayed::Failed(_) => Err(std::io::ErrorKind::ConnectionAborted.into()),
@@ -275,11 +277,14 @@
     let mut head = reply.answered.head.clone();
     sycamore_http::wire::strip_hop_by_hop(&mut head.headers);
     strip_internal(&mut head.headers);
+    let instance = reply.instance.clone();
     reply.record_success(state);
     let stored = Rc::new(StoredAnswer { head, body });
     claim.end = KeyEnd::Answered(stored.clone(), stored.body.len());
     drop(claim);
-    respond(out.inbound, &stored.to_response()).await
+    let mut resp = stored.to_response();
+    report::write_report_of(state, &instance, resp.headers_mut());
+    respond(out.inbound, &resp).await
 }
 
 impl StoredAnswer {
--- a/crates/sycamore-node/src/calls/report.rs
+++ b/crates/sycamore-node/src/calls/report.rs
@@ -114,6 +114,23 @@
     }
 }
 
+/// Adds what this node knows of the upstream process of `instance` to the header fields of an answer
+/// to the node that a keyed call entered at, which has no other way to learn it.
+pub(super) fn write_report_of(state: &State, instance: &InstanceId, fields: &mut HeaderMap) {
+    if let Some(report) = state.router.borrow().report_of(instance) {
+        set(fields, headers::REPORT, &report.to_string());
+        set(fields, headers::REPORT_OF, instance.as_str());
+    }
+}
+
+/// Learns what the owner of a key says of an upstream process in the header fields of its answer.
+pub(super) fn learn_report_of(state: &State, fields: &HeaderMap) {
+    let instance = text(fields, headers::REPORT_OF).and_then(|name| InstanceId::new(name).ok());
+    if let (Some(instance), Some(report)) = (instance, read_report(fields)) {
+        state.router.borrow_mut().learn_report(state.now(), &instance, report);
+    }
+}
+
 /// Returns what another node said of an upstream process in the header fields of its message; `None`
 /// if that is nothing, or can't be read.
 pub(super) fn read_report(fields: &HeaderMap) -> Option<ProcessReport> {
--- a/crates/sycamore-node/tests/calls/key.rs
+++ b/crates/sycamore-node/tests/calls/key.rs
@@ -16,7 +16,7 @@
 
 /// Returns options with short key memory and view lag, so that nodes soon know all earlier runs of
 /// a key.
-fn options() -> Options {
+pub fn options() -> Options {
     let calls = CallSettings {
         key_memory: KEY_MEMORY,
         view_lag: Duration::from_millis(50),
@@ -26,7 +26,7 @@
 }
 
 /// Waits for longer than the key memory, after which a started node accepts keyed calls.
-async fn wait_for_key_memory() {
+pub async fn wait_for_key_memory() {
     monoio::time::sleep(KEY_MEMORY + Duration::from_millis(100)).await;
 }
 
--- a/crates/sycamore-node/tests/calls/limited.rs
+++ b/crates/sycamore-node/tests/calls/limited.rs
@@ -1,11 +1,14 @@
 //! Upstreams that name a rate limit in their answers, or that they are leaving.
 
+use super::key;
 use super::metrics::{page, value};
 use super::world::{field, get, post, run, service, settle, version, Cluster, Options};
 use bytes::Bytes;
 use futures::future::join_all;
 use http::{Request, StatusCode};
 use std::time::{Duration, Instant};
+use sycamore_call::key::{owner_of, Members};
+use sycamore_call::KeyHash;
 use sycamore_http::{Client, ClientConfig};
 use sycamore_settings::calls::Calls as CallSettings;
 use sycamore_types::headers;
@@ -355,8 +358,8 @@
 #[test]
 fn keyed_and_abandoned_calls_count_against_the_limit() {
     run(async {
-        let calls = CallSettings::default();
-        let cluster = Cluster::start(&Options { nodes: 1, calls, ..Options::default() }).await;
+        let cluster = Cluster::start(&Options { nodes: 1, ..key::options() }).await;
+        key::wait_for_key_memory().await;
         cluster.nodes[0].upstream.set_fields("shift-rate-limit: 10\r\n");
         cluster.call(get("/counter/echo"), "").await;
         let start = Instant::now();
@@ -373,3 +376,42 @@
         cluster.stop().await;
     });
 }
+
+/// Returns keys that the second node of two owns.
+fn keys_of_second_node(cluster: &Cluster) -> impl Iterator<Item = String> {
+    let members: Members = cluster
+        .nodes
+        .iter()
+        .map(|node| (node.member.instance.clone(), node.member.incarnation))
+        .collect();
+    let second = cluster.nodes[1].member.instance.clone();
+    (0..).map(|i| format!("k-{i}")).filter(move |key| {
+        owner_of(&members, KeyHash::of(&service(), key.as_bytes())) == Some(&second)
+    })
+}
+
+/// Guards against a node that passes on an answer to a keyed call, which another node ran, and reaches
+/// the leaving process once the node beside it has restarted.
+#[test]
+fn the_node_that_a_keyed_call_entered_at_learns_of_a_leave() {
+    run(async {
+        let mut cluster = Cluster::start(&Options { nodes: 2, ..key::options() }).await;
+        key::wait_for_key_memory().await;
+        cluster.nodes[1].upstream.set_fields("shift-leaving: 1\r\n");
+        for key in keys_of_second_node(&cluster) {
+            let keyed = post("/counter/echo").header(headers::IDEMPOTENCY_KEY, key);
+            let resp = cluster.call(keyed, "x").await;
+            assert_eq!(resp.status(), StatusCode::OK, "{resp:?}");
+            if field(&resp, headers::LEAVING) == "1" {
+                break;
+            }
+        }
+        let before = cluster.nodes[1].upstream.runs("echo");
+        cluster.nodes[1].upstream.set_fields("");
+        cluster.restart(1).await;
+        let (gap, time) = (Duration::from_millis(5), Duration::from_millis(200));
+        send_calls(&cluster, &[0], gap, time).await;
+        assert_eq!(cluster.nodes[1].upstream.runs("echo") - before, 0);
+        cluster.stop().await;
+    });
+}
--- a/crates/sycamore-types/src/headers.rs
+++ b/crates/sycamore-types/src/headers.rs
@@ -41,6 +41,9 @@
 /// Between nodes, on answers and on requests: what the sender knows of the upstream process beside
 /// the answering or receiving node, `process/limit/leaving`; absent where that restricts nothing.
 pub const REPORT: &str = "x-shift-report";
+/// Between nodes, on answers of a key's owner with a [`REPORT`]: instance whose upstream process the
+/// report is about.
+pub const REPORT_OF: &str = "x-shift-report-of";
 /// Between nodes: fingerprint of the request, equal for all of its repeats.
 pub const FINGERPRINT: &str = "x-shift-fingerprint";
 /// Between nodes: asks the receiver to keep the record of the call's idempotency key.
