feat(bench): upstreams that report limits and leaves, and a measurement of them

The emulated upstream now takes a rate limit and a leave at run time, has them in all answers, counts its own arrivals and tells the worst window of 4 s against what the users allow, the share of the limit that was used, and what came later than 2 s after a leave.

Upstreams name their process in announcements and drains.

--- a/crates/sycamore-bench/src/fleet/query.rs
+++ b/crates/sycamore-bench/src/fleet/query.rs
@@ -3,6 +3,7 @@
 use super::{Fleet, TOKEN};
 use crate::http::{request, Exchange};
 use crate::stand_in::platform::{Control, Stats};
+use crate::stand_in::upstream::report::{self, Count, SelfReport};
 use crate::{BenchError, Result};
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
@@ -136,3 +137,16 @@
     let shown = String::from_utf8_lossy(&answer.body).into_owned();
     Err(Report::new(BenchError::Http(format!("status {}: {shown}", answer.status))))
 }
+
+impl Fleet {
+    /// Sets what the upstream of `instance` reports in its answers, or only reads its count with
+    /// `None`. Returns the count.
+    ///
+    /// # Errors
+    /// [`BenchError::Http`] if no whole answer arrives within five seconds.
+    pub async fn report(&self, instance: &str, report: Option<SelfReport>) -> Result<Count> {
+        let addr = self.addrs(instance)?.service;
+        let body = report.map(|report| serde_json::to_vec(&report).unwrap_or_default());
+        operator(addr, Method::POST, report::PATH, body.unwrap_or_default()).await?.json()
+    }
+}
--- a/crates/sycamore-bench/src/measure/mod.rs
+++ b/crates/sycamore-bench/src/measure/mod.rs
@@ -3,6 +3,7 @@
 
 mod calls;
 mod converge;
+mod limit;
 mod members;
 mod moves;
 mod overload;
@@ -27,6 +28,8 @@
     Calls(calls::Options),
     /// Goodput, attempts and refusal latency at a multiple of capacity.
     Overload(overload::Options),
+    /// Requests that upstreams with rate limits get, and one that leaves.
+    Limit(limit::Options),
     /// Time from a configuration command to the configuration's use on every node.
     Converge(converge::Options),
     /// Membership: time to full membership, idle traffic, fault detection time.
@@ -73,7 +76,12 @@
         .descr("Goodput, attempts and refusal latency above capacity, compared with blind retries.")
         .command("overload")
         .map(Command::Overload);
-    construct!([calls, overload, converge, members, path, moves])
+    let limit = limit::parser()
+        .to_options()
+        .descr("Requests that upstreams get which name rate limits, and one that leaves.")
+        .command("limit")
+        .map(Command::Limit);
+    construct!([calls, overload, limit, converge, members, path, moves])
 }
 
 /// Runs the measurement `command`.
@@ -85,6 +93,7 @@
     match command {
         Command::Calls(options) => calls::run(options).await,
         Command::Overload(options) => overload::run(options).await,
+        Command::Limit(options) => limit::run(options).await,
         Command::Converge(options) => converge::run(options).await,
         Command::Members(options) => members::run(options).await,
         Command::Path(options) => path::run(options).await,
--- a/crates/sycamore-bench/src/stand_in/upstream/announce.rs
+++ b/crates/sycamore-bench/src/stand_in/upstream/announce.rs
@@ -2,11 +2,13 @@
 
 use super::Options;
 use crate::http::Client;
+use crate::witness::now_us;
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
 use serde_json::json;
 use std::net::SocketAddr;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 /// Time between two announcements.
@@ -33,12 +35,26 @@
 }
 
 /// Notifies `node` once that its upstream begins to drain; an error is ignored.
-pub async fn drain(node: SocketAddr) {
-    post(&Client::default(), node, "/shift/drain", Bytes::new()).await;
+pub async fn drain(options: &Options, node: SocketAddr) {
+    let body = json!({ "process": process(options), "started_ms": started_ms() });
+    post(&Client::default(), node, "/shift/drain", Bytes::from(body.to_string())).await;
+}
+
+/// Returns the name of this process, which no other one has.
+fn process(options: &Options) -> String {
+    format!("{}-{}", options.instance, std::process::id())
+}
+
+/// Returns the time of the first call, in milliseconds since the Unix epoch.
+fn started_ms() -> u64 {
+    static STARTED_US: OnceLock<u64> = OnceLock::new();
+    *STARTED_US.get_or_init(now_us) / 1_000
 }
 
 fn announcement(options: &Options) -> Bytes {
     let announcement = json!({
+        "process": process(options),
+        "started_ms": started_ms(),
         "version": options.version,
         "address": options.announced.unwrap_or(options.listen),
         "slots": options.slots,
--- a/crates/sycamore-bench/src/stand_in/upstream/mod.rs
+++ b/crates/sycamore-bench/src/stand_in/upstream/mod.rs
@@ -8,6 +8,7 @@
 mod options;
 mod payload;
 mod probes;
+pub mod report;
 mod serve;
 mod slots;
 
--- /dev/null
+++ b/crates/sycamore-bench/src/stand_in/upstream/report.rs
@@ -0,0 +1,157 @@
+//! Rate limit and leave that the emulated upstream reports in its answers, and its own count of the
+//! requests that it gets meanwhile.
+
+use crate::http::Answer;
+use http::HeaderValue;
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+use sycamore_types::headers as shift;
+
+/// Path at which the report is set (POST, a [`SelfReport`]) and the count is read (GET, a [`Count`]).
+pub const PATH: &str = "/report";
+/// Span over which the users count the requests of a limited upstream.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Time after the first report of a limit from which the users count.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Multiple of the limit that the users allow within [`WINDOW`].
+const ALLOWED_FACTOR: f64 = 1.5;
+/// Number of requests that the users allow in addition.
+const ALLOWED_EXTRA: f64 = 5.0;
+/// Time after the first report of a leave from which the users allow no request.
+const DRAIN: Duration = Duration::from_secs(2);
+
+/// State that the upstream reports in all of its answers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct SelfReport {
+    /// Requests per second that the upstream takes; `None` for no limit.
+    pub rate_limit: Option<f64>,
+    /// Whether the upstream is leaving.
+    pub leaving: bool,
+}
+
+/// Requests that the upstream got, by its own count.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Count {
+    /// Highest ratio of the requests within [`WINDOW`] to those allowed, once limited for [`CONTACT`].
+    pub worst_ratio: f64,
+    /// Number of requests in that window.
+    pub worst_got: usize,
+    /// Number of requests while limited, from [`CONTACT`] on.
+    pub got: usize,
+    /// Number of requests that the limits allowed in that time at their mean rate.
+    pub entitled: f64,
+    /// Number of requests later than [`DRAIN`] after the first report of the leave.
+    pub after_leave: usize,
+}
+
+/// SelfReport in force and the counts since the start.
+#[derive(Debug, Default)]
+pub struct Reported(RefCell<State>);
+
+#[derive(Debug, Default)]
+struct State {
+    report: SelfReport,
+    count: Count,
+    arrivals: VecDeque<Instant>,
+    /// Times from which limits were in force, with the limits; `None` ends one.
+    limits: Vec<(Instant, Option<f64>)>,
+    /// Time at which the first answer of the period with a limit was sent.
+    limited_since: Option<Instant>,
+    leaving_since: Option<Instant>,
+    /// Time up to which [`Count::entitled`] is counted.
+    counted_to: Option<Instant>,
+}
+
+impl Reported {
+    /// Sets the report of all later answers.
+    pub fn set(&self, report: SelfReport) {
+        let now = Instant::now();
+        let state = &mut *self.0.borrow_mut();
+        state.count_entitled(now);
+        state.limits.push((now, report.rate_limit));
+        if report.rate_limit.is_none() {
+            (state.limited_since, state.counted_to) = (None, None);
+        }
+        state.report = report;
+    }
+
+    /// Returns the counts since the start.
+    pub fn count(&self) -> Count {
+        let state = &mut *self.0.borrow_mut();
+        state.count_entitled(Instant::now());
+        state.count
+    }
+
+    /// Counts the arrival of a request.
+    pub fn count_arrival(&self) {
+        let now = Instant::now();
+        let state = &mut *self.0.borrow_mut();
+        state.arrivals.push_back(now);
+        while state.arrivals.front().is_some_and(|at| *at + WINDOW < now) {
+            state.arrivals.pop_front();
+        }
+        if state.leaving_since.is_some_and(|since| now > since + DRAIN) {
+            state.count.after_leave += 1;
+        }
+        if state.is_judged(now) {
+            state.count.got += 1;
+            let got = state.arrivals.len();
+            let allowed = ALLOWED_FACTOR * state.entitled_in_window(now) + ALLOWED_EXTRA;
+            if got as f64 / allowed > state.count.worst_ratio {
+                (state.count.worst_ratio, state.count.worst_got) = (got as f64 / allowed, got);
+            }
+        }
+    }
+
+    /// Adds the report to an answer that is about to be sent.
+    pub fn write(&self, answer: &mut Answer) {
+        let now = Instant::now();
+        let state = &mut *self.0.borrow_mut();
+        if let Some(limit) = state.report.rate_limit {
+            state.limited_since.get_or_insert(now);
+            if let Ok(value) = HeaderValue::from_str(&limit.to_string()) {
+                answer.headers_mut().insert(shift::RATE_LIMIT, value);
+            }
+        }
+        if state.report.leaving {
+            state.leaving_since.get_or_insert(now);
+            answer.headers_mut().insert(shift::LEAVING, HeaderValue::from_static("1"));
+        }
+    }
+}
+
+impl State {
+    fn is_judged(&self, now: Instant) -> bool {
+        self.limited_since.is_some_and(|since| now >= since + CONTACT)
+    }
+
+    /// Returns the number of requests that the limits in force within the last [`WINDOW`] allow. A
+    /// limit also stands for the time before it within the window.
+    fn entitled_in_window(&self, now: Instant) -> f64 {
+        let mut sum = 0.0;
+        let mut to = now;
+        let from = now.checked_sub(WINDOW).unwrap_or(now);
+        for (i, (at, limit)) in self.limits.iter().enumerate().rev() {
+            let Some(limit) = limit else { continue };
+            let is_first = self.limits[..i].iter().all(|(_, limit)| limit.is_none());
+            let begin = if is_first { from } else { (*at).max(from) };
+            sum += limit * to.saturating_duration_since(begin).as_secs_f64();
+            to = begin;
+        }
+        sum
+    }
+
+    /// Adds the requests that the limit allowed since the last call to [`Count::entitled`].
+    fn count_entitled(&mut self, now: Instant) {
+        let (Some(since), Some(limit)) = (self.limited_since, self.report.rate_limit) else {
+            return;
+        };
+        let from = self.counted_to.unwrap_or(since + CONTACT);
+        if now > from {
+            self.count.entitled += limit * (now - from).as_secs_f64();
+            self.counted_to = Some(now);
+        }
+    }
+}
--- a/crates/sycamore-bench/src/stand_in/upstream/serve.rs
+++ b/crates/sycamore-bench/src/stand_in/upstream/serve.rs
@@ -4,6 +4,7 @@
 use super::badness::{RequestContext, RequestResult};
 use super::onward::{self, NestedCall};
 use super::probes::{Load, Probes};
+use super::report::{self, Reported};
 use super::{checksum, fill, headers, Options, Slots};
 use crate::http::{self as bench_http, text, Answer, Break, Client, Listener, Reply, ServeOptions};
 use crate::witness::{Reporter, UpstreamEventKind};
@@ -51,6 +52,7 @@
     rng: RefCell<SmallRng>,
     reporter: Reporter,
     probes: RefCell<Probes>,
+    reported: Reported,
     client: Client,
     /// Number of requests in flight, waiting ones included.
     requests: Cell<usize>,
@@ -98,6 +100,7 @@
             rng: RefCell::new(SmallRng::seed_from_u64(options.seed)),
             reporter,
             probes: RefCell::default(),
+            reported: Reported::default(),
             client: Client::default(),
             requests: Cell::new(0),
             draining: Cell::new(false),
@@ -117,7 +120,7 @@
         select(pin!(announcing), pin!(self.wait_for_term(term))).await;
         self.draining.set(true);
         if let Some(node) = self.options.node {
-            announce::drain(node).await;
+            announce::drain(&self.options, node).await;
         }
         self.reporter.report(UpstreamEventKind::Drain, "", "");
         self.wait_until_idle().await;
@@ -159,13 +162,31 @@
                 Ok(self.probes.borrow().health(probe, !self.draining.get()))
             }
             "/load" => Ok(self.probes.borrow().load(self.options.probe, self.load())),
+            report::PATH => self.answer_report(req).await,
             _ => {
+                self.reported.count_arrival();
                 let _in_flight = InFlight::new(&self.requests);
-                self.admit(req).await
+                let mut answer = self.admit(req).await?;
+                self.reported.write(&mut answer);
+                Ok(answer)
             }
         }
     }
 
+    /// Sets what the upstream reports in its answers, if the request has a body; answers with the
+    /// upstream's count.
+    async fn answer_report(&self, req: Request<Incoming>) -> Reply {
+        let body = req.into_body().collect().await.map_err(|_| Break)?.to_bytes();
+        if !body.is_empty() {
+            match serde_json::from_slice(&body) {
+                Ok(report) => self.reported.set(report),
+                Err(err) => return Ok(text(StatusCode::BAD_REQUEST, err.to_string())),
+            }
+        }
+        let count = serde_json::to_string(&self.reported.count()).unwrap_or_default();
+        Ok(text(StatusCode::OK, count))
+    }
+
     /// Waits for a slot and runs the request in it; sheds the request if the queue is full or its
     /// deadline passes.
     async fn admit(&self, req: Request<Incoming>) -> Reply {
