test(soak): upstreams report rate limits and leaves while faults overlap

Two kinds of events more: an upstream reports a limit of 1 to 8 requests a second for 4 s or longer, or that it is leaving, and is then replaced. Promises: by its own count no upstream gets more within 4 s than the users allow, whichever nodes sent it; no call reaches an upstream process later than 2 s after the node that it came in at has passed on an answer with that process's leave, unless that node was disturbed since.

--- a/crates/sycamore-bench/src/load/answer.rs
+++ b/crates/sycamore-bench/src/load/answer.rs
@@ -62,6 +62,8 @@
     pub instance: Option<String>,
     /// Version of the upstream that ran the call, as the answer says.
     pub version: Option<String>,
+    /// Whether the upstream reported in the answer that it is leaving.
+    pub leaving: bool,
     /// Start of the answer's body; empty if the call ended well or without an answer.
     pub detail: String,
     /// Number of attempts that the caller made.
--- a/crates/sycamore-bench/src/load/call.rs
+++ b/crates/sycamore-bench/src/load/call.rs
@@ -138,6 +138,7 @@
         retry_after: header("retry-after").and_then(|seconds| seconds.parse().ok()),
         instance: header(headers::INSTANCE),
         version: header(headers::VERSION),
+        leaving: exchange.as_ref().and_then(|e| e.header(shift::LEAVING)) == Some("1"),
         detail: detail(ended, exchange.as_ref()),
         attempts,
     }
--- a/crates/sycamore-bench/src/soak/mod.rs
+++ b/crates/sycamore-bench/src/soak/mod.rs
@@ -35,6 +35,8 @@
 const CALLER_SLACK: Duration = Duration::from_secs(1);
 /// Time between two checks of the invariants.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Maximum time for an upstream to tell its count.
+const COUNT_TIME: Duration = Duration::from_millis(500);
 /// Time after the last event within which the fleet must have recovered, as the users require.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
 /// Duration of one round of the load that checks the recovery.
@@ -128,8 +130,11 @@
     let checks = async {
         loop {
             monoio::time::sleep(CHECK_INTERVAL).await;
-            invariants.check_calls(&fleet.witness().so_far());
+            let ledger = fleet.witness().so_far();
+            invariants.check_calls(&ledger);
+            invariants.check_leaves(&ledger);
             invariants.check_configs(&watch.violations());
+            check_counts(&fleet, &invariants).await;
         }
     };
     let background = join(join(fleet.supervise(), watch.run(&fleet)), checks);
@@ -141,7 +146,9 @@
     if let Either::Left((result, _)) = select(pin!(run), pin!(background)).await {
         result?;
     }
-    invariants.check_calls(&fleet.witness().ledger().await);
+    let ledger = fleet.witness().ledger().await;
+    invariants.check_calls(&ledger);
+    invariants.check_leaves(&ledger);
     invariants.check_configs(&watch.violations());
     let violations = invariants.violations();
     let logs = fleet.dir().display().to_string();
@@ -154,6 +161,18 @@
     Ok(outcome)
 }
 
+/// Checks the counts of all upstreams that answer; the others are killed or paused.
+async fn check_counts(fleet: &Fleet, invariants: &Invariants) {
+    let names = fleet.names();
+    let counts =
+        names.iter().map(|name| monoio::time::timeout(COUNT_TIME, fleet.report(name, None)));
+    for (name, count) in names.iter().zip(join_all(counts).await) {
+        if let Ok(Ok(count)) = count {
+            invariants.check_count(name, &count);
+        }
+    }
+}
+
 /// Checks that within [`RECOVERY_LIMIT`] all nodes are ready, know each other, have a configuration
 /// not older than `newest`, and answer every call of a fresh load.
 async fn check_recovery(
--- a/crates/sycamore-bench/src/soak/play.rs
+++ b/crates/sycamore-bench/src/soak/play.rs
@@ -5,6 +5,7 @@
 use crate::fleet::{Fleet, Hop};
 use crate::proxy::Fault;
 use crate::stand_in::platform::Control;
+use crate::stand_in::upstream::report::SelfReport;
 use crate::witness::now_us;
 use crate::Result;
 use nix::sys::signal::Signal;
@@ -94,6 +95,13 @@
                     .await;
             }
             Action::Change => self.change_config().await,
+            Action::Limit(limit) => {
+                let rate_limit = Some(f64::from(limit));
+                self.report(instance, SelfReport { rate_limit, leaving: false }).await;
+            }
+            Action::Leave => {
+                self.report(instance, SelfReport { rate_limit: None, leaving: true }).await;
+            }
         }
         Ok(())
     }
@@ -119,6 +127,14 @@
                 fleet.link(instance, hop)?.set(Fault::None);
                 Ok(())
             }
+            Action::Limit(_) => {
+                self.report(instance, SelfReport::default()).await;
+                Ok(())
+            }
+            Action::Leave => {
+                fleet.kill_upstream(instance)?;
+                fleet.start_upstream(instance)
+            }
             Action::Slow(_) => {
                 self.control_platform(Control { slow_ms: Some(0), ..Control::default() }).await;
                 Ok(())
@@ -164,6 +180,14 @@
         }
     }
 
+    /// Sets what the upstream of `instance` reports in its answers. A failure is only printed: another
+    /// event may have ended or paused the upstream.
+    async fn report(&self, instance: &str, report: SelfReport) {
+        if let Err(err) = self.fleet.report(instance, Some(report)).await {
+            eprintln!("         report of {instance}: {}", err.current_context());
+        }
+    }
+
     async fn control_platform(&self, control: Control) {
         if let Err(report) = self.fleet.control_platform(&control).await {
             eprintln!("         control of the platform: {}", report.current_context());
@@ -208,5 +232,6 @@
         | Action::Stop(Part::Upstream)
         | Action::Pause(Part::Upstream) => false,
         Action::Outage | Action::Slow(_) | Action::LoseAnswers(_) | Action::Change => false,
+        Action::Limit(_) | Action::Leave => false,
     }
 }
--- a/crates/sycamore-bench/src/soak/promises.rs
+++ b/crates/sycamore-bench/src/soak/promises.rs
@@ -3,6 +3,7 @@
 
 use crate::load::{Ended, Record};
 use crate::measure::Violations;
+use crate::stand_in::upstream::report::Count;
 use crate::witness::Ledger;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -17,6 +18,9 @@
 /// Time after the start of an upstream's drain during which calls may still reach it, as the users
 /// allow, in microseconds.
 const DRAIN_ALLOWED_US: u64 = 3_000_000;
+/// Time after a node has passed on an answer with a leave after which its calls must not reach that
+/// upstream process, as the users allow, in microseconds.
+const LEAVE_ALLOWED_US: u64 = 2_000_000;
 /// Reason of a refusal of a repeated call while the first call with its key is running: a correct
 /// answer although the key has run.
 const IN_PROGRESS: &str = "in-progress";
@@ -78,6 +82,40 @@
         self.violations.borrow_mut().insert((name, seen));
     }
 
+    /// Checks an upstream's count of the requests that it got.
+    pub fn check_count(&self, instance: &str, count: &Count) {
+        if count.worst_ratio > 1.0 {
+            let seen = format!("{instance}: {} requests in 4 s", count.worst_got);
+            self.add_violation("over the rate limit", seen);
+        }
+    }
+
+    /// Checks that no call reached an upstream process after the node that it was sent to had passed
+    /// on an answer in which that process reported its leave. A disturbance of that node since then
+    /// excuses the call.
+    pub fn check_leaves(&self, ledger: &Ledger) {
+        let records = self.records.borrow();
+        let answers = records.values().flatten().filter(|record| record.leaving);
+        for answer in answers {
+            let (Some(addr), Some(instance)) = (answer.addr, &answer.instance) else { continue };
+            let passed_us = answer.sent_us + answer.latency.as_micros() as u64;
+            let end_us = ledger.next_start_of(instance, passed_us);
+            let late = ledger.runs_on(instance).filter(|run| run.at_us < end_us);
+            for run in late {
+                let Some(record) = records.get(&run.token).and_then(|records| records.first())
+                else {
+                    continue;
+                };
+                let is_late = record.sent_us > passed_us + LEAVE_ALLOWED_US;
+                let is_same_node = record.addr == Some(addr) && record.sendings == 1;
+                if is_late && is_same_node && !self.is_disturbed(addr, passed_us, run.at_us) {
+                    let seen = format!("{instance}: {} after {}", run.token, answer.token);
+                    self.add_violation("work after a reported leave", seen);
+                }
+            }
+        }
+    }
+
     /// Checks all calls recorded so far against the runs that upstreams reported.
     pub fn check_calls(&self, ledger: &Ledger) {
         let runs = ledger.runs();
@@ -145,6 +183,16 @@
         counts
     }
 
+    /// Returns whether a fault affected the callers of `addr` within a period.
+    fn is_disturbed(&self, addr: SocketAddr, from_us: u64, to_us: u64) -> bool {
+        let windows = self.windows.borrow();
+        windows
+            .get(&addr)
+            .into_iter()
+            .flatten()
+            .any(|w| w.from_us <= to_us && w.to_us.is_none_or(|to| to >= from_us))
+    }
+
     /// Returns whether a fault excuses a late answer to the call.
     fn was_disturbed(&self, record: &Record) -> bool {
         let Some(addr) = record.addr else { return true };
--- a/crates/sycamore-bench/src/soak/schedule.rs
+++ b/crates/sycamore-bench/src/soak/schedule.rs
@@ -22,6 +22,11 @@
 const DELAY_MS: Range<u64> = 5..400;
 /// Largest difference between the clocks of two nodes, in milliseconds.
 const MAX_SKEW_MS: u64 = 5_000;
+/// Rate limit that an upstream reports, in requests per second: from a few calls in a period that is
+/// checked to about as many as it gets.
+const RATE_LIMIT: Range<u32> = 1..9;
+/// Minimum duration of a rate limit, in milliseconds, after which it is checked at all.
+const MIN_LIMIT_MS: u64 = 4_000;
 /// Number of consecutive answers that the platform loses.
 const LOST_ANSWERS: Range<u32> = 1..6;
 
@@ -59,6 +64,10 @@
     LoseAnswers(u32),
     /// Applies a new configuration as an operator.
     Change,
+    /// Has an upstream report this rate limit, in requests per second, until the event's end.
+    Limit(u32),
+    /// Has an upstream report that it is leaving; replaces it at the event's end.
+    Leave,
 }
 
 /// Scheduled fault of a fleet or change of its configuration.
@@ -83,13 +92,21 @@
         let drawn = Duration::from_millis(rng.random_range(LASTS_MS));
         let instance = instances.choose(&mut rng).cloned().unwrap_or_default();
         let action = draw_action(&mut rng);
-        let lasts = drawn.min(max_duration(action)).min(time - at);
+        let lasts = drawn.max(min_duration(action)).min(max_duration(action)).min(time - at);
         events.push(Event { at, lasts, instance, action });
         at += Duration::from_millis(rng.random_range(GAP_MS));
     }
     events
 }
 
+/// Returns the shortest duration of an event with `action`, unless the schedule ends before.
+fn min_duration(action: Action) -> Duration {
+    match action {
+        Action::Limit(_) => Duration::from_millis(MIN_LIMIT_MS),
+        _ => Duration::ZERO,
+    }
+}
+
 /// Returns the longest duration of an event with `action`.
 fn max_duration(action: Action) -> Duration {
     match action {
@@ -104,7 +121,7 @@
     let part = if rng.random() { Part::Node } else { Part::Upstream };
     let hop = *Hop::ALL.choose(rng).expect("there are hops");
     let ms = |rng: &mut SmallRng, range| Duration::from_millis(rng.random_range(range));
-    match rng.random_range(0..20) {
+    match rng.random_range(0..23) {
         0..=2 => Action::Kill(part),
         3 | 4 => Action::Stop(part),
         5 | 6 => Action::Pause(part),
@@ -118,6 +135,8 @@
         15 => Action::Outage,
         16 => Action::Slow(ms(rng, DELAY_MS)),
         17 => Action::LoseAnswers(rng.random_range(LOST_ANSWERS)),
+        18 | 19 => Action::Limit(rng.random_range(RATE_LIMIT)),
+        20 => Action::Leave,
         _ => Action::Change,
     }
 }
--- a/crates/sycamore-bench/src/witness/ledger.rs
+++ b/crates/sycamore-bench/src/witness/ledger.rs
@@ -14,6 +14,8 @@
     pub service: String,
     /// Version of the upstream on that instance.
     pub version: String,
+    /// Token of the request.
+    pub token: String,
 }
 
 /// Events of upstreams that a witness has collected.
@@ -47,6 +49,16 @@
         self.starts().filter(move |event| event.instance == instance).map(run)
     }
 
+    /// Returns the time at which the next upstream process of `instance` came up after `after_us`, both
+    /// in microseconds since the Unix epoch; the highest time if none did.
+    pub fn next_start_of(&self, instance: &str, after_us: u64) -> u64 {
+        let is_start = |event: &&UpstreamEvent| {
+            event.kind == UpstreamEventKind::Up && event.instance == instance
+        };
+        let starts = self.events.iter().filter(is_start).map(|event| event.at_us);
+        starts.filter(|at_us| *at_us > after_us).min().unwrap_or(u64::MAX)
+    }
+
     /// Returns the runs that began on upstreams of `service` with `version`.
     pub fn runs_of_version<'a>(
         &'a self,
@@ -97,5 +109,6 @@
         instance: event.instance.clone(),
         service: event.service.clone(),
         version: event.version.clone(),
+        token: event.token.clone(),
     }
 }
--- a/crates/sycamore-bench/tests/soak.rs
+++ b/crates/sycamore-bench/tests/soak.rs
@@ -34,7 +34,7 @@
         assert!(plan.iter().all(|event| event.at + event.lasts <= TIME));
     }
     assert!(overlaps > 200, "{overlaps}");
-    assert_eq!(kinds.len(), 11, "{kinds:?}");
+    assert_eq!(kinds.len(), 13, "{kinds:?}");
 }
 
 /// Creates the record of a non-idempotent call that ended as `ended`, 10 ms after it was sent.
@@ -53,6 +53,7 @@
         retry_after: None,
         instance: None,
         version: None,
+        leaving: false,
         detail: String::new(),
         attempts: 1,
     }
@@ -129,3 +130,40 @@
     assert!(violations_of(Ended::TimedOut).is_empty());
     assert_eq!(violations_of(Ended::Unknown), ["answer late"]);
 }
+
+/// Guards against calls to an upstream after its leave that the soak doesn't report, and against an
+/// excuse by a fault at another node or before the leave.
+#[test]
+fn a_call_after_a_reported_leave_is_excused_only_by_a_fault_at_its_node_since_then() {
+    let answer = Record {
+        token: "zero".into(),
+        leaving: true,
+        instance: Some("counter-1".into()),
+        ..record(Ended::Ok)
+    };
+    let late = Record { sent_us: 4_000_000, ..record(Ended::Ok) };
+    let addr = late.addr.expect("an address");
+    let mut run = ran(1).events()[0].clone();
+    run.at_us = 4_000_100;
+    let up_at = |at_us| UpstreamEvent { kind: UpstreamEventKind::Up, at_us, ..run.clone() };
+    let violations_of = |late: &Record, fault: Option<(u64, u64)>, up_us| {
+        let invariants = Invariants::default();
+        if let Some((from_us, to_us)) = fault {
+            invariants.begin_disturbance(addr, from_us);
+            invariants.end_disturbance(addr, to_us);
+        }
+        invariants.record_call(&answer);
+        invariants.record_call(late);
+        invariants.check_leaves(&Ledger::new(vec![up_at(up_us), run.clone()]));
+        violation_names(&invariants)
+    };
+    let violation = ["work after a reported leave"];
+    assert_eq!(violations_of(&late, None, 0), violation);
+    assert_eq!(violations_of(&late, Some((0, 900_000)), 0), violation);
+    assert!(violations_of(&late, Some((2_000_000, 2_500_000)), 0).is_empty());
+    assert!(violations_of(&late, None, 3_000_000).is_empty(), "another process");
+    let soon = Record { sent_us: 2_500_000, ..late.clone() };
+    assert!(violations_of(&soon, None, 0).is_empty());
+    let other = Record { addr: Some(([127, 0, 0, 2], 7500).into()), ..late };
+    assert!(violations_of(&other, None, 0).is_empty());
+}
