fix(calls): a refusal by an upstream keeps the time that it names

What callers saw: 503 with a Retry-After of 1 s whatever the upstream had named, so that they came back before it takes requests again, or a second late.

Change: the field's seconds, with fractions, at most 30 s, are passed on; a date or a malformed value leaves 1 s.

--- a/crates/sycamore-node/src/calls/beside.rs
+++ b/crates/sycamore-node/src/calls/beside.rs
@@ -3,6 +3,7 @@
 use super::answer::{Answer, DEFAULT_RETRY_AFTER};
 use super::crash;
 use super::exchange::{read_whole_body, relay_answer, send, AnswerHead, Failure, Relayed};
+use super::failed::standard_retry_after;
 use super::forward::{send_own_answer, MAX_REFUSAL_BYTES, REFUSAL_READ_TIMEOUT};
 use super::journal;
 use super::message::{strip_internal, Inbound, Message};
@@ -294,7 +295,8 @@
         }
         self.slot.set_end(RunEnd::Overloaded);
         self.report_outcome(OutcomeKind::Shed);
-        refuse(self.state, inbound, msg, Answer::refused(reason, DEFAULT_RETRY_AFTER)).await
+        let after = standard_retry_after(&answered.head.headers).unwrap_or(DEFAULT_RETRY_AFTER);
+        refuse(self.state, inbound, msg, Answer::refused(reason, after)).await
     }
 
     /// Answers a call that got no complete answer from the upstream.
--- a/crates/sycamore-node/src/calls/failed.rs
+++ b/crates/sycamore-node/src/calls/failed.rs
@@ -11,6 +11,9 @@
 use sycamore_types::headers;
 use sycamore_types::prelude::*;
 
+/// Maximum delay that an upstream's or another node's refusal makes a caller wait.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
+
 /// Failed attempt of a call, with the answer that the caller gets if it is the last one.
 pub(super) struct FailedAttempt {
     pub(super) failure: AttemptFailure,
@@ -143,6 +146,13 @@
     if let Some(millis) = text(fields, headers::RETRY_AFTER_MS).and_then(|text| text.parse().ok()) {
         return Some(Duration::from_millis(millis));
     }
-    let secs = text(fields, header::RETRY_AFTER.as_str())?.parse().ok()?;
-    Some(Duration::from_secs(secs))
+    standard_retry_after(fields)
+}
+
+/// Returns the delay that an upstream's answer names in the standard field, in seconds with or without
+/// fractions, at most [`MAX_RETRY_AFTER`]; `None` if it names none, or a date.
+pub(super) fn standard_retry_after(fields: &HeaderMap) -> Option<Duration> {
+    let secs: f64 = text(fields, header::RETRY_AFTER.as_str())?.trim().parse().ok()?;
+    let delay = Duration::try_from_secs_f64(secs).ok()?;
+    Some(delay.min(MAX_RETRY_AFTER))
 }
