fix(member): a node that starts anew learns from any node that its upstream has left

Cause: the node beside the upstream was killed 1.4 s after the leave. At 2 calls a second only few nodes had heard of it, and the new node learned it from the first of them; two calls of others came first.

Ruled out: a fact of its own for each leave, which all nodes get besides the member's record (1.1 KB a node); a row of the platform's table, which can't be read while the platform is out.

Change: the member's record, which says draining to all nodes anyway, names the process (9 bytes while it drains for a leave). Each node keeps it beyond that record and names it with its calls.

--- a/crates/sycamore-bench/src/measure/moves/setup.rs
+++ b/crates/sycamore-bench/src/measure/moves/setup.rs
@@ -81,6 +81,7 @@
             relay: ([127, 0, 0, 1], 2).into(),
         },
         slots: SLOTS,
+        left: None,
     }
 }
 
--- a/crates/sycamore-call/src/route/mod.rs
+++ b/crates/sycamore-call/src/route/mod.rs
@@ -9,7 +9,7 @@
 pub use version::VersionBans;
 
 use crate::load::Load;
-use crate::report::ProcessReport;
+use crate::report::{LimitReport, ProcessReport};
 use peer::Peer;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -152,6 +152,11 @@
                 self.reports.record_restart(&member.instance);
                 *peer = Peer::new(member, Some(now));
             }
+            if let Some(process) = member.left {
+                let limit = LimitReport::Unknown;
+                let report = ProcessReport { process, limit, is_leaving: true };
+                self.reports.learn(now, &member.instance, report);
+            }
         }
     }
 
--- a/crates/sycamore-call/tests/decisions/common.rs
+++ b/crates/sycamore-call/tests/decisions/common.rs
@@ -44,6 +44,7 @@
         region: region(),
         endpoints: Endpoints { peer: addr, relay: addr },
         slots: 10,
+        left: None,
     }
 }
 
--- a/crates/sycamore-call/tests/decisions/route.rs
+++ b/crates/sycamore-call/tests/decisions/route.rs
@@ -260,3 +260,21 @@
     fixture.tried.clear();
     assert!(fixture.spread(at(4_000), 50, IDLE).contains_key("x"));
 }
+
+/// Guards against a leave that only the nodes know whose callers got such an answer: a restarted node
+/// beside the process would pass the calls of all others on.
+#[test]
+fn the_member_record_names_a_process_that_has_left() {
+    let mut fixture = Fixture::new([member("x", "1", "a"), member("y", "1", "a")]);
+    let x = instance("x");
+    let record = fixture.view.members.get_mut(&x).unwrap();
+    (record.state, record.left) = (MemberState::Draining, Some(ProcessId(1)));
+    let view = fixture.view.clone();
+    fixture.router.update(at(0), &view);
+    let restarted = Member { incarnation: Incarnation(2), ..member("x", "1", "a") };
+    fixture.view.members.insert(x.clone(), restarted);
+    let view = fixture.view.clone();
+    fixture.router.update(at(1_000), &view);
+    let leave = report(1, LimitReport::Unknown, true);
+    assert_eq!(fixture.router.report_of(&x), Some(leave));
+}
--- a/crates/sycamore-config/tests/common/mod.rs
+++ b/crates/sycamore-config/tests/common/mod.rs
@@ -36,5 +36,6 @@
         region: Region::new("region").expect("constant identifier"),
         endpoints: Endpoints { peer: address, relay: address },
         slots: 11,
+        left: None,
     }
 }
--- a/crates/sycamore-member/src/machine/local.rs
+++ b/crates/sycamore-member/src/machine/local.rs
@@ -24,14 +24,17 @@
         local: LocalState,
         actions: &mut Vec<Action>,
     ) {
-        let mut me = self.me.clone();
+        let mut me = Member { left: None, ..self.me.clone() };
         me.state = match local {
             LocalState::Joining => MemberState::Joining,
             LocalState::Serving { version, slots } => {
                 (me.version, me.slots) = (version, slots);
                 MemberState::Serving
             }
-            LocalState::Draining => MemberState::Draining,
+            LocalState::Draining { left } => {
+                me.left = left;
+                MemberState::Draining
+            }
             LocalState::Left => MemberState::Dead,
         };
         if me == self.me || self.me.state == MemberState::Dead {
--- a/crates/sycamore-member/src/machine/mod.rs
+++ b/crates/sycamore-member/src/machine/mod.rs
@@ -40,7 +40,10 @@
         slots: u16,
     },
     /// The instance accepts no new calls and will leave.
-    Draining,
+    Draining {
+        /// Upstream process that reported its leave in an answer; `None` where none did.
+        left: Option<ProcessId>,
+    },
     /// The node stops; no later state is announced.
     Left,
 }
--- a/crates/sycamore-member/src/message.rs
+++ b/crates/sycamore-member/src/message.rs
@@ -74,8 +74,10 @@
     }
 }
 
-/// Returns the size of the strings and addresses of `member`, in bytes.
+/// Returns the size of the strings, addresses and optional fields of `member`, in bytes.
 fn member_bytes(member: &Member) -> usize {
+    /// Size of the tag and number of a process that left.
+    const LEFT_BYTES: usize = 9;
     let ip_bytes = |address: SocketAddr| if address.is_ipv4() { 4 } else { 16 };
     member.instance.as_str().len()
         + member.service.as_str().len()
@@ -84,6 +86,7 @@
         + member.region.as_str().len()
         + ip_bytes(member.endpoints.peer)
         + ip_bytes(member.endpoints.relay)
+        + member.left.map_or(0, |_| LEFT_BYTES)
 }
 
 /// Returns the size of the strings of `fact`, in bytes.
--- a/crates/sycamore-member/src/table/order.rs
+++ b/crates/sycamore-member/src/table/order.rs
@@ -17,7 +17,7 @@
         (&member.service, &member.version),
         (&member.data_centre, &member.region),
         (member.endpoints.peer, member.endpoints.relay),
-        member.slots,
+        (member.slots, member.left),
     )
 }
 
--- a/crates/sycamore-member/tests/common/mod.rs
+++ b/crates/sycamore-member/tests/common/mod.rs
@@ -99,6 +99,7 @@
         region: format!("region{}", centre / 3).parse().unwrap(),
         endpoints: Endpoints { peer: address(i), relay: address(i) },
         slots: 12,
+        left: None,
     }
 }
 
--- a/crates/sycamore-member/tests/full_size.rs
+++ b/crates/sycamore-member/tests/full_size.rs
@@ -80,7 +80,7 @@
 fn a_drain_and_a_death_reach_all_nodes_in_time() {
     let mut net = fleet(2);
     let since = net.now;
-    net.local(5, LocalState::Draining);
+    net.local(5, LocalState::Draining { left: None });
     net.run(Duration::from_secs(5));
     let drained = times_to_learn_state(&net, 5, MemberState::Draining, since)
         .expect("all nodes learn of the drain");
--- a/crates/sycamore-member/tests/model.rs
+++ b/crates/sycamore-member/tests/model.rs
@@ -105,6 +105,7 @@
         region: "r".parse().unwrap(),
         endpoints: Endpoints { peer: address(i), relay: address(i) },
         slots: 1,
+        left: None,
     }
 }
 
@@ -184,7 +185,7 @@
             Event::Drain => {
                 let drained = state.nodes[SUBJECT].as_ref().map(|node| node.me().incarnation);
                 state.drained = drained;
-                self.input(&mut state, SUBJECT, Input::Local(LocalState::Draining));
+                self.input(&mut state, SUBJECT, Input::Local(LocalState::Draining { left: None }));
             }
             Event::Announce => {
                 state.announced = true;
--- a/crates/sycamore-member/tests/scenarios.rs
+++ b/crates/sycamore-member/tests/scenarios.rs
@@ -69,7 +69,7 @@
         "kill" => list(args, "nodes").into_iter().for_each(|node| net.kill(node)),
         "restart" => net.restart(node, &list(args, "contacts")),
         "freeze" => net.freeze(node, Duration::from_secs(number(args, "s"))),
-        "drain" => net.local(node, LocalState::Draining),
+        "drain" => net.local(node, LocalState::Draining { left: None }),
         "leave" => net.local(node, LocalState::Left),
         "cut" => net.cuts.push((centre(args, "from"), centre(args, "to"))),
         "cut-link" => {
--- a/crates/sycamore-member/tests/table.rs
+++ b/crates/sycamore-member/tests/table.rs
@@ -27,6 +27,7 @@
         region: "r".parse().unwrap(),
         endpoints: Endpoints { peer: address, relay: address },
         slots,
+        left: (slots % 2 == 1).then_some(ProcessId(7)),
     }
 }
 
--- a/crates/sycamore-moves/tests/evidence.rs
+++ b/crates/sycamore-moves/tests/evidence.rs
@@ -93,6 +93,7 @@
             relay: ([127, 0, 0, 1], 2).into(),
         },
         slots: 10,
+        left: None,
     }
 }
 
--- a/crates/sycamore-node/src/calls/announce.rs
+++ b/crates/sycamore-node/src/calls/announce.rs
@@ -67,6 +67,7 @@
 fn apply_announcement(state: &State, announcement: Announcement) {
     let now = state.now();
     let process = process_id(&announcement);
+    let has_reported_leave = state.reports.is_leaving(process);
     state.last_announced.set(now);
     state.hub.dependencies.record_reached(&state.hub.log, now, Dependency::Upstream);
     let changed = state.hub.upstream.send_if_modified(|known| {
@@ -85,7 +86,8 @@
             slots: announcement.slots,
             connections: announcement.connections,
             warm_at,
-            draining: announcement.draining || state.reports.is_leaving(process),
+            draining: announcement.draining || has_reported_leave,
+            has_reported_leave,
         };
         let changed = known.as_ref() != Some(&next);
         *known = Some(next);
@@ -103,9 +105,11 @@
 fn record_leave(state: &State, process: &Process) -> MessageOrder {
     let order = state.announcements.borrow_mut().record_leave(process_ref(process));
     if order == MessageOrder::Current {
-        if let Some(upstream) = state.upstream() {
-            mark_draining(state, upstream.process);
-        }
+        state.hub.upstream.send_if_modified(|known| {
+            let was_serving = known.as_ref().is_some_and(|upstream| !upstream.draining);
+            known.iter_mut().for_each(|upstream| upstream.draining = true);
+            was_serving
+        });
         info!(state.hub.log, "upstream draining";
             "upstream" => process.name.as_deref().unwrap_or("-"));
     }
@@ -127,11 +131,12 @@
     ProcessId(first_bytes(&ContentHash::of(text.as_bytes())))
 }
 
-/// Marks the local upstream as draining if it is still `process`.
-pub(super) fn mark_draining(state: &State, process: ProcessId) {
+/// Marks the local upstream as draining for good if it is still `process`, which said in an answer that
+/// it is leaving.
+pub(super) fn mark_leave_reported(state: &State, process: ProcessId) {
     state.hub.upstream.send_if_modified(|known| match known {
-        Some(upstream) if !upstream.draining && upstream.process == process => {
-            upstream.draining = true;
+        Some(upstream) if upstream.process == process => {
+            (upstream.draining, upstream.has_reported_leave) = (true, true);
             true
         }
         _ => false,
--- a/crates/sycamore-node/src/calls/report.rs
+++ b/crates/sycamore-node/src/calls/report.rs
@@ -1,7 +1,7 @@
 //! State that the local upstream reports about itself in its answers, and the calls sent to it while
 //! it names a rate limit.
 
-use super::announce::mark_draining;
+use super::announce::mark_leave_reported;
 use super::meta::{set, text, CallMeta};
 use super::slot;
 use super::state::State;
@@ -208,7 +208,7 @@
         }
         ReportChange::Leaving => {
             info!(state.hub.log, "upstream reported leaving"; "upstream" => name, "from" => from);
-            mark_draining(state, upstream.process);
+            mark_leave_reported(state, upstream.process);
         }
     }
 }
--- a/crates/sycamore-node/src/hub/mod.rs
+++ b/crates/sycamore-node/src/hub/mod.rs
@@ -67,6 +67,15 @@
     pub warm_at: Time,
     /// Whether the upstream asked to leave.
     pub draining: bool,
+    /// Whether the upstream said in an answer that it is leaving, which holds for its process.
+    pub has_reported_leave: bool,
+}
+
+impl AnnouncedUpstream {
+    /// Returns the upstream's process if it said in an answer that it is leaving.
+    pub fn left(&self) -> Option<ProcessId> {
+        self.has_reported_leave.then_some(self.process)
+    }
 }
 
 /// State shared by the subsystems of a node, all of which run on one thread.
--- a/crates/sycamore-node/src/peers/driver.rs
+++ b/crates/sycamore-node/src/peers/driver.rs
@@ -2,7 +2,7 @@
 
 use super::metrics::Metrics;
 use super::{DeltaMessage, Deltas};
-use crate::hub::{Hub, Phase};
+use crate::hub::{AnnouncedUpstream, Hub, Phase};
 use crate::platform::Platform;
 use crate::tasks::{Stop, TaskGroup};
 use std::cell::{Cell, RefCell};
@@ -248,6 +248,7 @@
         region: settings.node.region.clone(),
         endpoints: settings.listen.endpoints(),
         slots: 0,
+        left: None,
     };
     let options = Options {
         probe_interval: settings.peers.probe_interval,
@@ -263,8 +264,10 @@
 fn local_state(hub: &Hub) -> LocalState {
     let upstream = hub.upstream.borrow();
     match (hub.phase(), &*upstream) {
-        (Phase::Closing | Phase::Stopped, _) => LocalState::Draining,
-        (_, Some(upstream)) if upstream.draining => LocalState::Draining,
+        (Phase::Closing | Phase::Stopped, upstream) => {
+            LocalState::Draining { left: upstream.as_ref().and_then(AnnouncedUpstream::left) }
+        }
+        (_, Some(upstream)) if upstream.draining => LocalState::Draining { left: upstream.left() },
         (Phase::Ready | Phase::Draining, Some(upstream)) => {
             LocalState::Serving { version: upstream.version.clone(), slots: upstream.slots }
         }
--- a/crates/sycamore-node/tests/calls/world.rs
+++ b/crates/sycamore-node/tests/calls/world.rs
@@ -204,6 +204,7 @@
         region: settings.node.region.clone(),
         endpoints: Endpoints { peer: listen.peer, relay: listen.relay },
         slots: options.slots,
+        left: None,
     };
     let hub = Hub::new(settings);
     let tasks = TaskGroup::default();
@@ -221,6 +222,7 @@
         name: None,
         warm_at: Time(0),
         draining: false,
+        has_reported_leave: false,
     }));
     let config = ClientConfig { body_bytes: 64 << 20, ..ClientConfig::default() };
     let caller = Client::new(listen.caller, config);
--- a/crates/sycamore-node/tests/config/follower.rs
+++ b/crates/sycamore-node/tests/config/follower.rs
@@ -52,6 +52,7 @@
         region: node.region.clone(),
         endpoints: settings.listen.endpoints(),
         slots: 0,
+        left: None,
     }
 }
 
--- a/crates/sycamore-peer/src/codec/item.rs
+++ b/crates/sycamore-peer/src/codec/item.rs
@@ -55,6 +55,7 @@
         peer: Some(address_to_wire(member.endpoints.peer)),
         relay: Some(address_to_wire(member.endpoints.relay)),
         slots: u32::from(member.slots),
+        left: member.left.map(|process| process.0),
     }
 }
 
@@ -72,6 +73,7 @@
             relay: address_from_wire(wire.relay.as_ref())?,
         },
         slots: u16::try_from(wire.slots).map_err(|_| malformed("slots"))?,
+        left: wire.left.map(ProcessId),
     })
 }
 
--- a/crates/sycamore-peer/src/proto/sycamore.peer.v1.rs
+++ b/crates/sycamore-peer/src/proto/sycamore.peer.v1.rs
@@ -160,6 +160,9 @@
     pub relay: ::core::option::Option<Address>,
     #[prost(uint32, tag = "10")]
     pub slots: u32,
+    /// Upstream process that reported its leave; absent where none did.
+    #[prost(fixed64, optional, tag = "11")]
+    pub left: ::core::option::Option<u64>,
 }
 /// IP address, 4 or 16 bytes in network order, and port.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/sycamore-peer/tests/codec.rs
+++ b/crates/sycamore-peer/tests/codec.rs
@@ -110,6 +110,7 @@
             relay: SocketAddr::from(([0u16, 0, 0, 0, 0, 0, 0, u16::arbitrary(g)], 9)),
         },
         slots: u16::arbitrary(g),
+        left: bool::arbitrary(g).then(|| ProcessId(u64::arbitrary(g))),
     }
 }
 
--- a/crates/sycamore-types/src/member.rs
+++ b/crates/sycamore-types/src/member.rs
@@ -1,6 +1,6 @@
 //! Cluster members: upstreams that announced themselves, each with the node beside it.
 
-use crate::id::{DataCentre, InstanceId, Region, ServiceName, UpstreamVersion};
+use crate::id::{DataCentre, InstanceId, ProcessId, Region, ServiceName, UpstreamVersion};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -59,6 +59,10 @@
     pub endpoints: Endpoints,
     /// Number of concurrent calls that the upstream declared it can run.
     pub slots: u16,
+    /// Upstream process that said in an answer that it is leaving, while the member drains for that:
+    /// no node calls it again, also once the node beside it has restarted and doesn't know it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub left: Option<ProcessId>,
 }
 
 /// Consistent view of all members that a node knows.
