--- a/crates/sycamore-bench/src/soak/promises.rs
+++ b/crates/sycamore-bench/src/soak/promises.rs
@@ -85,7 +85,10 @@
     /// Checks an upstream's count of the requests that it got.
     pub fn check_count(&self, instance: &str, count: &Count) {
         if count.worst_ratio > 1.0 {
-            let seen = format!("{instance}: {} requests in 4 s", count.worst_got);
+            let Count { worst_got, worst_before, .. } = count;
+            let seen = format!(
+                "{instance}: {worst_got} requests in 4 s, {worst_before} of them before the first report"
+            );
             self.add_violation("over the rate limit", seen);
         }
     }
