--- a/crates/sycamore-call/src/admit/mod.rs
+++ b/crates/sycamore-call/src/admit/mod.rs
@@ -31,10 +31,10 @@
 const MAX_LATE_WAIT: Duration = Duration::from_millis(25);
 /// Maximum number of calls that run on an upstream before its first answer, which shows whether it has
 /// a rate limit.
-const MAX_UNHEARD_CALLS: u16 = 2;
+const MAX_PROBE_CALLS: u16 = 2;
 /// Time after the first call to an upstream after which more calls run although it has not answered:
 /// the first ones may take long.
-const UNHEARD_TIME: Duration = Duration::from_millis(500);
+const PROBE_TIME: Duration = Duration::from_millis(500);
 /// Maximum delay that a refused caller is told to wait before it retries.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
 
@@ -152,9 +152,9 @@
     Cancel(u64),
     /// Time passed; expires queued calls.
     Tick,
-    /// The upstream, which may have a rate limit since before this node started, hasn't reported one
-    /// yet.
-    Unheard,
+    /// The upstream may have a rate limit that this node doesn't know: few calls run until its first
+    /// answer.
+    ProbeLimit,
     /// The upstream reported this rate limit, or that it has none.
     Limit(Option<RateLimit>),
     /// The upstream drains: queued and arriving calls are refused.
@@ -179,14 +179,14 @@
     },
 }
 
-/// Upstream whose first answer to this node has not arrived yet.
+/// Wait for the first answer of an upstream, which shows whether it has a rate limit.
 #[derive(Debug, Clone, Copy, Default)]
-struct Unheard {
+struct LimitProbe {
     /// Time at which the first call started.
     called_at: Option<Time>,
 }
 
-impl Unheard {
+impl LimitProbe {
     /// Returns whether the first answer is still awaited.
     fn is_waiting(self, now: Time) -> bool {
         self.ends_at().is_none_or(|end| now < end)
@@ -194,7 +194,7 @@
 
     /// Returns the end of the wait for the first answer; `None` before the first call.
     fn ends_at(self) -> Option<Time> {
-        self.called_at.map(|at| at + UNHEARD_TIME)
+        self.called_at.map(|at| at + PROBE_TIME)
     }
 }
 
@@ -205,7 +205,7 @@
     slots: u16,
     limiter: Limiter,
     pacer: Pacer,
-    unheard: Option<Unheard>,
+    probe: Option<LimitProbe>,
     running: BTreeMap<u64, (Arrival, Time)>,
     queue: Queue,
     service_times: ServiceTimes,
@@ -222,7 +222,7 @@
             slots: 0,
             limiter,
             pacer: Pacer::default(),
-            unheard: None,
+            probe: None,
             running: BTreeMap::new(),
             queue: Queue::default(),
             service_times: ServiceTimes::default(),
@@ -244,9 +244,9 @@
             Input::Finish(id, end) => self.finish(now, id, end),
             Input::Cancel(id) => drop(self.queue.remove(id)),
             Input::Tick => {}
-            Input::Unheard => self.unheard = Some(Unheard::default()),
+            Input::ProbeLimit => self.probe = Some(LimitProbe::default()),
             Input::Limit(limit) => {
-                self.unheard = None;
+                self.probe = None;
                 self.pacer.set_limit(now, limit);
             }
             Input::Drain => self.drain(now, &mut out),
@@ -294,7 +294,7 @@
     /// then apply [`Input::Tick`].
     pub fn next_tick(&self, now: Time) -> Option<Time> {
         let expiry = self.queue.next_expiry()?;
-        let next = match (self.has_slot(now), self.unheard.and_then(Unheard::ends_at)) {
+        let next = match (self.has_slot(now), self.probe.and_then(LimitProbe::ends_at)) {
             (true, _) => now + self.pacer.wait(now, 0),
             (false, Some(end)) => end,
             (false, None) => expiry,
@@ -382,8 +382,8 @@
     }
 
     fn has_slot(&self, now: Time) -> bool {
-        let limit = match self.unheard {
-            Some(unheard) if unheard.is_waiting(now) => self.limit().min(MAX_UNHEARD_CALLS),
+        let limit = match self.probe {
+            Some(probe) if probe.is_waiting(now) => self.limit().min(MAX_PROBE_CALLS),
             _ => self.limit(),
         };
         self.running.len() < usize::from(limit)
@@ -404,8 +404,8 @@
 
     fn admit(&mut self, now: Time, arrival: Arrival, out: &mut Vec<Decision>) {
         self.pacer.record_start(now);
-        if let Some(unheard) = &mut self.unheard {
-            unheard.called_at.get_or_insert(now);
+        if let Some(probe) = &mut self.probe {
+            probe.called_at.get_or_insert(now);
         }
         self.running.insert(arrival.id, (arrival, now));
         out.push(Decision::Admit(arrival.id));
--- a/crates/sycamore-call/src/load.rs
+++ b/crates/sycamore-call/src/load.rs
@@ -40,7 +40,10 @@
 
 impl fmt::Display for ParseLoadError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("invalid load: expected running/limit/queued or running/limit/queued/rate_percent, numbers of 0 to 65535")
+        f.write_str(
+            "invalid load: expected running/limit/queued or running/limit/queued/rate_percent, \
+             numbers of 0 to 65535",
+        )
     }
 }
 
--- a/crates/sycamore-call/tests/decisions/load/limited_fleet.rs
+++ b/crates/sycamore-call/tests/decisions/load/limited_fleet.rs
@@ -115,7 +115,7 @@
 impl Beside {
     fn restart(&mut self) {
         self.admission = admission();
-        self.admission.step(Time(0), Input::Unheard);
+        self.admission.step(Time(0), Input::ProbeLimit);
         self.reports = ReportLog::default();
         self.reports.begin(ProcessId(1));
         self.incarnation += 1;
--- a/crates/sycamore-call/tests/decisions/rate.rs
+++ b/crates/sycamore-call/tests/decisions/rate.rs
@@ -221,7 +221,7 @@
     };
     let mut unheard = admission(1.0);
     unheard.step(at(0), Input::Limit(None));
-    unheard.step(at(0), Input::Unheard);
+    unheard.step(at(0), Input::ProbeLimit);
     let mut silent = unheard.clone();
     assert_eq!(arrivals(&mut unheard, 0), 2);
     let decisions = unheard.step(at(100), Input::Limit(None));
--- a/crates/sycamore-node/src/calls/beside.rs
+++ b/crates/sycamore-node/src/calls/beside.rs
@@ -112,7 +112,11 @@
         Either::Left((slot, _)) => slot,
         Either::Right(_) => return Ok(None),
     };
-    let slot = slot.map_err(|(reason, after)| Answer::refused(reason, add_jitter(state, after)))?;
+    let slot = slot.map_err(|(reason, after)| match reason {
+        // Each refused call was told a start of its own, before which the limit has no room.
+        RefusalReason::RateLimited => Answer::refused(reason, after),
+        _ => Answer::refused(reason, add_jitter(state, after)),
+    })?;
     // Facts, shares and announcements may have changed during the wait.
     let upstream = check_call(state, meta, target).map_err(refused)?;
     Ok(Some((upstream, slot)))
--- a/crates/sycamore-node/src/calls/report.rs
+++ b/crates/sycamore-node/src/calls/report.rs
@@ -93,7 +93,7 @@
         state.upstreams.close_idle_before(upstream.address, Instant::now());
         slot::step(state, Input::Limit(None));
         if is_older_than_node(state, upstream) {
-            slot::step(state, Input::Unheard);
+            slot::step(state, Input::ProbeLimit);
         }
     }
 }
