--- a/crates/sycamore-node/src/calls/metrics.rs
+++ b/crates/sycamore-node/src/calls/metrics.rs
@@ -69,7 +69,10 @@
 
 impl Metrics {
     pub(super) fn new(registry: &Registry) -> Result<Self, Report<io::Error>> {
-        build(Meter::new(registry)).map_err(|err| Report::new(io::Error::other(err)))
+        let metrics = build(Meter::new(registry));
+        let metrics = metrics.map_err(|err| Report::new(io::Error::other(err)))?;
+        metrics.set_rate_limit(None);
+        Ok(metrics)
     }
 
     /// Counts an answer by its outcome and reason.
--- a/crates/sycamore-node/tests/calls/metrics.rs
+++ b/crates/sycamore-node/tests/calls/metrics.rs
@@ -65,6 +65,7 @@
             page(&cluster, 0)
         };
         let limit = "sycamoreshift_upstream_rate_limit";
+        assert_eq!(value(&page(&cluster, 0), limit), f64::INFINITY, "before the first answer");
         let malformed = "sycamoreshift_upstream_rate_limit_malformed_total";
         assert_eq!(value(&call_with("").await, limit), f64::INFINITY);
         assert_eq!(value(&call_with("shift-rate-limit: 900.5\r\n").await, limit), 900.5);
