fix(route): an answer from before a leave doesn't undo it

What callers saw: nothing yet; found by reading. Answers of an instance come on several connections. One that its node sent before it heard of the leave, and that arrives after the answer with the leave, made the caller's node forget it, until the member's record said so.

Test: an_answer_that_comes_late_does_not_undo_a_leave fails on the code before.

--- a/crates/sycamore-call/src/route/reports.rs
+++ b/crates/sycamore-call/src/route/reports.rs
@@ -47,9 +47,13 @@
         }
     }
 
-    /// Records that the process of `instance` answered and reports neither a limit nor a leave.
+    /// Records that the process of `instance` answered and reports neither a limit nor a leave. An
+    /// answer may overtake the one with a leave, which only another process can lack: after a restart
+    /// of its node, since calls name the leaving process to that node.
     pub(super) fn learn_unrestricted(&mut self, instance: &InstanceId) {
-        self.0.remove(instance);
+        if !self.is_leaving(instance) {
+            self.0.remove(instance);
+        }
     }
 
     /// Records that the node of `instance` has restarted.
--- a/crates/sycamore-call/tests/decisions/route.rs
+++ b/crates/sycamore-call/tests/decisions/route.rs
@@ -278,3 +278,14 @@
     let leave = report(1, LimitReport::Unknown, true);
     assert_eq!(fixture.router.report_of(&x), Some(leave));
 }
+
+/// Guards against a leave that is forgotten since an answer from before it arrives after it.
+#[test]
+fn an_answer_that_comes_late_does_not_undo_a_leave() {
+    let mut fixture = Fixture::new([member("x", "1", "a"), member("y", "1", "a")]);
+    let (x, leave) = (instance("x"), report(1, LimitReport::Unknown, true));
+    fixture.router.learn_report(at(0), &x, leave);
+    fixture.router.learn_unrestricted(&x);
+    assert_eq!(fixture.router.report_of(&x), Some(leave));
+    assert!(!fixture.spread(at(10), 50, IDLE).contains_key("x"));
+}
--- a/crates/sycamore-node/src/calls/report.rs
+++ b/crates/sycamore-node/src/calls/report.rs
@@ -247,6 +247,6 @@
 }
 
 /// Returns a rate limit as log lines carry it; `-` if there is none.
-pub(super) fn limit_text(limit: Option<RateLimit>) -> String {
+fn limit_text(limit: Option<RateLimit>) -> String {
     limit.map_or_else(|| "-".to_owned(), |limit| limit.to_string())
 }
