test(soak): a process that was replaced while its last answers were on their way isn't taken for the one that left

Its node's log: the leave of process counter-1-1163 at 311.616 s, the announcement of its successor counter-1-2586 at 311.741 s, and the calls, 314.08 s, at that successor; the event had lasted 136 ms. The answer reached its caller after the successor had come up, and the check looked for successors from there on.

Change: successors count from the run that the answer belongs to. The check's own test has that case now.

--- a/crates/sycamore-bench/src/soak/promises.rs
+++ b/crates/sycamore-bench/src/soak/promises.rs
@@ -102,7 +102,12 @@
         for answer in answers {
             let (Some(addr), Some(instance)) = (answer.addr, &answer.instance) else { continue };
             let passed_us = answer.sent_us + answer.latency.as_micros() as u64;
-            let end_us = ledger.next_start_of(instance, passed_us);
+            let Some(reported) = ledger.runs_on(instance).find(|run| run.token == answer.token)
+            else {
+                continue;
+            };
+            // The process may have been replaced while its answer was on its way to the caller.
+            let end_us = ledger.next_start_of(instance, reported.at_us);
             let late = ledger.runs_on(instance).filter(|run| run.at_us < end_us);
             for run in late {
                 let Some(record) = records.get(&run.token).and_then(|records| records.first())
--- a/crates/sycamore-bench/tests/soak.rs
+++ b/crates/sycamore-bench/tests/soak.rs
@@ -145,6 +145,7 @@
     let addr = late.addr.expect("an address");
     let mut run = ran(1).events()[0].clone();
     run.at_us = 4_000_100;
+    let reported = UpstreamEvent { at_us: 1_000_500, token: "zero".into(), ..run.clone() };
     let up_at = |at_us| UpstreamEvent { kind: UpstreamEventKind::Up, at_us, ..run.clone() };
     let violations_of = |late: &Record, fault: Option<(u64, u64)>, up_us| {
         let invariants = Invariants::default();
@@ -154,7 +155,8 @@
         }
         invariants.record_call(&answer);
         invariants.record_call(late);
-        invariants.check_leaves(&Ledger::new(vec![up_at(up_us), run.clone()]));
+        let events = vec![up_at(up_us), reported.clone(), run.clone()];
+        invariants.check_leaves(&Ledger::new(events));
         violation_names(&invariants)
     };
     let violation = ["work after a reported leave"];
@@ -162,6 +164,7 @@
     assert_eq!(violations_of(&late, Some((0, 900_000)), 0), violation);
     assert!(violations_of(&late, Some((2_000_000, 2_500_000)), 0).is_empty());
     assert!(violations_of(&late, None, 3_000_000).is_empty(), "another process");
+    assert!(violations_of(&late, None, 1_005_000).is_empty(), "before the answer arrived");
     let soon = Record { sent_us: 2_500_000, ..late.clone() };
     assert!(violations_of(&soon, None, 0).is_empty());
     let other = Record { addr: Some(([127, 0, 0, 2], 7500).into()), ..late };
