fix(bench): measure limit checks its options and counts violations like the other measurements

A load or limit of zero or below, or an unknown fault, was taken and ended in an endless wait or in an error only when it was due. Both are errors at once now. The result has the counts of violated guarantees.

--- a/crates/sycamore-bench/src/measure/limit.rs
+++ b/crates/sycamore-bench/src/measure/limit.rs
@@ -2,7 +2,7 @@
 //! that leaves; counted by the upstreams themselves, with optional faults of the nodes beside them.
 
 use super::calls::latency_quantile_ms;
-use super::print;
+use super::{print, Violations};
 use crate::fleet::{Deployment, Fleet, Hop, Options as FleetOptions, ServiceSpec};
 use crate::load::{self, CallKind, Ended, Target};
 use crate::proxy::Fault;
@@ -17,6 +17,7 @@
 use rand::{Rng, SeedableRng};
 use serde::Serialize;
 use std::pin::pin;
+use std::str::FromStr;
 use std::time::Duration;
 
 /// Number of upstreams, all of one service.
@@ -93,10 +94,55 @@
     ok: usize,
     refused: usize,
     other: usize,
+    violations: Violations,
+}
+
+/// Fault of the node beside an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum NodeFault {
+    /// The node is killed and starts again.
+    Kill,
+    /// The node is paused.
+    Freeze,
+    /// No call of another node reaches the node.
+    Cut,
+}
+
+impl FromStr for NodeFault {
+    type Err = BenchError;
+
+    fn from_str(text: &str) -> std::result::Result<Self, BenchError> {
+        match text {
+            "kill" => Ok(Self::Kill),
+            "freeze" => Ok(Self::Freeze),
+            "cut" => Ok(Self::Cut),
+            _ => Err(BenchError::Option(format!(
+                "--fault: unknown fault {text:?}, expected kill, freeze or cut"
+            ))),
+        }
+    }
+}
+
+impl Options {
+    /// Returns the faults to inject in turn.
+    ///
+    /// # Errors
+    /// [`BenchError::Option`] for an unknown fault, or a limit or a load that is no positive number.
+    fn checked_faults(&self) -> Result<Vec<NodeFault>> {
+        for (name, value) in [("limit", self.limit), ("times", self.times)] {
+            if !(value.is_finite() && value > 0.0) {
+                let what = format!("--{name}: {value}, expected a number above 0");
+                return Err(BenchError::Option(what).into());
+            }
+        }
+        let names = self.fault.split(',').filter(|name| !name.is_empty());
+        Ok(names.map(str::parse).collect::<std::result::Result<_, _>>()?)
+    }
 }
 
 /// Runs `measure limit` and prints its result.
 pub(super) async fn run(options: Options) -> Result<()> {
+    let faults = options.checked_faults()?;
     let service = ServiceSpec { name: "counter".into(), upstreams: UPSTREAMS };
     let deployment = Deployment { services: vec![service], ..Deployment::zlatna_klupa() };
     let fleet = Fleet::start(FleetOptions {
@@ -129,7 +175,7 @@
     };
     let events = async {
         let limited = limit_and_leave(&fleet, &options, &names);
-        futures::join!(limited, inject_faults(&fleet, &options, &names))
+        futures::join!(limited, inject_faults(&fleet, &options, &faults, &names))
     };
     let loads = async {
         let limited = async {
@@ -171,6 +217,7 @@
         ok,
         refused: refusals,
         other: tally.records().len() - ok - refusals,
+        violations: tally.violations(&fleet.witness().ledger().await),
     });
     fleet.stop().await;
     Ok(())
@@ -198,10 +245,14 @@
     Ok(())
 }
 
-/// Injects the faults of `options` in turn, each into the node beside an upstream that is drawn, until
+/// Injects `faults` in turn, each into the node beside an upstream that is drawn, until
 /// shortly before the end of the load.
-async fn inject_faults(fleet: &Fleet, options: &Options, names: &[String]) -> Result<()> {
-    let faults: Vec<&str> = options.fault.split(',').filter(|fault| !fault.is_empty()).collect();
+async fn inject_faults(
+    fleet: &Fleet,
+    options: &Options,
+    faults: &[NodeFault],
+    names: &[String],
+) -> Result<()> {
     let mut rng = SmallRng::seed_from_u64(options.seed);
     monoio::time::sleep(UNLIMITED_TIME + FAULT_GAP).await;
     let last = Duration::from_secs(options.seconds).saturating_sub(FAULT_TIME * 2);
@@ -211,8 +262,8 @@
             break;
         }
         let victim = &names[rng.random_range(0..names.len())];
-        eprintln!("{:5.1} s {fault} of the node of {victim}", at.as_secs_f64());
-        inject(fleet, fault, victim).await?;
+        eprintln!("{:5.1} s {fault:?} of the node of {victim}", at.as_secs_f64());
+        inject(fleet, *fault, victim).await?;
         monoio::time::sleep(FAULT_GAP).await;
         at += FAULT_TIME + FAULT_GAP;
     }
@@ -220,21 +271,17 @@
 }
 
 /// Injects `fault` into the node of `victim` for [`FAULT_TIME`].
-async fn inject(fleet: &Fleet, fault: &str, victim: &str) -> Result<()> {
+async fn inject(fleet: &Fleet, fault: NodeFault, victim: &str) -> Result<()> {
     match fault {
-        "kill" => fleet.kill_node(victim)?,
-        "freeze" => fleet.signal_node(victim, Signal::SIGSTOP)?,
-        "cut" => fleet.link(victim, Hop::Relay)?.set(Fault::Silence),
-        other => {
-            let what = format!("--fault: unknown fault {other:?}, expected kill, freeze or cut");
-            return Err(Report::new(BenchError::Option(what)));
-        }
+        NodeFault::Kill => fleet.kill_node(victim)?,
+        NodeFault::Freeze => fleet.signal_node(victim, Signal::SIGSTOP)?,
+        NodeFault::Cut => fleet.link(victim, Hop::Relay)?.set(Fault::Silence),
     }
     monoio::time::sleep(FAULT_TIME).await;
     match fault {
-        "kill" => fleet.start_node(victim),
-        "freeze" => fleet.signal_node(victim, Signal::SIGCONT),
-        _ => {
+        NodeFault::Kill => fleet.start_node(victim),
+        NodeFault::Freeze => fleet.signal_node(victim, Signal::SIGCONT),
+        NodeFault::Cut => {
             fleet.link(victim, Hop::Relay)?.set(Fault::None);
             Ok(())
         }
