fix(member): a node that starts anew beside an upstream which has left learns it from its own earlier record

Cause: a call that comes in at a restarted node goes to another restarted one: neither remembers, and the record that names the process is replaced by that of the new node.

Change: the others still send a node its earlier record, which it refutes; it now takes the process from it, drains and names it in its record again.

The member's test needs the new action.

--- a/crates/sycamore-bench/tests/process/main.rs
+++ b/crates/sycamore-bench/tests/process/main.rs
@@ -7,6 +7,7 @@
 mod drain;
 mod explain;
 mod faults;
+mod limit;
 mod morning;
 mod soak;
 mod support;
--- a/crates/sycamore-member/src/machine/mod.rs
+++ b/crates/sycamore-member/src/machine/mod.rs
@@ -98,6 +98,8 @@
     MemberChanged(Member),
     /// Process the record of a member that this node itself declared suspect or dead.
     Declared(Member),
+    /// Remember that the upstream process has left, which an earlier process of this node had recorded.
+    EarlierLeave(ProcessId),
     /// Process a fact learned from another node.
     FactLearnt(Fact),
     /// Read [`Membership::view`] again: the reachability of a data centre changed.
@@ -237,6 +239,9 @@
         let mut new_items = Vec::new();
         for item in items {
             if self.is_me(&item) {
+                if let Item::Member(Member { left: Some(process), .. }) = &item {
+                    actions.push(Action::EarlierLeave(*process));
+                }
                 self.refute(now, &item, actions);
             } else if self.table.join(&item, now.mono, now.wall) == Joined::New {
                 let full = self.table.item(&item.key()).unwrap_or(item);
--- a/crates/sycamore-member/tests/common/mod.rs
+++ b/crates/sycamore-member/tests/common/mod.rs
@@ -329,7 +329,7 @@
                     let now = self.now;
                     self.peers[i].learnt.entry(fact.key()).or_insert(now);
                 }
-                Action::ViewChanged | Action::Declared(_) => {}
+                Action::ViewChanged | Action::Declared(_) | Action::EarlierLeave(_) => {}
             }
         }
     }
--- a/crates/sycamore-node/src/calls/announce.rs
+++ b/crates/sycamore-node/src/calls/announce.rs
@@ -67,7 +67,8 @@
 fn apply_announcement(state: &State, announcement: Announcement) {
     let now = state.now();
     let process = process_id(&announcement);
-    let has_reported_leave = state.reports.is_leaving(process);
+    let has_reported_leave =
+        state.reports.is_leaving(process) || state.hub.has_left_earlier(process);
     state.last_announced.set(now);
     state.hub.dependencies.record_reached(&state.hub.log, now, Dependency::Upstream);
     let changed = state.hub.upstream.send_if_modified(|known| {
@@ -131,18 +132,6 @@
     ProcessId(first_bytes(&ContentHash::of(text.as_bytes())))
 }
 
-/// Marks the local upstream as draining for good if it is still `process`, which said in an answer that
-/// it is leaving.
-pub(super) fn mark_leave_reported(state: &State, process: ProcessId) {
-    state.hub.upstream.send_if_modified(|known| match known {
-        Some(upstream) if upstream.process == process => {
-            (upstream.draining, upstream.has_reported_leave) = (true, true);
-            true
-        }
-        _ => false,
-    });
-}
-
 /// Marks the upstream as lost once the settings' announcement timeout has passed without an
 /// announcement.
 pub(super) fn check_announcement_timeout(state: &State) {
--- a/crates/sycamore-node/src/calls/report.rs
+++ b/crates/sycamore-node/src/calls/report.rs
@@ -1,7 +1,6 @@
 //! State that the local upstream reports about itself in its answers, and the calls sent to it while
 //! it names a rate limit.
 
-use super::announce::mark_leave_reported;
 use super::meta::{set, text, CallMeta};
 use super::slot;
 use super::state::State;
@@ -153,6 +152,14 @@
     }
 }
 
+/// Takes over a leave of the local upstream that an earlier process of this node recorded.
+pub(super) fn adopt_earlier_leave(state: &State, upstream: &AnnouncedUpstream) {
+    if upstream.has_reported_leave {
+        let (process, limit) = (upstream.process, LimitReport::Unknown);
+        adopt(state, upstream, &ProcessReport { process, limit, is_leaving: true });
+    }
+}
+
 /// Counts a call that is about to be sent to the upstream.
 pub(super) fn count_sent(state: &State, meta: &CallMeta) {
     let kind = SentKind::of(meta);
@@ -208,7 +215,7 @@
         }
         ReportChange::Leaving => {
             info!(state.hub.log, "upstream reported leaving"; "upstream" => name, "from" => from);
-            mark_leave_reported(state, upstream.process);
+            state.hub.mark_leave_reported(upstream.process);
         }
     }
 }
--- a/crates/sycamore-node/src/calls/watch.rs
+++ b/crates/sycamore-node/src/calls/watch.rs
@@ -117,6 +117,7 @@
     slot::step(state, Input::Announce { slots: capacity.0, connections: capacity.1 });
     let Some(announced) = announced else { return };
     report::begin(state, &announced);
+    report::adopt_earlier_leave(state, &announced);
     let is_draining = state.admission.borrow().is_draining();
     match (announced.draining, is_draining) {
         (true, false) => slot::step(state, Input::Drain),
--- a/crates/sycamore-node/src/hub/mod.rs
+++ b/crates/sycamore-node/src/hub/mod.rs
@@ -100,6 +100,8 @@
     pub shares: watch::Sender<Arc<ShareTable>>,
     /// Local upstream; `None` while it does not announce itself.
     pub upstream: watch::Sender<Option<AnnouncedUpstream>>,
+    /// Upstream process whose leave an earlier process of this node recorded.
+    earlier_leave: Cell<Option<ProcessId>>,
     /// Release orders of operators by row key, each with the revision of its row.
     pub orders: watch::Sender<Arc<BTreeMap<String, (ReleaseOrder, u64)>>>,
     /// Facts that spread between nodes.
@@ -143,6 +145,7 @@
             members: watch::Sender::new(Arc::default()),
             shares: watch::Sender::new(Arc::default()),
             upstream: watch::Sender::new(None),
+            earlier_leave: Cell::default(),
             orders: watch::Sender::new(Arc::default()),
             facts: Facts::default(),
             dependencies,
@@ -236,6 +239,30 @@
         }
     }
 
+    /// Learns that the upstream `process` has said in an answer that it is leaving, as an earlier
+    /// process of this node recorded.
+    pub fn learn_leave(&self, process: ProcessId) {
+        self.earlier_leave.set(Some(process));
+        self.mark_leave_reported(process);
+    }
+
+    /// Returns whether an earlier process of this node recorded the leave of the upstream `process`.
+    pub fn has_left_earlier(&self, process: ProcessId) -> bool {
+        self.earlier_leave.get() == Some(process)
+    }
+
+    /// Marks the local upstream as draining for good if it is still `process`, which said in an answer
+    /// that it is leaving.
+    pub fn mark_leave_reported(&self, process: ProcessId) {
+        self.upstream.send_if_modified(|known| match known {
+            Some(upstream) if upstream.process == process && !upstream.has_reported_leave => {
+                (upstream.draining, upstream.has_reported_leave) = (true, true);
+                true
+            }
+            _ => false,
+        });
+    }
+
     /// Queues the outcome of a call for the moves subsystem; drops and counts it if the queue is
     /// full.
     pub fn report_outcome(&self, outcome: CallOutcome) {
--- a/crates/sycamore-node/src/peers/driver.rs
+++ b/crates/sycamore-node/src/peers/driver.rs
@@ -168,6 +168,7 @@
                 Action::Exchange { peer, to, request } => self.queue_exchange(peer, to, request),
                 Action::MemberChanged(member) => self.member_changed(&member),
                 Action::Declared(member) => self.record_member(&member),
+                Action::EarlierLeave(process) => self.hub.learn_leave(process),
                 Action::FactLearnt(fact) => self.learn(fact, source),
                 Action::ViewChanged => self.view_changed.set(true),
             }
