--- a/crates/sycamore-call/src/admit/mod.rs
+++ b/crates/sycamore-call/src/admit/mod.rs
@@ -1,18 +1,22 @@
 //! Admission control at an upstream: bounds concurrent calls by slots and connections, queues a few
 //! more by class and deadline, and refuses at once the calls that can't finish in time.
 
+mod arrival;
 mod limit;
 mod pace;
+mod probe;
 mod queue;
 mod turned_away;
 mod work;
 
+pub use arrival::{Arrival, Criticality};
 pub use limit::LimitPolicy;
 pub use work::MAX_KINDS;
 
 use crate::load::Load;
 use limit::Limiter;
 use pace::Pacer;
+use probe::LimitProbe;
 use queue::{Queue, Waiting};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -29,56 +33,9 @@
 /// Maximum wait of a call that can't meet its objective. While the queue wait is longer, such a
 /// call would take a slot from one that can still meet its objective.
 const MAX_LATE_WAIT: Duration = Duration::from_millis(25);
-/// Maximum number of calls that run on an upstream before its first answer, which shows whether it has
-/// a rate limit.
-const MAX_PROBE_CALLS: u16 = 2;
-/// Time after the first call to an upstream after which more calls run although it has not answered:
-/// the first ones may take long.
-const PROBE_TIME: Duration = Duration::from_millis(500);
 /// Maximum delay that a refused caller is told to wait before it retries.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
 
-/// Importance of a call under overload, set by its caller or its route; higher classes run first.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Criticality {
-    /// Calls that are refused first and may fill only half of the queue.
-    Sheddable,
-    /// Calls without a stated importance.
-    #[default]
-    Normal,
-    /// Calls that are refused last.
-    Critical,
-}
-
-impl Criticality {
-    /// Parses the class from a header; unknown text counts as [`Criticality::Normal`].
-    pub fn from_text(text: &str) -> Self {
-        match text {
-            "critical" => Criticality::Critical,
-            "sheddable" => Criticality::Sheddable,
-            _ => Criticality::Normal,
-        }
-    }
-
-    /// Returns the class of calls with route rank `rank`, of which 0 is served first.
-    pub fn from_rank(rank: u8) -> Self {
-        match rank {
-            0 => Criticality::Critical,
-            1 => Criticality::Normal,
-            _ => Criticality::Sheddable,
-        }
-    }
-
-    /// Returns the class as headers carry it.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Criticality::Critical => "critical",
-            Criticality::Normal => "normal",
-            Criticality::Sheddable => "sheddable",
-        }
-    }
-}
-
 /// Settings of an [`Admission`].
 #[derive(Debug, Clone)]
 pub struct AdmissionConfig {
@@ -104,25 +61,6 @@
     }
 }
 
-/// Call that requests admission.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct Arrival {
-    /// Identifier of the call, unique on the node.
-    pub id: u64,
-    /// Hash that distinguishes callers.
-    pub caller: u64,
-    /// Importance of the call under overload.
-    pub class: Criticality,
-    /// Time by which the call must have finished.
-    pub deadline: Time,
-    /// Time after which the answer is worth less; `None` where only the deadline counts.
-    pub objective: Option<Time>,
-    /// Hash of the kind of work: calls of one kind take about the same time on the upstream.
-    pub work: u64,
-    /// Whether a running call of another upstream waits for this one; refusing it wastes that run.
-    pub is_inner: bool,
-}
-
 /// Outcome of a call that ran, reduced to what adapts the concurrency limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum RunEnd {
@@ -179,25 +117,6 @@
     },
 }
 
-/// Wait for the first answer of an upstream, which shows whether it has a rate limit.
-#[derive(Debug, Clone, Copy, Default)]
-struct LimitProbe {
-    /// Time at which the first call started.
-    called_at: Option<Time>,
-}
-
-impl LimitProbe {
-    /// Returns whether the first answer is still awaited.
-    fn is_waiting(self, now: Time) -> bool {
-        self.ends_at().is_none_or(|end| now < end)
-    }
-
-    /// Returns the end of the wait for the first answer; `None` before the first call.
-    fn ends_at(self) -> Option<Time> {
-        self.called_at.map(|at| at + PROBE_TIME)
-    }
-}
-
 /// Admission control of one upstream.
 #[derive(Debug, Clone)]
 pub struct Admission {
@@ -382,10 +301,7 @@
     }
 
     fn has_slot(&self, now: Time) -> bool {
-        let limit = match self.probe {
-            Some(probe) if probe.is_waiting(now) => self.limit().min(MAX_PROBE_CALLS),
-            _ => self.limit(),
-        };
+        let limit = self.probe.map_or(self.limit(), |probe| probe.cap(now, self.limit()));
         self.running.len() < usize::from(limit)
     }
 
@@ -405,7 +321,7 @@
     fn admit(&mut self, now: Time, arrival: Arrival, out: &mut Vec<Decision>) {
         self.pacer.record_start(now);
         if let Some(probe) = &mut self.probe {
-            probe.called_at.get_or_insert(now);
+            probe.record_start(now);
         }
         self.running.insert(arrival.id, (arrival, now));
         out.push(Decision::Admit(arrival.id));
