fix(bench): each period with a limit is counted by its own limits

The allowance of a window that reached back before a second period took the first period's limit for the time between.

--- a/crates/sycamore-bench/src/stand_in/upstream/report.rs
+++ b/crates/sycamore-bench/src/stand_in/upstream/report.rs
@@ -60,9 +60,9 @@
     report: SelfReport,
     count: Count,
     arrivals: VecDeque<Instant>,
-    /// Times from which limits were in force, with the limits; `None` ends one.
-    limits: Vec<(Instant, Option<f64>)>,
-    /// Time at which the first answer of the period with a limit was sent.
+    /// Limits of the current period with a limit, each with the time from which it is in force.
+    limits: Vec<(Instant, f64)>,
+    /// Time at which the first answer of that period was sent.
     limited_since: Option<Instant>,
     leaving_since: Option<Instant>,
     /// Time up to which [`Count::entitled`] is counted.
@@ -75,9 +75,12 @@
         let now = Instant::now();
         let state = &mut *self.0.borrow_mut();
         state.count_entitled(now);
-        state.limits.push((now, report.rate_limit));
-        if report.rate_limit.is_none() {
-            (state.limited_since, state.counted_to) = (None, None);
+        match report.rate_limit {
+            Some(limit) => state.limits.push((now, limit)),
+            None => {
+                state.limits.clear();
+                (state.limited_since, state.counted_to) = (None, None);
+            }
         }
         state.report = report;
     }
@@ -138,16 +141,13 @@
         self.limited_since.is_some_and(|since| now >= since + CONTACT)
     }
 
-    /// Returns the number of requests that the limits in force within the last [`WINDOW`] allow. A
-    /// limit also stands for the time before it within the window.
+    /// Returns the number of requests that the limits in force within the last [`WINDOW`] allow. The
+    /// first one also stands for the time before it.
     fn entitled_in_window(&self, now: Instant) -> f64 {
-        let mut sum = 0.0;
-        let mut to = now;
         let from = now.checked_sub(WINDOW).unwrap_or(now);
+        let (mut sum, mut to) = (0.0, now);
         for (i, (at, limit)) in self.limits.iter().enumerate().rev() {
-            let Some(limit) = limit else { continue };
-            let is_first = self.limits[..i].iter().all(|(_, limit)| limit.is_none());
-            let begin = if is_first { from } else { (*at).max(from) };
+            let begin = if i == 0 { from } else { (*at).max(from) };
             sum += limit * to.saturating_duration_since(begin).as_secs_f64();
             to = begin;
         }
