fix(route): an instance that comes back after its earlier process had left gets calls again

What callers saw: nothing yet; found by reading. A node that had heard of a leave kept the instance out until it saw its node restart. It noticed that by the incarnation of its record of the instance, which goes with the instance while that is lost: an instance that was lost and came back with another process got no calls from that node for as long as it was a member.

Change: the report itself holds the incarnation that it was heard in.

Test: an_instance_that_comes_back_gets_calls_again_after_a_leave fails on the code before.

--- a/crates/sycamore-call/src/route/mod.rs
+++ b/crates/sycamore-call/src/route/mod.rs
@@ -149,13 +149,12 @@
                 Peer::new(member, if is_first_view { None } else { Some(now) })
             });
             if peer.incarnation != member.incarnation {
-                self.reports.record_restart(&member.instance);
                 *peer = Peer::new(member, Some(now));
             }
             if let Some(process) = member.left {
                 let limit = LimitReport::Unknown;
                 let report = ProcessReport { process, limit, is_leaving: true };
-                self.reports.learn(now, &member.instance, report);
+                self.reports.learn(now, &member.instance, Some(member.incarnation), report);
             }
         }
     }
@@ -189,7 +188,8 @@
 
     /// Records what the node of `instance` said of its upstream process.
     pub fn learn_report(&mut self, now: Time, instance: &InstanceId, report: ProcessReport) {
-        self.reports.learn(now, instance, report);
+        let incarnation = self.peers.get(instance).map(|peer| peer.incarnation);
+        self.reports.learn(now, instance, incarnation, report);
     }
 
     /// Records that an upstream answer from `instance` came without a report: its process names no
--- a/crates/sycamore-call/src/route/reports.rs
+++ b/crates/sycamore-call/src/route/reports.rs
@@ -17,6 +17,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Entry {
     report: ProcessReport,
+    /// Incarnation of the instance, as far as it is known.
+    incarnation: Option<Incarnation>,
     /// Whether the node beside the process has restarted since the report: the instance may have
     /// another process now.
     is_restarted: bool,
@@ -25,8 +27,14 @@
 }
 
 impl PeerReports {
-    /// Records what the node of `instance` said of its upstream process.
-    pub(super) fn learn(&mut self, now: Time, instance: &InstanceId, report: ProcessReport) {
+    /// Records what the node of `instance`, in this incarnation, said of its upstream process.
+    pub(super) fn learn(
+        &mut self,
+        now: Time,
+        instance: &InstanceId,
+        incarnation: Option<Incarnation>,
+        report: ProcessReport,
+    ) {
         let known = self.0.get(instance).map(|entry| entry.report);
         let report = match known.filter(|known| known.process == report.process) {
             None => report,
@@ -40,7 +48,7 @@
             },
         };
         if report.is_restrictive() {
-            let entry = Entry { report, is_restarted: false, last_seen: now };
+            let entry = Entry { report, incarnation, is_restarted: false, last_seen: now };
             self.0.insert(instance.clone(), entry);
         } else {
             self.0.remove(instance);
@@ -56,18 +64,13 @@
         }
     }
 
-    /// Records that the node of `instance` has restarted.
-    pub(super) fn record_restart(&mut self, instance: &InstanceId) {
-        if let Some(entry) = self.0.get_mut(instance) {
-            entry.is_restarted = true;
-        }
-    }
-
-    /// Drops the reports of instances that have not been in a view for [`ABSENT_MEMORY`].
+    /// Applies a new member view: notes which nodes have restarted, and drops the reports of instances
+    /// that have not been in a view for [`ABSENT_MEMORY`].
     pub(super) fn update(&mut self, now: Time, view: &MemberView) {
         self.0.retain(|instance, entry| {
-            if view.members.contains_key(instance) {
-                entry.last_seen = now;
+            if let Some(member) = view.members.get(instance) {
+                entry.is_restarted |= entry.incarnation != Some(member.incarnation);
+                (entry.incarnation, entry.last_seen) = (Some(member.incarnation), now);
             }
             now.since(entry.last_seen) < ABSENT_MEMORY
         });
--- a/crates/sycamore-call/tests/decisions/route.rs
+++ b/crates/sycamore-call/tests/decisions/route.rs
@@ -289,3 +289,18 @@
     assert_eq!(fixture.router.report_of(&x), Some(leave));
     assert!(!fixture.spread(at(10), 50, IDLE).contains_key("x"));
 }
+
+/// Guards against an instance that gets no calls for good since its earlier process had left before
+/// the instance was lost and came back.
+#[test]
+fn an_instance_that_comes_back_gets_calls_again_after_a_leave() {
+    let mut fixture = Fixture::new([member("x", "1", "a"), member("y", "1", "a")]);
+    let x = instance("x");
+    fixture.router.learn_report(at(0), &x, report(1, LimitReport::Unknown, true));
+    fixture.router.update(at(1_000), &view([member("y", "1", "a")]));
+    let back = Member { incarnation: Incarnation(2), ..member("x", "1", "a") };
+    fixture.view = view([back, member("y", "1", "a")]);
+    let members = fixture.view.clone();
+    fixture.router.update(at(9_000), &members);
+    assert!(fixture.spread(at(60_000), 200, IDLE).contains_key("x"));
+}
