--- a/crates/sycamore-bench/tests/process/limit.rs
+++ b/crates/sycamore-bench/tests/process/limit.rs
@@ -7,9 +7,6 @@
 use sycamore_bench::load::{self, CallKind, Ended, Target};
 use sycamore_bench::stand_in::upstream::report::SelfReport;
 
-/// Instances whose nodes are killed: one upstream names a limit, the other is leaving.
-const KILLED: [&str; 2] = ["counter-1", "counter-2"];
-
 /// Guards against a node that forgets the limit of its upstream, or that this is leaving, when it is
 /// killed and starts again beside it: counted by the upstream, over calls of all nodes.
 #[test]
@@ -19,9 +16,7 @@
     http::run(async {
         let fleet =
             Fleet::start(Options { seed: 12, ..small_fleet() }).await.expect("the fleet starts");
-        // A restart excuses the calls that came in at the restarted node.
-        let undisturbed = fleet.names().into_iter().filter(|name| !KILLED.contains(&name.as_str()));
-        let addrs = undisturbed.map(|name| fleet.addrs(&name).expect("known").caller);
+        let addrs = fleet.names().into_iter().map(|name| fleet.addrs(&name).expect("known").caller);
         let load = load::Options {
             seed: 12,
             rate: 40.0,
@@ -40,7 +35,7 @@
             report("counter-2", None, true).await;
             for _ in 0..2 {
                 sleep(Duration::from_millis(2_500)).await;
-                for name in KILLED {
+                for name in ["counter-1", "counter-2"] {
                     fleet.kill_node(name).expect("a known instance");
                     fleet.start_node(name).expect("the node starts");
                 }
