feat(call): data centres out of use, and the rate of upstreams that warm up

Change: the rows become facts (readers of the operators' rows raise them, a removed or unlisted row ends them); callers' nodes leave the data centre out, the node beside an upstream there refuses as not run. A service may state the rate of its cold upstreams: the node beside paces them by announcements, which may name a cold time again at any moment, and by suspicion (connect failed, crash, overdue announcements, data centre back in use). Ruled out: health requests at an interval; a state in each member's record; a version of the configuration for each change.

--- a/crates/sycamore-call/src/admit/mod.rs
+++ b/crates/sycamore-call/src/admit/mod.rs
@@ -6,6 +6,7 @@
 mod pace;
 mod probe;
 mod queue;
+mod rate_limits;
 mod turned_away;
 mod work;
 
@@ -18,6 +19,7 @@
 use pace::Pacer;
 use probe::LimitProbe;
 use queue::{Queue, Waiting};
+use rate_limits::RateLimits;
 use std::collections::BTreeMap;
 use std::time::Duration;
 use sycamore_types::prelude::*;
@@ -95,6 +97,13 @@
     ProbeLimit,
     /// The upstream reported this rate limit, or that it has none.
     Limit(Option<RateLimit>),
+    /// The upstream is cold until the given time, and takes at most this rate of calls meanwhile.
+    WarmUp {
+        /// Maximum rate of calls while the upstream is cold.
+        rate: RateLimit,
+        /// End of the warm-up; a time that has passed ends it at once.
+        until: Time,
+    },
     /// The upstream drains: queued and arriving calls are refused.
     Drain,
     /// The upstream takes calls again after a drain, or another process took its place.
@@ -124,6 +133,7 @@
     slots: u16,
     limiter: Limiter,
     pacer: Pacer,
+    rate_limits: RateLimits,
     probe: Option<LimitProbe>,
     running: BTreeMap<u64, (Arrival, Time)>,
     queue: Queue,
@@ -141,6 +151,7 @@
             slots: 0,
             limiter,
             pacer: Pacer::default(),
+            rate_limits: RateLimits::default(),
             probe: None,
             running: BTreeMap::new(),
             queue: Queue::default(),
@@ -154,6 +165,8 @@
     /// out.
     pub fn step(&mut self, now: Time, input: Input) -> Vec<Decision> {
         let mut out = Vec::new();
+        // A warm-up that has ended must not delay the call that arrives now.
+        self.pacer.set_limit(now, self.rate_limits.in_force(now));
         match input {
             Input::Announce { slots, connections } => {
                 self.slots = slots.min(connections);
@@ -166,11 +179,13 @@
             Input::ProbeLimit => self.probe = Some(LimitProbe::default()),
             Input::Limit(limit) => {
                 self.probe = None;
-                self.pacer.set_limit(now, limit);
+                self.rate_limits.set_reported(limit);
             }
+            Input::WarmUp { rate, until } => self.rate_limits.set_warm_up(rate, until),
             Input::Drain => self.drain(now, &mut out),
             Input::Resume => self.draining = false,
         }
+        self.pacer.set_limit(now, self.rate_limits.in_force(now));
         self.expire(now, &mut out);
         self.admit_queued(now, &mut out);
         self.refuse_late_starts(now, &mut out);
@@ -194,7 +209,7 @@
         }
     }
 
-    /// Returns the rate limit that the upstream reported.
+    /// Returns the rate limit in force: what the upstream reported, or less while it warms up.
     pub fn rate_limit(&self) -> Option<RateLimit> {
         self.pacer.limit()
     }
@@ -218,7 +233,8 @@
             (false, Some(end)) => end,
             (false, None) => expiry,
         };
-        Some(next.min(expiry))
+        let end = self.rate_limits.warm_up_end().filter(|end| now < *end);
+        Some(next.min(expiry).min(end.unwrap_or(expiry)))
     }
 
     fn handle_arrival(&mut self, now: Time, arrival: Arrival, out: &mut Vec<Decision>) {
--- a/crates/sycamore-call/src/retry/mod.rs
+++ b/crates/sycamore-call/src/retry/mod.rs
@@ -206,6 +206,7 @@
             RefusalReason::BadVersion
             | RefusalReason::ShareSpent
             | RefusalReason::Draining
+            | RefusalReason::OutOfUse
             | RefusalReason::NotReady => RetryDecision::Retry(Duration::ZERO),
             RefusalReason::NoUpstream if call.has_room => RetryDecision::Retry(Duration::ZERO),
             RefusalReason::Overloaded | RefusalReason::Shed if call.has_room => {
--- a/crates/sycamore-call/src/route/mod.rs
+++ b/crates/sycamore-call/src/route/mod.rs
@@ -14,7 +14,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use reports::PeerReports;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 use sycamore_types::prelude::*;
@@ -80,6 +80,8 @@
     pub shares: &'a ShareTable,
     /// Versions that get no calls.
     pub bans: &'a VersionBans,
+    /// Data centres whose upstreams get no calls.
+    pub out_of_use: &'a BTreeSet<DataCentre>,
     /// Instances already tried for this call.
     pub tried: &'a [InstanceId],
     /// Data centre of this node.
@@ -218,9 +220,12 @@
         now: Time,
         service: &ServiceName,
         view: &MemberView,
+        out_of_use: &BTreeSet<DataCentre>,
         tried: &[InstanceId],
     ) -> bool {
-        view.serving(service).filter(|member| !tried.contains(&member.instance)).any(|member| {
+        let in_use =
+            view.serving(service).filter(|member| !out_of_use.contains(&member.data_centre));
+        in_use.filter(|member| !tried.contains(&member.instance)).any(|member| {
             let is_open = self
                 .peers
                 .get(&member.instance)
@@ -253,6 +258,7 @@
             .filter(|member| member.service == *pick.service)
             .filter(|member| matches!(member.state, MemberState::Serving | MemberState::Suspect))
             .filter(|member| !pick.bans.contains(&member.service, &member.version))
+            .filter(|member| !pick.out_of_use.contains(&member.data_centre))
             .filter(|member| !self.is_draining(now, &member.instance))
             .collect();
         let is_untried = |member: &&Member| !pick.tried.contains(&member.instance);
--- a/crates/sycamore-call/tests/decisions/load/heavy_calls_across_data_centres.rs
+++ b/crates/sycamore-call/tests/decisions/load/heavy_calls_across_data_centres.rs
@@ -20,6 +20,7 @@
         view: &view,
         shares: &shares,
         bans: &bans,
+        out_of_use: &Default::default(),
         tried: &[],
         data_centre: &centre,
         region: &region,
--- a/crates/sycamore-call/tests/decisions/load/limited_fleet.rs
+++ b/crates/sycamore-call/tests/decisions/load/limited_fleet.rs
@@ -244,6 +244,7 @@
             view: &self.view,
             shares: &shares,
             bans: &bans,
+            out_of_use: &Default::default(),
             tried,
             data_centre: &data_centre,
             region: &region,
@@ -349,7 +350,7 @@
             rerouted: *rerouted,
             idempotent: true,
             is_retry: false,
-            has_room: router.has_room(now, &service(), &self.view, tried),
+            has_room: router.has_room(now, &service(), &self.view, &Default::default(), tried),
             left: (*began + Duration::from_secs(2)).since(now),
         };
         let failure = AttemptFailure::NotRun(RefusalReason::RateLimited);
--- a/crates/sycamore-call/tests/decisions/load/unproven_version_under_load.rs
+++ b/crates/sycamore-call/tests/decisions/load/unproven_version_under_load.rs
@@ -27,6 +27,7 @@
         view: &view,
         shares: &shares,
         bans: &bans,
+        out_of_use: &Default::default(),
         tried: &[],
         data_centre: &centre,
         region: &region,
--- a/crates/sycamore-call/tests/decisions/main.rs
+++ b/crates/sycamore-call/tests/decisions/main.rs
@@ -17,4 +17,5 @@
 mod route;
 mod scenario;
 mod unread;
+mod warm_up;
 mod work;
--- a/crates/sycamore-call/tests/decisions/rate.rs
+++ b/crates/sycamore-call/tests/decisions/rate.rs
@@ -20,12 +20,12 @@
     }
 }
 
-fn limit(per_second: f64) -> Option<RateLimit> {
+pub fn limit(per_second: f64) -> Option<RateLimit> {
     Some(RateLimit::new(per_second).unwrap())
 }
 
 /// Admission with a limit of `per_second` from the start, and slots for any number of calls.
-fn admission(per_second: f64) -> Admission {
+pub fn admission(per_second: f64) -> Admission {
     let mut admission = Admission::new(AdmissionConfig {
         queue_time: ms(800),
         policy: LimitPolicy::Fixed,
@@ -55,7 +55,7 @@
 
 /// Sends a call every `gap` milliseconds from `from` to `to`, with a tick every millisecond; returns
 /// the times at which calls start, in milliseconds. Each runs for 10 ms.
-fn starts(admission: &mut Admission, from: u64, to: u64, gap: u64) -> Vec<u64> {
+pub fn starts(admission: &mut Admission, from: u64, to: u64, gap: u64) -> Vec<u64> {
     let mut starts = Vec::new();
     let mut ends = VecDeque::new();
     for now in from..to {
@@ -75,7 +75,7 @@
     starts
 }
 
-fn most_within(starts: &[u64], window: u64) -> usize {
+pub fn most_within(starts: &[u64], window: u64) -> usize {
     let count = |(i, from): (usize, &u64)| starts.partition_point(|at| *at < from + window) - i;
     starts.iter().enumerate().map(count).max().unwrap_or_default()
 }
--- a/crates/sycamore-call/tests/decisions/route.rs
+++ b/crates/sycamore-call/tests/decisions/route.rs
@@ -1,7 +1,7 @@
 //! Tests of the choice of an upstream for a call.
 
 use super::common::{at, centre, instance, member, ms, region, service, shares, version, view};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use sycamore_call::report::{LimitReport, ProcessReport};
 use sycamore_call::route::{AttemptEnd, VersionBans};
 use sycamore_call::{Load, Pick, Router, RouterConfig};
@@ -12,6 +12,7 @@
     view: MemberView,
     shares: ShareTable,
     bans: VersionBans,
+    out_of_use: BTreeSet<DataCentre>,
     tried: Vec<InstanceId>,
 }
 
@@ -21,7 +22,7 @@
         let mut router = Router::new(RouterConfig::default(), 7);
         router.update(at(0), &view);
         let (shares, bans) = (ShareTable::default(), VersionBans::default());
-        Self { router, view, shares, bans, tried: Vec::new() }
+        Self { router, view, shares, bans, out_of_use: BTreeSet::new(), tried: Vec::new() }
     }
 
     fn pick(&mut self, now: Time) -> Option<InstanceId> {
@@ -31,6 +32,7 @@
             view: &self.view,
             shares: &self.shares,
             bans: &self.bans,
+            out_of_use: &self.out_of_use,
             tried: &self.tried,
             data_centre: &centre,
             region: &region,
@@ -68,6 +70,19 @@
     assert!(spilled.iter().all(|name| name == "f"), "{spilled:?}");
 }
 
+/// Guards against calls to a data centre that operators have taken out of use, the caller's own
+/// included, and against one that stays out when it is taken back.
+#[test]
+fn a_data_centre_out_of_use_gets_no_calls_until_it_is_back() {
+    let mut fixture = Fixture::new([member("n", "1", "a"), member("f", "1", "b")]);
+    fixture.out_of_use.insert(centre("a"));
+    assert_eq!(fixture.spread(at(1), 100, IDLE).get("f"), Some(&100));
+    fixture.out_of_use.insert(centre("b"));
+    assert_eq!(fixture.pick(at(2)), None);
+    fixture.out_of_use.clear();
+    assert_eq!(fixture.spread(at(3), 100, IDLE).get("n"), Some(&100));
+}
+
 /// Guards against avoiding an instance forever because its last report, now old, said that it was
 /// full.
 #[test]
@@ -177,7 +192,7 @@
 fn has_room_ignores_full_unreachable_and_tried_instances() {
     let mut fixture = Fixture::new([member("x", "1", "a"), member("y", "1", "a")]);
     let has_room = |fixture: &Fixture, tried: &[InstanceId]| {
-        fixture.router.has_room(at(10), &service(), &fixture.view, tried)
+        fixture.router.has_room(at(10), &service(), &fixture.view, &Default::default(), tried)
     };
     assert!(has_room(&fixture, &[]));
     fixture.router.record_end(at(5), &instance("x"), AttemptEnd::Answered(FULL));
@@ -254,7 +269,13 @@
     fixture.router.record_end(at(0), &x, AttemptEnd::RateLimited(spent, ms(400)));
     assert_eq!(fixture.spread(at(100), 50, IDLE).keys().collect::<Vec<_>>(), ["y"]);
     fixture.tried = vec![instance("y")];
-    assert!(!fixture.router.has_room(at(100), &service(), &fixture.view, &fixture.tried));
+    assert!(!fixture.router.has_room(
+        at(100),
+        &service(),
+        &fixture.view,
+        &Default::default(),
+        &fixture.tried
+    ));
     assert_eq!(fixture.pick(at(100)).as_ref(), Some(&x), "with nowhere else to go");
     fixture.router.record_end(at(200), &x, AttemptEnd::Cancelled);
     fixture.tried.clear();
--- a/crates/sycamore-config/src/bundle/fields.rs
+++ b/crates/sycamore-config/src/bundle/fields.rs
@@ -19,6 +19,7 @@
     Field { name: "name", required: true, check: check_type::<ServiceName> },
     Field { name: "limits", required: false, check: check_limits },
     Field { name: "retry", required: false, check: check_retry },
+    Field { name: "warm_up_calls_per_s", required: false, check: check_type::<RateLimit> },
 ];
 
 /// Fields of a route.
--- a/crates/sycamore-config/tests/common/mod.rs
+++ b/crates/sycamore-config/tests/common/mod.rs
@@ -6,7 +6,12 @@
 /// Creates a service with default limits.
 pub fn service(name: &str) -> Resource {
     let name = ServiceName::new(name).expect("constant identifier");
-    Resource::Service(Service { name, limits: Limits::default(), retry: RetryPolicy::default() })
+    Resource::Service(Service {
+        name,
+        limits: Limits::default(),
+        retry: RetryPolicy::default(),
+        warm_up: None,
+    })
 }
 
 /// Creates a route from the path prefix `/{name}` to `service`.
--- a/crates/sycamore-member/src/message.rs
+++ b/crates/sycamore-member/src/message.rs
@@ -100,6 +100,7 @@
         }
         Fact::MoveRow { mv, row, .. } => mv.as_str().len() + row.len(),
         Fact::Cleared { by, .. } => by.as_str().len(),
+        Fact::OutOfUse { data_centre, .. } => data_centre.as_str().len(),
         Fact::Quarantined { .. } | Fact::CrashSeen { .. } | Fact::Head(_) => 0,
     }
 }
--- a/crates/sycamore-member/src/table/order.rs
+++ b/crates/sycamore-member/src/table/order.rs
@@ -30,6 +30,7 @@
         | Fact::MoveRow { until, .. }
         | Fact::Cleared { until, .. } => until.0,
         Fact::Head(head) => head.version.0,
+        Fact::OutOfUse { revision, .. } => *revision,
     };
     (time, fact.key())
 }
--- a/crates/sycamore-node/src/calls/announce.rs
+++ b/crates/sycamore-node/src/calls/announce.rs
@@ -6,14 +6,19 @@
 use super::meta::first_bytes;
 use super::metrics::UpstreamState;
 use super::state::State;
+use super::warm_up;
 use crate::edge::{Announcement, Process, UpstreamMessage};
 use crate::hub::{AnnouncedUpstream, Dependency};
 use http::StatusCode;
 use slog::{info, warn};
 use std::rc::Rc;
+use std::time::Duration;
 use sycamore_call::announce::{MessageOrder, ProcessRef};
 use sycamore_types::prelude::*;
 
+/// Maximum difference between two ends of a cold start that count as the same.
+const WARM_AT_SLACK: Duration = Duration::from_millis(500);
+
 /// Serves an announcement or a drain request of the upstream.
 pub(super) async fn serve(
     state: &Rc<State>,
@@ -77,7 +82,7 @@
                 && known.version == announcement.version
                 && known.name == announcement.process.name
         });
-        let warm_at = same.map_or(now + announcement.cold, |known| known.warm_at);
+        let warm_at = next_warm_at(now, announcement.cold, same.map(|known| known.warm_at));
         let next = AnnouncedUpstream {
             process,
             name: announcement.process.name,
@@ -94,6 +99,7 @@
         *known = Some(next);
         changed
     });
+    warm_up::end_suspicion(state);
     if let (true, Some(known)) = (changed, state.upstream()) {
         info!(state.hub.log, "upstream announced";
             "upstream" => known.name.as_deref().unwrap_or("-"),
@@ -103,6 +109,17 @@
     }
 }
 
+/// Returns the end of the upstream's cold start by an announcement with `cold` left of it. The end
+/// `known` stays while the announcement agrees with it, so that delays on its way change nothing.
+fn next_warm_at(now: Time, cold: Duration, known: Option<Time>) -> Time {
+    let announced = now + cold;
+    match known {
+        Some(known) if cold.is_zero() => known.min(announced),
+        Some(known) if known.since(announced).max(announced.since(known)) < WARM_AT_SLACK => known,
+        Some(_) | None => announced,
+    }
+}
+
 fn record_leave(state: &State, process: &Process) -> MessageOrder {
     let order = state.announcements.borrow_mut().record_leave(process_ref(process));
     if order == MessageOrder::Current {
--- a/crates/sycamore-node/src/calls/answer.rs
+++ b/crates/sycamore-node/src/calls/answer.rs
@@ -116,6 +116,7 @@
         | RefusalReason::Shed
         | RefusalReason::Deadline
         | RefusalReason::Draining
+        | RefusalReason::OutOfUse
         | RefusalReason::BadVersion
         | RefusalReason::ShareSpent
         | RefusalReason::NoUpstream
@@ -133,6 +134,7 @@
         RefusalReason::Shed => "the upstream shed the call",
         RefusalReason::Deadline => "the call's deadline has passed",
         RefusalReason::Draining => "the upstream is draining",
+        RefusalReason::OutOfUse => "the upstream's data centre is out of use",
         RefusalReason::BadVersion => "the upstream's version was found bad",
         RefusalReason::ShareSpent => "the upstream's version has used up its share of calls",
         RefusalReason::Quarantined => "the request is quarantined because it crashed upstreams",
--- a/crates/sycamore-node/src/calls/beside.rs
+++ b/crates/sycamore-node/src/calls/beside.rs
@@ -12,6 +12,7 @@
 use super::report;
 use super::slot::{acquire, Slot};
 use super::state::State;
+use super::warm_up;
 use crate::edge::{History, UpstreamAnswer, UpstreamCall};
 use crate::hub::{AnnouncedUpstream, Phase};
 use futures::future::{select, Either};
@@ -49,6 +50,7 @@
     };
     msg.send_continue(inbound).await?;
     let Ok(stream) = state.upstreams.connect(upstream.address).await else {
+        warm_up::suspect(state, "connect failed");
         drop(slot);
         let answer = Answer::refused(RefusalReason::NoUpstream, DEFAULT_RETRY_AFTER);
         return refuse(state, inbound, msg, answer).await;
@@ -115,6 +117,10 @@
     let slot = slot.map_err(|(reason, after)| match reason {
         // Each refused call was told a start of its own, before which the limit has no room.
         RefusalReason::RateLimited => Answer::refused(reason, after),
+        // The upstream itself doesn't drain, so callers' nodes must not take it for leaving.
+        RefusalReason::Draining if state.is_out_of_use() => {
+            Answer::refused(RefusalReason::OutOfUse, after)
+        }
         _ => Answer::refused(reason, add_jitter(state, after)),
     })?;
     // Facts, shares and announcements may have changed during the wait.
@@ -141,6 +147,9 @@
         return Err(RefusalReason::Draining);
     }
     let upstream = state.upstream().ok_or(RefusalReason::NoUpstream)?;
+    if state.is_out_of_use() {
+        return Err(RefusalReason::OutOfUse);
+    }
     if upstream.draining {
         return Err(RefusalReason::Draining);
     }
@@ -359,7 +368,11 @@
         match failure {
             Failure::Broken => {
                 crash::record_broken_call(self.state, self.meta.fingerprint);
-                crash::detect_crash(self.state, self.upstream).await
+                let has_crashed = crash::detect_crash(self.state, self.upstream).await;
+                if has_crashed {
+                    warm_up::suspect(self.state, "crashed");
+                }
+                has_crashed
             }
             Failure::CallerGone | Failure::Deadline => false,
         }
--- a/crates/sycamore-node/src/calls/failed.rs
+++ b/crates/sycamore-node/src/calls/failed.rs
@@ -43,6 +43,7 @@
                 | RefusalReason::ShareSpent
                 | RefusalReason::RateLimited
                 | RefusalReason::Draining
+                | RefusalReason::OutOfUse
                 | RefusalReason::NoUpstream
                 | RefusalReason::NotReady
         )
@@ -127,6 +128,7 @@
         RefusalReason::Shed,
         RefusalReason::Deadline,
         RefusalReason::Draining,
+        RefusalReason::OutOfUse,
         RefusalReason::BadVersion,
         RefusalReason::ShareSpent,
         RefusalReason::Quarantined,
--- a/crates/sycamore-node/src/calls/forward.rs
+++ b/crates/sycamore-node/src/calls/forward.rs
@@ -223,7 +223,13 @@
         rerouted: 0,
         idempotent: out.meta.is_repeatable && out.msg.is_body_buffered(),
         is_retry: out.meta.depth.is_retry && attempts == 1,
-        has_room: state.router.borrow().has_room(now, &out.meta.service, &view, tried),
+        has_room: state.router.borrow().has_room(
+            now,
+            &out.meta.service,
+            &view,
+            &state.out_of_use.borrow(),
+            tried,
+        ),
         left: out.meta.left(now),
     }
 }
@@ -242,6 +248,7 @@
         view: &view,
         shares: &shares,
         bans,
+        out_of_use: &state.out_of_use.borrow(),
         tried,
         data_centre: &node.data_centre,
         region: &node.region,
--- a/crates/sycamore-node/src/calls/metrics.rs
+++ b/crates/sycamore-node/src/calls/metrics.rs
@@ -40,6 +40,8 @@
     sent: IntCounterVec,
     rate_limit: Gauge,
     malformed_reports: IntCounter,
+    cold_suspicions: IntCounter,
+    data_centres_out_of_use: IntGauge,
     suppressed_lines: IntCounter,
     /// Names that have a label value of their own.
     names: RefCell<HashSet<String>>,
@@ -125,6 +127,16 @@
         self.malformed_reports.inc();
     }
 
+    /// Counts a suspicion that the local upstream is cold.
+    pub(super) fn count_cold_suspicion(&self) {
+        self.cold_suspicions.inc();
+    }
+
+    /// Sets the number of data centres that are out of use.
+    pub(super) fn set_data_centres_out_of_use(&self, count: usize) {
+        self.data_centres_out_of_use.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Counts an attempt by its `number` within the call, from 1: first attempts and retries.
     pub(super) fn count_attempt(&self, number: u8) {
         match number {
@@ -239,6 +251,14 @@
             "upstream_rate_limit_malformed_total",
             "Answers of the local upstream with a rate limit that can't be read",
         )?,
+        cold_suspicions: meter.counter(
+            "upstream_cold_suspicions_total",
+            "Times at which the local upstream was paced since it might be cold",
+        )?,
+        data_centres_out_of_use: meter.gauge(
+            "data_centres_out_of_use",
+            "Data centres that operators have taken out of use",
+        )?,
         suppressed_lines: meter
             .counter("log_left_out_total", "Log lines about calls over the limit per second")?,
         names: RefCell::default(),
--- a/crates/sycamore-node/src/calls/mod.rs
+++ b/crates/sycamore-node/src/calls/mod.rs
@@ -26,6 +26,7 @@
 mod serve;
 mod slot;
 mod state;
+mod warm_up;
 mod watch;
 
 pub use answer::{Answer, Outcome};
--- a/crates/sycamore-node/src/calls/report.rs
+++ b/crates/sycamore-node/src/calls/report.rs
@@ -108,6 +108,12 @@
 /// node, if that keeps calls from the process.
 pub(super) fn write_report(state: &State, fields: &mut HeaderMap) {
     let report = state.reports.log.borrow().report();
+    // The limit in force is lower than the reported one while the upstream warms up.
+    let in_force = state.admission.borrow().rate_limit();
+    let report = report.map(|report| ProcessReport {
+        limit: in_force.map_or(report.limit, LimitReport::Limit),
+        ..report
+    });
     if let Some(report) = report.filter(ProcessReport::is_restrictive) {
         set(fields, headers::REPORT, &report.to_string());
     }
--- a/crates/sycamore-node/src/calls/state.rs
+++ b/crates/sycamore-node/src/calls/state.rs
@@ -7,6 +7,7 @@
 use super::pool::Pool;
 use super::report::Reports;
 use super::slot::Waiters;
+use super::warm_up::WarmUp;
 use crate::edge::Edges;
 use crate::hub::{AnnouncedUpstream, Hub};
 use bytes::Bytes;
@@ -15,7 +16,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 use sycamore_call::announce::AnnouncementLog;
@@ -56,9 +57,13 @@
     pub(super) announcements: RefCell<AnnouncementLog>,
     /// State that the local upstream reported about itself in its answers.
     pub(super) reports: Reports,
+    /// Warm-up of the local upstream.
+    pub(super) warm_up: WarmUp,
     pub(super) router: RefCell<Router>,
     /// Versions found bad or aborted, which get no calls.
     pub(super) bans: RefCell<VersionBans>,
+    /// Data centres that operators have taken out of use.
+    pub(super) out_of_use: RefCell<BTreeSet<DataCentre>>,
     /// Check of version and share for calls to the local upstream; `None` before the upstream's
     /// first announcement.
     pub(super) gate: RefCell<Option<Gate>>,
@@ -112,8 +117,10 @@
             edges: edges.clone(),
             announcements: RefCell::default(),
             reports: Reports::default(),
+            warm_up: WarmUp::default(),
             router: RefCell::new(Router::new(RouterConfig::default(), rng.random())),
             bans: RefCell::default(),
+            out_of_use: RefCell::default(),
             gate: RefCell::default(),
             admission: RefCell::new(Admission::new(AdmissionConfig {
                 min_retry_after: settings.min_retry_after,
@@ -176,6 +183,11 @@
         CallId(self.rng.borrow_mut().random())
     }
 
+    /// Returns whether this node's data centre is out of use, so that its upstream gets no calls.
+    pub(super) fn is_out_of_use(&self) -> bool {
+        self.out_of_use.borrow().contains(&self.hub.settings.node.data_centre)
+    }
+
     pub(super) fn upstream(&self) -> Option<AnnouncedUpstream> {
         self.hub.upstream.borrow().clone()
     }
--- a/crates/sycamore-node/src/calls/watch.rs
+++ b/crates/sycamore-node/src/calls/watch.rs
@@ -7,6 +7,7 @@
 use super::report;
 use super::slot;
 use super::state::State;
+use super::warm_up;
 use crate::tasks::TaskGroup;
 use std::rc::Rc;
 use std::time::Duration;
@@ -58,6 +59,7 @@
         state.relays.close_expired();
         announce::check_announcement_timeout(&state);
         announce::update_state_metric(&state);
+        warm_up::check_silence(&state);
         report::log_summary(&state);
     }
 }
@@ -101,6 +103,7 @@
 fn apply_facts(state: &State) {
     let known = state.hub.facts.known();
     let now = state.hub.clock.wall();
+    apply_data_centres(state);
     for fact in known.values() {
         state.bans.borrow_mut().learn(fact);
         let quarantined = state.crashes.borrow_mut().learn(now, fact);
@@ -111,6 +114,21 @@
     update_gate(state);
 }
 
+/// Applies which data centres are out of use. The upstream of one that comes back may have turned
+/// cold meanwhile.
+fn apply_data_centres(state: &State) {
+    let was_out_of_use = state.is_out_of_use();
+    *state.out_of_use.borrow_mut() = state.hub.facts.data_centres_out_of_use();
+    state.metrics.set_data_centres_out_of_use(state.out_of_use.borrow().len());
+    if was_out_of_use == state.is_out_of_use() {
+        return;
+    }
+    if was_out_of_use {
+        warm_up::suspect(state, "data centre back in use");
+    }
+    apply_upstream(state);
+}
+
 fn apply_upstream(state: &State) {
     let announced = state.upstream();
     let capacity = announced.as_ref().map_or((0, 0), |up| (up.slots, up.connections));
@@ -118,8 +136,9 @@
     let Some(announced) = announced else { return };
     report::begin(state, &announced);
     report::adopt_earlier_leave(state, &announced);
+    warm_up::follow(state, &announced);
     let is_draining = state.admission.borrow().is_draining();
-    match (announced.draining, is_draining) {
+    match (announced.draining || state.is_out_of_use(), is_draining) {
         (true, false) => slot::step(state, Input::Drain),
         (false, true) => slot::step(state, Input::Resume),
         (true, true) | (false, false) => {}
@@ -136,6 +155,7 @@
     let snapshot = state.hub.snapshot.borrow().clone();
     if let Some(service) = snapshot.services.get(&state.hub.settings.node.service) {
         state.admission.borrow_mut().configure(&service.limits);
+        state.warm_up.set_rate(service.warm_up);
     }
     let is_configured = |service: &ServiceName| snapshot.services.contains_key(service);
     state.retry_budgets.borrow_mut().remove_unconfigured(is_configured);
--- a/crates/sycamore-node/src/config/follow.rs
+++ b/crates/sycamore-node/src/config/follow.rs
@@ -5,6 +5,7 @@
 //! fetches. A node whose peers don't keep it current reads the rows itself.
 
 use super::driver::{millis, Driver};
+use super::out_of_use;
 use crate::edge::{OperatorEdge, OperatorRow, ReleaseOrder};
 use crate::hub::Dependency;
 use crate::tasks::TaskGroup;
@@ -18,7 +19,7 @@
 use sycamore_config::manifest::MAX_PACK_BYTES;
 use sycamore_config::{Bundle, Encoded, Role};
 use sycamore_platform::backoff::{Backoff, BackoffSettings};
-use sycamore_platform::{Error, PageQuery, Result, Revision, Row, Table};
+use sycamore_platform::{Error, PageQuery, RemovedRow, Result, Revision, Row, Table};
 use sycamore_types::prelude::*;
 
 /// Time between two checks of this node's role.
@@ -113,7 +114,7 @@
         let started = self.driver.hub.clock.now();
         self.resume();
         self.reads.begin(self.highest_spread_version());
-        let Some((rows, at)) = self.read().await? else {
+        let Some((rows, removed, at)) = self.read().await? else {
             self.driver.complete_at.set(None);
             self.reads.restart();
             return Ok(());
@@ -122,6 +123,7 @@
             self.log_read(started, rows.len(), at);
         }
         rows.iter().for_each(|row| self.handle_row(row));
+        removed.iter().for_each(|row| self.handle_removed(row));
         self.at = at;
         self.must_list = false;
         self.driver.hub.newer_versions.borrow_mut().record_row_too_large(false);
@@ -153,9 +155,9 @@
         }
     }
 
-    /// Returns the rows of the next read with the revision up to which they are complete; `None` if
-    /// the platform no longer holds the changes.
-    async fn read(&self) -> Result<Option<(Vec<Row>, Revision)>> {
+    /// Returns the rows of the next read, those that were removed, and the revision up to which they
+    /// are complete; `None` if the platform no longer holds the changes.
+    async fn read(&self) -> Result<Option<(Vec<Row>, Vec<RemovedRow>, Revision)>> {
         let platform = self.driver.platform.http();
         let prefix = self.edge.prefix();
         match self.reads.next() {
@@ -163,8 +165,9 @@
                 let listed = self.list().await?;
                 if let Some((rows, at)) = &listed {
                     self.remove_stale_orders(rows, *at);
+                    out_of_use::end_unlisted(&self.driver.hub, self.edge, rows, *at);
                 }
-                Ok(listed)
+                Ok(listed.map(|(rows, at)| (rows, Vec::new(), at)))
             }
             NextRead::Changes => {
                 let wait = self.wait();
@@ -174,7 +177,7 @@
                 let read = platform.changes(prefix, self.at, wait).await;
                 self.driver.end_watch();
                 match read {
-                    Ok(changes) => Ok(Some((changes.rows, changes.at))),
+                    Ok(changes) => Ok(Some((changes.rows, changes.removed, changes.at))),
                     Err(report) if *report.current_context() == Error::HistoryLost => Ok(None),
                     Err(report) => Err(report),
                 }
@@ -252,10 +255,20 @@
             }
             OperatorRow::Release(Ok(order)) => self.handle_order(row, order),
             OperatorRow::Release(Err(why)) => self.reject_row(row, None, &why),
+            OperatorRow::OutOfUse(Ok(data_centre)) => {
+                out_of_use::record(&self.driver.hub, data_centre, row.revision, true);
+            }
+            OperatorRow::OutOfUse(Err(why)) => self.reject_row(row, None, &why),
             OperatorRow::Other => {}
         }
     }
 
+    fn handle_removed(&self, row: &RemovedRow) {
+        if let Some(data_centre) = self.edge.data_centre_of(&row.key) {
+            out_of_use::record(&self.driver.hub, data_centre, row.revision, false);
+        }
+    }
+
     fn handle_config(&self, version: ConfigVersion, resources: Vec<Resource>) {
         let driver = self.driver;
         let in_force = driver.hub.snapshot.borrow().version;
--- a/crates/sycamore-node/src/config/mod.rs
+++ b/crates/sycamore-node/src/config/mod.rs
@@ -8,6 +8,7 @@
 mod floor;
 mod follow;
 mod metrics;
+mod out_of_use;
 mod query;
 mod request;
 pub(crate) mod role;
--- a/crates/sycamore-node/src/edge/mod.rs
+++ b/crates/sycamore-node/src/edge/mod.rs
@@ -217,6 +217,8 @@
     Config(Result<(ConfigVersion, Vec<Resource>), MalformedConfig>),
     /// Order to move a service to another version, or why the row is malformed.
     Release(Result<ReleaseOrder, String>),
+    /// Order to take a data centre out of use until the row is removed, or why its name is malformed.
+    OutOfUse(Result<DataCentre, String>),
     /// Row of a kind that this node doesn't use.
     Other,
 }
@@ -260,6 +262,10 @@
     /// Parses a row whose key has the prefix.
     fn read(&self, key: &str, value: &Value) -> OperatorRow;
 
+    /// Returns the data centre that a row under `key` takes out of use; `None` for a row of another
+    /// kind, or one whose name is malformed.
+    fn data_centre_of(&self, key: &str) -> Option<DataCentre>;
+
     /// Returns the key and value of the row that shows operators the state of an order.
     fn status(&self, order: &ReleaseOrder, state: ReleaseState) -> (String, Value);
 }
--- a/crates/sycamore-node/src/hub/facts.rs
+++ b/crates/sycamore-node/src/hub/facts.rs
@@ -1,7 +1,7 @@
 //! Store of the facts a node knows, and the queue of those to send to peers.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use sycamore_types::prelude::*;
@@ -35,6 +35,16 @@
         self.known.borrow().clone()
     }
 
+    /// Returns the data centres that operators have taken out of use.
+    pub fn data_centres_out_of_use(&self) -> BTreeSet<DataCentre> {
+        let known = self.known.borrow();
+        let out = known.values().filter_map(|fact| match fact {
+            Fact::OutOfUse { data_centre, is_out: true, .. } => Some(data_centre.clone()),
+            _ => None,
+        });
+        out.collect()
+    }
+
     /// Subscribes to snapshots of the known facts.
     pub fn subscribe(&self) -> watch::Receiver<Arc<BTreeMap<FactKey, Fact>>> {
         self.known.subscribe()
--- a/crates/sycamore-node/src/moves/rows.rs
+++ b/crates/sycamore-node/src/moves/rows.rs
@@ -154,6 +154,9 @@
             drop(moves);
             super::act::execute(state, pending);
         }
-        Fact::Quarantined { .. } | Fact::CrashSeen { .. } | Fact::Head(_) => {}
+        Fact::Quarantined { .. }
+        | Fact::CrashSeen { .. }
+        | Fact::Head(_)
+        | Fact::OutOfUse { .. } => {}
     }
 }
--- a/crates/sycamore-node/tests/calls/main.rs
+++ b/crates/sycamore-node/tests/calls/main.rs
@@ -8,6 +8,7 @@
 mod key;
 mod limited;
 mod metrics;
+mod out_of_use;
 mod path;
 mod pipeline;
 mod refuse;
--- a/crates/sycamore-node/tests/calls/world.rs
+++ b/crates/sycamore-node/tests/calls/world.rs
@@ -230,8 +230,12 @@
 }
 
 fn snapshot(options: &Options) -> Snapshot {
-    let service =
-        Service { name: service(), limits: options.limits.clone(), retry: RetryPolicy::default() };
+    let service = Service {
+        name: service(),
+        limits: options.limits.clone(),
+        retry: RetryPolicy::default(),
+        warm_up: None,
+    };
     let route = Route {
         name: RouteName::new("counter").unwrap(),
         host: None,
--- a/crates/sycamore-node/tests/config/main.rs
+++ b/crates/sycamore-node/tests/config/main.rs
@@ -3,6 +3,7 @@
 
 mod fetches;
 mod follower;
+mod out_of_use;
 mod reads;
 mod store;
 
@@ -29,8 +30,8 @@
 
 /// Edge whose row of the configuration holds a version, the number of entries, of which the first
 /// is a service and the others are its routes, and the parts of each route's split with their
-/// weight. One without the number of entries is malformed. Other rows are orders, named by their
-/// service.
+/// weight. One without the number of entries is malformed. A row `out-` and a name takes a data
+/// centre out of use. Other rows are orders, named by their service.
 struct Rows;
 
 impl OperatorEdge for Rows {
@@ -40,6 +41,9 @@
 
     fn read(&self, key: &str, value: &Value) -> OperatorRow {
         let name = key.strip_prefix(PREFIX).unwrap();
+        if let Some(data_centre) = self.data_centre_of(key) {
+            return OperatorRow::OutOfUse(Ok(data_centre));
+        }
         if name != CONFIG_KEY {
             return OperatorRow::Release(Ok(ReleaseOrder {
                 service: ServiceName::new(name).unwrap(),
@@ -58,6 +62,10 @@
         OperatorRow::Config(Ok((version, resources(entries, parts, weight))))
     }
 
+    fn data_centre_of(&self, key: &str) -> Option<DataCentre> {
+        DataCentre::new(key.strip_prefix(PREFIX)?.strip_prefix("out-")?).ok()
+    }
+
     fn status(&self, _: &ReleaseOrder, _: ReleaseState) -> (String, Value) {
         unreachable!("the tests give no orders")
     }
@@ -77,8 +85,12 @@
         timeout: Duration::from_secs(1),
         policy: RoutePolicy::default(),
     };
-    let service =
-        Service { name: name.clone(), limits: Limits::default(), retry: RetryPolicy::default() };
+    let service = Service {
+        name: name.clone(),
+        limits: Limits::default(),
+        retry: RetryPolicy::default(),
+        warm_up: None,
+    };
     let routes = (1..entries).map(|i| Resource::Route(route(i)));
     std::iter::once(Resource::Service(service)).chain(routes).collect()
 }
--- a/crates/sycamore-node/tests/config/store.rs
+++ b/crates/sycamore-node/tests/config/store.rs
@@ -9,8 +9,8 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use sycamore_platform::{
-    Changes, NativeProtocol, Page, PageQuery, Result, Revision, Row, StoreProtocol, StoreRequest,
-    Transacted, Transaction,
+    Changes, NativeProtocol, Page, PageQuery, RemovedRow, Result, Revision, Row, StoreProtocol,
+    StoreRequest, Transacted, Transaction,
 };
 use sycamore_types::prelude::*;
 
@@ -41,8 +41,9 @@
 
     /// Returns the page of the newest rows whose keys follow `after`.
     fn page(&self, after: &str) -> Value {
-        let newest: BTreeMap<&str, usize> =
+        let mut newest: BTreeMap<&str, usize> =
             self.written.iter().enumerate().map(|(at, (key, _))| (key.as_str(), at)).collect();
+        newest.retain(|_, at| !self.written[*at].1.is_null());
         let after = after.strip_prefix(PREFIX).unwrap_or_default();
         let found: Vec<Value> =
             newest.iter().filter(|(key, _)| **key > after).map(|(_, at)| self.row(*at)).collect();
@@ -90,6 +91,11 @@
         rows.written.push((key.to_owned(), value));
     }
 
+    /// Removes the operators' row `key`, whose value is null in the feed from then on.
+    pub fn remove(&self, key: &str) {
+        self.write(key, Value::Null);
+    }
+
     /// Adds the row of `member`.
     pub fn add_member(&self, member: &Member) {
         let key = format!("member/{}", member.instance);
@@ -204,7 +210,11 @@
     fn decode_changes(&self, prefix: &str, status: StatusCode, body: &[u8]) -> Result<Changes> {
         let query = PageQuery { prefix, ..PageQuery::default() };
         let page = NativeProtocol.decode_page(query, status, body)?;
-        Ok(Changes { rows: page.rows, at: page.at })
+        let (removed, rows): (Vec<Row>, Vec<Row>) =
+            page.rows.into_iter().partition(|row| row.value.is_null());
+        let removed = removed.into_iter();
+        let removed = removed.map(|Row { key, revision, .. }| RemovedRow { key, revision });
+        Ok(Changes { rows, removed: removed.collect(), at: page.at })
     }
 
     fn put(&self, key: &str, body: Bytes) -> StoreRequest {
--- a/crates/sycamore-peer/src/codec/fact.rs
+++ b/crates/sycamore-peer/src/codec/fact.rs
@@ -48,6 +48,11 @@
             at: Some(stamp_to_wire(*at)),
             until_ms: until.0,
         }),
+        Fact::OutOfUse { data_centre, revision, is_out } => WireItem::OutOfUse(proto::OutOfUse {
+            data_centre: data_centre.to_string(),
+            revision: *revision,
+            is_out: *is_out,
+        }),
     }
 }
 
@@ -99,6 +104,11 @@
             at: stamp_from_wire(cleared.at)?,
             until: WallTime(cleared.until_ms),
         }),
+        WireItem::OutOfUse(fact) => Ok(Fact::OutOfUse {
+            data_centre: parse_id(&fact.data_centre, "data centre")?,
+            revision: fact.revision,
+            is_out: fact.is_out,
+        }),
     }
 }
 
--- a/crates/sycamore-peer/src/proto/sycamore.peer.v1.rs
+++ b/crates/sycamore-peer/src/proto/sycamore.peer.v1.rs
@@ -101,7 +101,7 @@
 /// A member or a fact.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Item {
-    #[prost(oneof = "item::Item", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "item::Item", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub item: ::core::option::Option<item::Item>,
 }
 /// Nested message and enum types in `Item`.
@@ -126,6 +126,8 @@
         Cleared(super::Cleared),
         #[prost(message, tag = "9")]
         Brief(super::Brief),
+        #[prost(message, tag = "10")]
+        OutOfUse(super::OutOfUse),
     }
 }
 /// A member's state alone.
@@ -323,6 +325,16 @@
     #[prost(bytes = "bytes", tag = "1")]
     pub body: ::prost::bytes::Bytes,
 }
+/// A data centre that operators took out of use, or back into use.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct OutOfUse {
+    #[prost(string, tag = "1")]
+    pub data_centre: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    #[prost(bool, tag = "3")]
+    pub is_out: bool,
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum MemberState {
--- a/crates/sycamore-platform/src/http/epoch.rs
+++ b/crates/sycamore-platform/src/http/epoch.rs
@@ -3,7 +3,7 @@
 //! A protocol counts revisions within one epoch. The client adds the epoch to those that it decodes,
 //! so that revisions of different epochs are neither equal nor out of order.
 
-use crate::table::{Changes, Conflict, Page, Revision, Row, Transacted};
+use crate::table::{Changes, Conflict, Page, RemovedRow, Revision, Row, Transacted};
 
 /// Value whose revisions can be marked with an epoch.
 pub(super) trait InEpoch {
@@ -38,9 +38,20 @@
     }
 }
 
+impl InEpoch for RemovedRow {
+    fn in_epoch(self, epoch: u64) -> Self {
+        Self { revision: self.revision.in_epoch(epoch), ..self }
+    }
+}
+
 impl InEpoch for Changes {
     fn in_epoch(self, epoch: u64) -> Self {
-        Self { rows: self.rows.in_epoch(epoch), at: self.at.in_epoch(epoch) }
+        let Self { rows, removed, at } = self;
+        Self {
+            rows: rows.in_epoch(epoch),
+            removed: removed.in_epoch(epoch),
+            at: at.in_epoch(epoch),
+        }
     }
 }
 
--- a/crates/sycamore-platform/src/lib.rs
+++ b/crates/sycamore-platform/src/lib.rs
@@ -23,6 +23,6 @@
 pub use crate::objects::{Objects, Put};
 pub use crate::settle::{propose, Proposal, Settled};
 pub use crate::table::{
-    Changes, Condition, Conflict, Page, PageQuery, Revision, Row, Table, Transacted, Transaction,
-    Write,
+    Changes, Condition, Conflict, Page, PageQuery, RemovedRow, Revision, Row, Table, Transacted,
+    Transaction, Write,
 };
--- a/crates/sycamore-platform/src/table.rs
+++ b/crates/sycamore-platform/src/table.rs
@@ -135,11 +135,22 @@
     },
 }
 
+/// Row that was removed from the table.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RemovedRow {
+    /// Key of the row.
+    pub key: String,
+    /// Revision of the removal.
+    pub revision: Revision,
+}
+
 /// Rows that changed since a revision of the table.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Changes {
     /// Current state of the changed rows, in the order of their changes.
     pub rows: Vec<Row>,
+    /// Rows that were removed, in the order of their removal.
+    pub removed: Vec<RemovedRow>,
     /// Revision of the table from which to request the next changes.
     pub at: Revision,
 }
--- a/crates/sycamore-platform/tests/epoch.rs
+++ b/crates/sycamore-platform/tests/epoch.rs
@@ -58,7 +58,7 @@
     }
 
     fn decode_changes(&self, _: &str, _: StatusCode, _: &[u8]) -> Answer<Changes> {
-        Ok(Changes { rows: Vec::new(), at: Revision(9) })
+        Ok(Changes { at: Revision(9), ..Changes::default() })
     }
 
     fn put(&self, key: &str, body: Bytes) -> StoreRequest {
--- a/crates/sycamore-types/src/fact.rs
+++ b/crates/sycamore-types/src/fact.rs
@@ -1,7 +1,7 @@
 //! Facts that nodes gossip without consensus: each one either reduces what nodes may do, or repeats
 //! or satisfies a row of the platform's table, and the set of facts only grows until they expire.
 
-use crate::id::{Fingerprint, MoveId, ServiceName, UpstreamVersion};
+use crate::id::{DataCentre, Fingerprint, MoveId, ServiceName, UpstreamVersion};
 use crate::resource::ConfigHead;
 use crate::stamp::Stamp;
 use crate::time::WallTime;
@@ -77,6 +77,15 @@
         /// Time after which the fact may be dropped.
         until: WallTime,
     },
+    /// Whether operators have taken a data centre out of use.
+    OutOfUse {
+        /// Data centre whose upstreams are to get no calls.
+        data_centre: DataCentre,
+        /// Revision of the operators' row, or of its removal; the highest one is kept.
+        revision: u64,
+        /// Whether the data centre is out of use.
+        is_out: bool,
+    },
 }
 
 /// Maximum size of the row in a [`Fact::MoveRow`], in bytes.
@@ -99,6 +108,8 @@
     MoveRow(MoveId),
     /// Move and the index of its cleared step.
     Cleared(MoveId, u16),
+    /// Data centre that was taken out of use or back into use.
+    OutOfUse(DataCentre),
 }
 
 impl Fact {
@@ -114,6 +125,7 @@
             Fact::Head(_) => FactKey::Head,
             Fact::MoveRow { mv, .. } => FactKey::MoveRow(mv.clone()),
             Fact::Cleared { by, step, .. } => FactKey::Cleared(by.clone(), *step),
+            Fact::OutOfUse { data_centre, .. } => FactKey::OutOfUse(data_centre.clone()),
         }
     }
 
@@ -125,7 +137,10 @@
             | Fact::CrashSeen { until, .. }
             | Fact::MoveRow { until, .. }
             | Fact::Cleared { until, .. } => Some(*until),
-            Fact::BadVersion { .. } | Fact::Aborted { .. } | Fact::Head(_) => None,
+            Fact::BadVersion { .. }
+            | Fact::Aborted { .. }
+            | Fact::Head(_)
+            | Fact::OutOfUse { .. } => None,
         }
     }
 
@@ -153,6 +168,10 @@
                 Fact::Cleared { at: new, until: new_until, .. },
                 Fact::Cleared { at: old, until: old_until, .. },
             ) => (new, old_until) < (old, new_until),
+            (
+                Fact::OutOfUse { revision: new, is_out: new_out, .. },
+                Fact::OutOfUse { revision: old, is_out: old_out, .. },
+            ) => (new, new_out) > (old, old_out),
             _ => false,
         }
     }
--- a/crates/sycamore-types/src/outcome.rs
+++ b/crates/sycamore-types/src/outcome.rs
@@ -19,6 +19,8 @@
     Deadline,
     /// The upstream or its node is draining.
     Draining,
+    /// An operator has taken the upstream's data centre out of use.
+    OutOfUse,
     /// The chosen version was found bad.
     BadVersion,
     /// The chosen version has used up its share of the traffic.
@@ -49,6 +51,7 @@
             RefusalReason::Shed => "shed",
             RefusalReason::Deadline => "deadline",
             RefusalReason::Draining => "draining",
+            RefusalReason::OutOfUse => "out-of-use",
             RefusalReason::BadVersion => "bad-version",
             RefusalReason::ShareSpent => "share-spent",
             RefusalReason::Quarantined => "quarantined",
--- a/crates/sycamore-types/src/rate.rs
+++ b/crates/sycamore-types/src/rate.rs
@@ -1,5 +1,6 @@
-//! Rate limits that upstreams report about themselves.
+//! Rate limits: those that upstreams report about themselves, and those that a configuration states.
 
+use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::str::FromStr;
 use std::time::Duration;
@@ -12,7 +13,8 @@
 
 /// Maximum rate at which an upstream takes requests, of all nodes together: 0 to 1,000,000 requests
 /// per second, in steps of a millionth.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "f64", into = "f64")]
 pub struct RateLimit(u64);
 
 /// Error of a number or text that is not a rate limit.
@@ -46,6 +48,20 @@
     }
 }
 
+impl TryFrom<f64> for RateLimit {
+    type Error = InvalidRateLimit;
+
+    fn try_from(per_second: f64) -> Result<Self, InvalidRateLimit> {
+        Self::new(per_second)
+    }
+}
+
+impl From<RateLimit> for f64 {
+    fn from(limit: RateLimit) -> Self {
+        limit.per_second()
+    }
+}
+
 impl fmt::Display for RateLimit {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}", self.per_second())
--- a/crates/sycamore-types/src/resource.rs
+++ b/crates/sycamore-types/src/resource.rs
@@ -2,6 +2,7 @@
 
 use crate::hash::ContentHash;
 use crate::id::{ConfigVersion, RouteName, ServiceName};
+use crate::rate::RateLimit;
 use serde::{Deserialize, Serialize};
 use serde_with::{serde_as, DurationMilliSeconds};
 use std::time::Duration;
@@ -48,6 +49,10 @@
     /// Retry policy for calls of the service.
     #[serde(default)]
     pub retry: RetryPolicy,
+    /// Rate of calls, in calls per second, that each upstream takes while it warms up; `None` where
+    /// it takes as many as its slots allow.
+    #[serde(default, rename = "warm_up_calls_per_s", skip_serializing_if = "Option::is_none")]
+    pub warm_up: Option<RateLimit>,
 }
 
 /// Route: sends calls for `host` whose path starts with `prefix` to `service`.
