feat(call): client accounts with keys, and warm-up rates that come after the announcement

Calls were refused at one cold instance of an unproven version after the other. Change: accounts in the configuration (keys as digests from the adapter on), 401 for unknown keys, the account's name set and the key removed where the call comes in, the account's rank before the route's. Instances whose rate is used up are left out before the version is drawn. Ruled out: identifying inner calls by a missing key alone, which would let any caller in.

--- a/crates/sycamore-call/src/admit/mod.rs
+++ b/crates/sycamore-call/src/admit/mod.rs
@@ -104,6 +104,8 @@
         /// End of the warm-up; a time that has passed ends it at once.
         until: Time,
     },
+    /// The upstream takes as many calls as its slots allow, whether or not it is cold.
+    EndWarmUp,
     /// The upstream drains: queued and arriving calls are refused.
     Drain,
     /// The upstream takes calls again after a drain, or another process took its place.
@@ -181,7 +183,8 @@
                 self.probe = None;
                 self.rate_limits.set_reported(limit);
             }
-            Input::WarmUp { rate, until } => self.rate_limits.set_warm_up(rate, until),
+            Input::WarmUp { rate, until } => self.rate_limits.set_warm_up(Some((rate, until))),
+            Input::EndWarmUp => self.rate_limits.set_warm_up(None),
             Input::Drain => self.drain(now, &mut out),
             Input::Resume => self.draining = false,
         }
--- a/crates/sycamore-call/src/admit/rate_limits.rs
+++ b/crates/sycamore-call/src/admit/rate_limits.rs
@@ -16,9 +16,9 @@
         self.reported = limit;
     }
 
-    /// Sets the rate while the upstream is cold, until the given time.
-    pub(super) fn set_warm_up(&mut self, rate: RateLimit, until: Time) {
-        self.warm_up = Some((rate, until));
+    /// Sets the rate while the upstream is cold, and the end of that; `None` ends it.
+    pub(super) fn set_warm_up(&mut self, warm_up: Option<(RateLimit, Time)>) {
+        self.warm_up = warm_up;
     }
 
     /// Returns the end of the warm-up; `None` if the upstream has never been cold.
--- a/crates/sycamore-call/src/retry/mod.rs
+++ b/crates/sycamore-call/src/retry/mod.rs
@@ -220,6 +220,9 @@
             | RefusalReason::Quarantined
             | RefusalReason::HopLimit
             | RefusalReason::InProgress
+            | RefusalReason::Unproven
+            | RefusalReason::AccountRate
+            | RefusalReason::NoCredit
             | RefusalReason::ConfigurationRejected
             | RefusalReason::ConfigurationBehind => RetryDecision::GiveUp,
         }
--- a/crates/sycamore-call/src/route/mod.rs
+++ b/crates/sycamore-call/src/route/mod.rs
@@ -164,11 +164,11 @@
     /// Chooses the instance for one attempt and counts the attempt as in flight there; `None` where
     /// no instance may take it.
     pub fn pick(&mut self, now: Time, pick: &Pick<'_>) -> Option<Choice> {
-        let candidates = self.candidates(now, pick);
+        // A version whose instances have no rate left can't take the call, so another one is chosen.
+        let candidates = self.with_rate_left(now, self.candidates(now, pick));
         let (version, share) = version::choose_version(&mut self.rng, pick, &candidates)?;
         let (of_version, others): (Vec<&Member>, Vec<&Member>) =
             candidates.into_iter().partition(|member| member.version == version);
-        let of_version = self.with_rate_left(now, of_version);
         let concentrated = match unproven::is_unproven(pick, &version) {
             true => self.pick_concentrated(now, &of_version, &others),
             false => None,
--- a/crates/sycamore-call/tests/decisions/route.rs
+++ b/crates/sycamore-call/tests/decisions/route.rs
@@ -83,6 +83,23 @@
     assert_eq!(fixture.spread(at(3), 100, IDLE).get("n"), Some(&100));
 }
 
+/// Guards against calls that are refused at one cold instance of an unproven version after the other,
+/// while the settled version has room: the version is drawn anew for each attempt.
+#[test]
+fn calls_leave_an_unproven_version_whose_instances_are_all_cold() {
+    let members = [member("s", "1", "a"), member("c1", "2", "a"), member("c2", "2", "a")];
+    let mut fixture = Fixture::new(members);
+    fixture.shares = shares(0, 10_000);
+    fixture.shares.services.get_mut(&service()).unwrap()[0].share = Share::from_basis_points(9_200);
+    fixture.shares.services.get_mut(&service()).unwrap()[1].share = Share::from_basis_points(800);
+    for name in ["c1", "c2"] {
+        let end = AttemptEnd::RateLimited(IDLE, ms(500));
+        fixture.router.record_end(at(1), &instance(name), end);
+    }
+    assert_eq!(fixture.spread(at(2), 200, IDLE).get("s"), Some(&200));
+    assert!(fixture.spread(at(600), 200, IDLE).len() > 1, "the version is left for good");
+}
+
 /// Guards against avoiding an instance forever because its last report, now old, said that it was
 /// full.
 #[test]
--- a/crates/sycamore-config/src/bundle/check.rs
+++ b/crates/sycamore-config/src/bundle/check.rs
@@ -1,8 +1,8 @@
 //! Validation of resources: bounds of their values, and references and duplicates among them.
 
 use super::{
-    Fault, MAX_ATTEMPTS, MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_PREFIX_BYTES, MAX_QUEUE, MAX_QUEUE_MS,
-    MAX_RESOURCES, MAX_TIMEOUT_MS, MAX_TIMER_MS,
+    Fault, MAX_ATTEMPTS, MAX_BODY_BYTES, MAX_BURST, MAX_HEAD_BYTES, MAX_PREFIX_BYTES, MAX_QUEUE,
+    MAX_QUEUE_MS, MAX_RESOURCES, MAX_TIMEOUT_MS, MAX_TIMER_MS,
 };
 use std::collections::{HashMap, HashSet};
 use std::net::Ipv6Addr;
@@ -23,6 +23,7 @@
             Resource::Service(service) => validator.check_service(service),
             Resource::Route(route) => validator.check_route(route),
             Resource::Callers(limits) => validator.check_callers(limits),
+            Resource::Account(account) => validator.check_account(account),
         }
     }
     validator.faults
@@ -31,7 +32,7 @@
 fn service_names<'a>(resources: &[&'a Resource]) -> HashSet<&'a ServiceName> {
     let names = resources.iter().filter_map(|resource| match resource {
         Resource::Service(service) => Some(&service.name),
-        Resource::Route(_) | Resource::Callers(_) => None,
+        Resource::Route(_) | Resource::Callers(_) | Resource::Account(_) => None,
     });
     names.collect()
 }
@@ -58,6 +59,9 @@
     /// Index of the last route of each pair of host and prefix; the host is empty for any host.
     seen_prefixes: HashMap<(&'a str, &'a str), usize>,
     seen_callers: Option<usize>,
+    seen_accounts: HashMap<&'a AccountName, usize>,
+    /// Index of the account of each key.
+    seen_keys: HashMap<&'a KeyDigest, usize>,
     /// Index of the resource being visited.
     at: usize,
     faults: Vec<Fault>,
@@ -71,6 +75,8 @@
             seen_routes: HashMap::with_capacity(resources.len()),
             seen_prefixes: HashMap::with_capacity(resources.len()),
             seen_callers: None,
+            seen_accounts: HashMap::new(),
+            seen_keys: HashMap::new(),
             at: 0,
             faults: Vec::new(),
         }
@@ -152,6 +158,21 @@
         self.check_range("idle_ms", to_millis(limits.idle_time), 0, MAX_TIMER_MS);
     }
 
+    /// Checks an account. Faults name the place of a key and never the key.
+    fn check_account(&mut self, account: &'a ClientAccount) {
+        if let Some(first) = self.seen_accounts.insert(&account.name, self.at) {
+            let reason = format!("account {} is already defined by {}", account.name, place(first));
+            self.add_fault("name", reason);
+        }
+        self.check_range("burst", account.burst, 0, MAX_BURST);
+        for (i, key) in account.keys.iter().enumerate() {
+            if let Some(first) = self.seen_keys.insert(key, self.at) {
+                let reason = format!("the key already belongs to {}", place(first));
+                self.add_fault(&format!("keys[{i}]"), reason);
+            }
+        }
+    }
+
     fn check_prefix(&mut self, host: &'a str, prefix: &'a str) {
         if !prefix.starts_with('/') {
             self.add_fault("prefix", format!("prefix {prefix:?} must start with '/'"));
--- a/crates/sycamore-config/src/bundle/fields.rs
+++ b/crates/sycamore-config/src/bundle/fields.rs
@@ -40,6 +40,7 @@
     Field { name: "attempts", required: false, check: check_type::<u8> },
     Field { name: "objective_ms", required: false, check: check_type::<u64> },
     Field { name: "rank", required: false, check: check_type::<u8> },
+    Field { name: "is_open", required: false, check: check_type::<bool> },
 ];
 
 /// Fields of the limits on client requests.
@@ -51,6 +52,16 @@
     Field { name: "idle_ms", required: false, check: check_type::<u64> },
 ];
 
+/// Fields of a client account.
+const ACCOUNT: &[Field] = &[
+    Field { name: "kind", required: true, check: check_type::<String> },
+    Field { name: "name", required: true, check: check_type::<AccountName> },
+    Field { name: "keys", required: false, check: check_type::<Vec<KeyDigest>> },
+    Field { name: "rank", required: false, check: check_type::<u8> },
+    Field { name: "calls_per_s", required: false, check: check_type::<RateLimit> },
+    Field { name: "burst", required: false, check: check_type::<u32> },
+];
+
 /// Fields of a service's queue and body limits.
 const LIMITS: &[Field] = &[
     Field { name: "queue", required: false, check: check_type::<u16> },
@@ -70,12 +81,17 @@
         Some("service") => check_object(place, resource, SERVICE),
         Some("route") => check_object(place, resource, ROUTE),
         Some("callers") => check_object(place, resource, CALLERS),
+        Some("account") => check_object(place, resource, ACCOUNT),
         Some(kind) => {
-            let reason = format!("unknown kind {kind:?}; expected service, route or callers");
+            let reason =
+                format!("unknown kind {kind:?}; expected service, route, callers or account");
             vec![fault(&format!("{place}.kind"), reason)]
         }
         None => {
-            vec![fault(place, "must be an object with a field kind: service, route or callers")]
+            vec![fault(
+                place,
+                "must be an object with a field kind: service, route, callers or account",
+            )]
         }
     }
 }
--- a/crates/sycamore-config/src/bundle/mod.rs
+++ b/crates/sycamore-config/src/bundle/mod.rs
@@ -29,6 +29,8 @@
 pub const MAX_BODY_BYTES: u64 = 64 << 20;
 /// Upper bound on the configurable request head limit, in bytes.
 pub const MAX_HEAD_BYTES: u64 = 1 << 20;
+/// Upper bound on the calls that an account may make at once beyond its rate.
+pub const MAX_BURST: u32 = 1_000_000;
 /// Upper bound on the configurable attempts per call.
 pub const MAX_ATTEMPTS: u8 = 10;
 
@@ -104,6 +106,7 @@
 fn build_snapshot(resources: &[&Resource], version: ConfigVersion) -> Snapshot {
     let mut services = BTreeMap::new();
     let mut routes = Vec::with_capacity(resources.len());
+    let mut accounts = Vec::new();
     let mut callers = CallerLimits::default();
     for resource in resources {
         match resource {
@@ -112,6 +115,7 @@
             }
             Resource::Route(route) => routes.push(route),
             Resource::Callers(limits) => callers = limits.clone(),
+            Resource::Account(account) => accounts.push(account.clone()),
         }
     }
     routes.sort_by(|a, b| {
@@ -120,5 +124,6 @@
     });
     // References are sorted, since moving whole routes costs more than their comparison.
     let routes = routes.into_iter().cloned().collect::<Vec<_>>().into();
-    Snapshot { version, services, routes, callers }
+    let accounts = accounts.into_iter().collect();
+    Snapshot { version, services, routes, callers, accounts }
 }
--- a/crates/sycamore-config/tests/apply_model.rs
+++ b/crates/sycamore-config/tests/apply_model.rs
@@ -336,6 +336,7 @@
             }
             Resource::Callers(limits) => snapshot.callers = limits,
             Resource::Route(route) => routes.push(route),
+            Resource::Account(_) => unreachable!("the model has no accounts"),
         }
     }
     snapshot.routes = routes.into();
--- a/crates/sycamore-config/tests/growth/main.rs
+++ b/crates/sycamore-config/tests/growth/main.rs
@@ -47,6 +47,7 @@
         attempts: Some(3),
         objective: Some(Duration::from_millis(random.random_range(100..900))),
         rank: Some(random.random_range(0..3)),
+        is_open: false,
     };
     let (host, prefix) = (Some("h1.example".to_owned()), format!("/{}/", random_name(random, 8)));
     Resource::Route(Route { host, prefix, policy, ..route })
--- a/crates/sycamore-config/tests/reuse.rs
+++ b/crates/sycamore-config/tests/reuse.rs
@@ -85,7 +85,9 @@
         let (first, second) = (self.random_at(), self.random_at());
         let prefix = |resource: &Resource| match resource {
             Resource::Route(route) => (route.host.clone(), route.prefix.clone()),
-            Resource::Service(_) | Resource::Callers(_) => unreachable!("a route's index"),
+            Resource::Service(_) | Resource::Callers(_) | Resource::Account(_) => {
+                unreachable!("a route's index")
+            }
         };
         let prefixes = [prefix(&self.resources[second]), prefix(&self.resources[first])];
         for (at, (host, prefix)) in [first, second].into_iter().zip(prefixes) {
@@ -132,7 +134,7 @@
             // Routes in force refer to the service.
             0 => resources.retain(|resource| match resource {
                 Resource::Service(service) => service.name.as_str() != "service-3",
-                Resource::Route(_) | Resource::Callers(_) => true,
+                Resource::Route(_) | Resource::Callers(_) | Resource::Account(_) => true,
             }),
             // The name or the prefix of a route in force is used again.
             1 | 2 => {
--- /dev/null
+++ b/crates/sycamore-node/src/calls/accounts.rs
@@ -0,0 +1,57 @@
+//! Client accounts of calls: the key that a call brings, and whether the node may act on it.
+
+use super::answer::{Answer, DEFAULT_RETRY_AFTER};
+use super::state::State;
+use crate::edge::{Credential, RequestInfo};
+use http::StatusCode;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use sycamore_config::OutOfDate;
+use sycamore_types::prelude::*;
+
+/// Returns the account of a call on `route`; `None` where it needs no key.
+///
+/// # Errors
+/// Returns the answer that refuses the call.
+pub(super) fn identify(
+    state: &State,
+    snapshot: &Snapshot,
+    route: &Route,
+    info: &RequestInfo,
+    peer: SocketAddr,
+) -> Result<Option<Arc<ClientAccount>>, Answer> {
+    let accounts = &snapshot.accounts;
+    if accounts.is_empty() {
+        return Ok(None);
+    }
+    let account = match info.credential {
+        Credential::Key(key) => accounts.with_key(&key),
+        Credential::Absent | Credential::Malformed => None,
+    };
+    match (account, info.credential) {
+        (Some(account), _) => Ok(Some(account.clone())),
+        (None, _) if route.policy.is_open => Ok(None),
+        (None, Credential::Absent) if is_of_upstream(state, peer) => Ok(None),
+        (None, Credential::Absent) => Err(refuse(state, "the call has no key")),
+        (None, Credential::Malformed) => Err(refuse(state, "the call's key can't be read")),
+        (None, Credential::Key(_)) => Err(refuse(state, "the key belongs to no account")),
+    }
+}
+
+/// Returns whether a call comes from the local upstream, whose own calls carry no key.
+fn is_of_upstream(state: &State, peer: SocketAddr) -> bool {
+    let own = state.hub.settings.listen.caller.ip();
+    let upstream = state.upstream().map(|upstream| upstream.address.ip());
+    peer.ip() == own || upstream == Some(peer.ip())
+}
+
+/// Returns the answer to a call without an account. A caller takes 401 as final, so it is given only
+/// if no newer configuration may have the key.
+fn refuse(state: &State, detail: &str) -> Answer {
+    let reason = match state.hub.out_of_date() {
+        None => return Answer::rejected(StatusCode::UNAUTHORIZED, "no-account", detail),
+        Some(OutOfDate::Rejected) => RefusalReason::ConfigurationRejected,
+        Some(OutOfDate::Behind) => RefusalReason::ConfigurationBehind,
+    };
+    Answer::refused(reason, DEFAULT_RETRY_AFTER)
+}
--- a/crates/sycamore-node/src/calls/answer.rs
+++ b/crates/sycamore-node/src/calls/answer.rs
@@ -109,7 +109,7 @@
 
 fn refusal_status(reason: RefusalReason) -> StatusCode {
     match reason {
-        RefusalReason::Quarantined => StatusCode::TOO_MANY_REQUESTS,
+        RefusalReason::Quarantined | RefusalReason::AccountRate => StatusCode::TOO_MANY_REQUESTS,
         RefusalReason::InProgress => StatusCode::CONFLICT,
         RefusalReason::Overloaded
         | RefusalReason::RateLimited
@@ -122,6 +122,8 @@
         | RefusalReason::NoUpstream
         | RefusalReason::NotReady
         | RefusalReason::HopLimit
+        | RefusalReason::Unproven
+        | RefusalReason::NoCredit
         | RefusalReason::ConfigurationRejected
         | RefusalReason::ConfigurationBehind => StatusCode::SERVICE_UNAVAILABLE,
     }
@@ -142,6 +144,11 @@
         RefusalReason::NotReady => "the node is not ready for calls of the service",
         RefusalReason::HopLimit => "the call's depth has reached the hop limit",
         RefusalReason::InProgress => "a call with this idempotency key is running",
+        RefusalReason::Unproven => {
+            "the node can't prove that its configuration is recent enough for a call with a key"
+        }
+        RefusalReason::AccountRate => "the account's rate is used up",
+        RefusalReason::NoCredit => "the node that lends the account's rate can't be reached",
         RefusalReason::ConfigurationRejected => {
             "no route matches in the configuration in force, and the node rejected a newer one"
         }
--- a/crates/sycamore-node/src/calls/beside.rs
+++ b/crates/sycamore-node/src/calls/beside.rs
@@ -205,6 +205,7 @@
             origin: &self.meta.origin,
             upstream: self.upstream.name.as_deref(),
             hops: &self.meta.depth.to_text(),
+            account: self.meta.account.as_ref(),
         };
         let calls = self.state.edges.calls.clone();
         calls.for_upstream(&call, &mut head.headers);
--- a/crates/sycamore-node/src/calls/failed.rs
+++ b/crates/sycamore-node/src/calls/failed.rs
@@ -136,6 +136,9 @@
         RefusalReason::NotReady,
         RefusalReason::HopLimit,
         RefusalReason::InProgress,
+        RefusalReason::Unproven,
+        RefusalReason::AccountRate,
+        RefusalReason::NoCredit,
         RefusalReason::ConfigurationRejected,
         RefusalReason::ConfigurationBehind,
     ]
--- a/crates/sycamore-node/src/calls/meta.rs
+++ b/crates/sycamore-node/src/calls/meta.rs
@@ -54,6 +54,8 @@
     pub(super) class: Criticality,
     pub(super) depth: Depth,
     pub(super) deadline: Time,
+    /// Client account of the call; `None` if it has none.
+    pub(super) account: Option<AccountName>,
     /// Service of the instance at which the call began.
     pub(super) origin: ServiceName,
     /// Time at which this node read the request's head.
@@ -121,6 +123,9 @@
         set(fields, headers::ATTEMPT, &attempt.to_string());
         set(fields, headers::CRITICALITY, self.class.as_str());
         set(fields, headers::ORIGIN, self.origin.as_str());
+        if let Some(account) = &self.account {
+            set(fields, headers::ACCOUNT, account.as_str());
+        }
         set(fields, headers::REPEATS, if self.is_repeatable { "1" } else { "0" });
         if let Some(objective) = self.objective {
             let left = objective.since(now).as_millis();
@@ -170,6 +175,10 @@
             class: class(fields),
             depth: Depth::read(fields),
             deadline: now + timeout(fields)?,
+            account: match text(fields, headers::ACCOUNT) {
+                Some(name) => Some(AccountName::new(name).ok()?),
+                None => None,
+            },
             origin: ServiceName::new(text(fields, headers::ORIGIN)?).ok()?,
             received_at: now,
             // Without the field the age is unknown, and so counts as unbounded.
--- a/crates/sycamore-node/src/calls/mod.rs
+++ b/crates/sycamore-node/src/calls/mod.rs
@@ -5,6 +5,7 @@
 //! sent to that upstream; the answer returns along the same path. `forward` handles the calling
 //! side, `beside` the upstream's side.
 
+mod accounts;
 mod announce;
 mod answer;
 mod beside;
--- a/crates/sycamore-node/src/calls/serve.rs
+++ b/crates/sycamore-node/src/calls/serve.rs
@@ -1,6 +1,7 @@
 //! Serving of accepted connections: reads requests one at a time, identifies the call and passes it
 //! on.
 
+use super::accounts;
 use super::announce;
 use super::answer::{respond, Answer, DEFAULT_RETRY_AFTER};
 use super::beside;
@@ -212,6 +213,9 @@
     };
     msg.strip_internal();
     let (meta, retry) = route_call(state, msg, info, peer, depth)?;
+    if !state.hub.snapshot.borrow().accounts.is_empty() {
+        state.edges.calls.remove_credentials(&mut msg.head.headers);
+    }
     match msg.body_len() {
         Some(0) => fingerprint_call(state, msg, meta).map(|meta| (meta, retry)),
         _ => Ok((meta, retry)),
@@ -259,6 +263,8 @@
     let Some(route) = snapshot.route(host, path) else {
         return Err(refuse_unrouted(state));
     };
+    let account = accounts::identify(state, &snapshot, route, info, peer)?;
+    let rank = account.as_ref().and_then(|account| account.rank).or(route.policy.rank);
     let name = route.service_for(state.random_unit());
     let Some(service) = snapshot.services.get(name) else {
         return Err(Answer::refused(RefusalReason::NotReady, DEFAULT_RETRY_AFTER));
@@ -278,13 +284,14 @@
         service: name.clone(),
         route: route.name.clone(),
         fingerprint: Fingerprint(0),
-        caller: caller_hash(info, peer),
-        class: route.policy.rank.map_or(info.class, Criticality::from_rank),
+        caller: caller_hash(info, account.as_deref(), peer),
+        class: rank.map_or(info.class, Criticality::from_rank),
         depth: Depth { level: depth.level + 1, ..depth },
         deadline: now + time,
         received_at: now,
         max_prior_age: state.unread.borrow().max_socket_wait(now),
         objective: route.policy.objective.map(|time| now + time.saturating_sub(waited)),
+        account: account.map(|account| account.name.clone()),
         origin: state.hub.settings.node.service.clone(),
         report: None,
         attempt: 1,
@@ -334,11 +341,12 @@
     }
 }
 
-/// Returns a hash of the caller's name, or of its IP address if the request names no caller.
-fn caller_hash(info: &RequestInfo, peer: SocketAddr) -> u64 {
-    let hash = match &info.caller {
-        Some(name) => ContentHash::of(name.as_bytes()),
-        None => ContentHash::of(peer.ip().to_string().as_bytes()),
+/// Returns a hash of the client account, of the caller's name, or else of its IP address.
+fn caller_hash(info: &RequestInfo, account: Option<&ClientAccount>, peer: SocketAddr) -> u64 {
+    let hash = match (account, &info.caller) {
+        (Some(account), _) => ContentHash::of(account.name.as_str().as_bytes()),
+        (None, Some(name)) => ContentHash::of(name.as_bytes()),
+        (None, None) => ContentHash::of(peer.ip().to_string().as_bytes()),
     };
     first_bytes(&hash)
 }
--- a/crates/sycamore-node/src/calls/warm_up.rs
+++ b/crates/sycamore-node/src/calls/warm_up.rs
@@ -24,10 +24,16 @@
     suspected: Cell<bool>,
 }
 
-impl WarmUp {
-    /// Sets the rate of calls to a cold upstream.
-    pub(super) fn set_rate(&self, rate: Option<RateLimit>) {
-        self.rate.set(rate);
+/// Sets the rate of calls to a cold upstream. The upstream may have announced itself before the node
+/// had a configuration.
+pub(super) fn set_rate(state: &State, rate: Option<RateLimit>) {
+    if state.warm_up.rate.replace(rate) == rate {
+        return;
+    }
+    match (rate, state.upstream()) {
+        (Some(_), Some(upstream)) => follow(state, &upstream),
+        (Some(_), None) => {}
+        (None, _) => slot::step(state, Input::EndWarmUp),
     }
 }
 
--- a/crates/sycamore-node/src/calls/watch.rs
+++ b/crates/sycamore-node/src/calls/watch.rs
@@ -155,7 +155,7 @@
     let snapshot = state.hub.snapshot.borrow().clone();
     if let Some(service) = snapshot.services.get(&state.hub.settings.node.service) {
         state.admission.borrow_mut().configure(&service.limits);
-        state.warm_up.set_rate(service.warm_up);
+        warm_up::set_rate(state, service.warm_up);
     }
     let is_configured = |service: &ServiceName| snapshot.services.contains_key(service);
     state.retry_budgets.borrow_mut().remove_unconfigured(is_configured);
--- a/crates/sycamore-node/src/config/query.rs
+++ b/crates/sycamore-node/src/config/query.rs
@@ -58,5 +58,8 @@
     let routes = snapshot.routes.iter().cloned().map(Resource::Route);
     let limits = (snapshot.callers != CallerLimits::default())
         .then(|| Resource::Callers(snapshot.callers.clone()));
-    services.chain(routes).chain(limits).collect()
+    // Whoever reads the configuration must not learn which keys open it.
+    let accounts = snapshot.accounts.iter().cloned();
+    let accounts = accounts.map(|account| ClientAccount { keys: Vec::new(), ..account });
+    services.chain(routes).chain(limits).chain(accounts.map(Resource::Account)).collect()
 }
--- a/crates/sycamore-node/src/edge/mod.rs
+++ b/crates/sycamore-node/src/edge/mod.rs
@@ -57,6 +57,20 @@
     pub class: Criticality,
     /// Caller's name; `None` if the request doesn't name it.
     pub caller: Option<HeaderValue>,
+    /// What the request brings to show whose it is.
+    pub credential: Credential,
+}
+
+/// Credential of a request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Credential {
+    /// The request has none.
+    #[default]
+    Absent,
+    /// The request has a key, of which this is the digest.
+    Key(KeyDigest),
+    /// The request has one that can't be read, or more than one.
+    Malformed,
 }
 
 /// Metadata of a call that is passed to the upstream.
@@ -70,6 +84,8 @@
     pub upstream: Option<&'a str>,
     /// Depth of the call, as the value of the hops header field.
     pub hops: &'a str,
+    /// Client account of the call; `None` if it has none.
+    pub account: Option<&'a AccountName>,
 }
 
 /// Use of a connection before the current request.
@@ -135,6 +151,10 @@
     /// Reads the metadata of a request from its head.
     fn request_info(&self, head: &RequestHead) -> RequestInfo;
 
+    /// Removes the client's key, and the account that the request names, from the header fields of a
+    /// request where client accounts are configured.
+    fn remove_credentials(&self, fields: &mut HeaderMap);
+
     /// Writes the metadata of a call into the header fields of the request to the upstream.
     fn for_upstream(&self, call: &UpstreamCall<'_>, fields: &mut HeaderMap);
 
--- a/crates/sycamore-node/src/edge/native.rs
+++ b/crates/sycamore-node/src/edge/native.rs
@@ -1,8 +1,8 @@
 //! Adapters for the native protocol of callers and upstreams, described in `docs/INTERFACES.md`.
 
 use super::{
-    Announcement, CallEdge, History, Process, ReportedRate, RequestInfo, UpstreamAnswer,
-    UpstreamCall, UpstreamEdge, UpstreamMessage, UpstreamReport,
+    Announcement, CallEdge, Credential, History, Process, ReportedRate, RequestInfo,
+    UpstreamAnswer, UpstreamCall, UpstreamEdge, UpstreamMessage, UpstreamReport,
 };
 use crate::calls::Answer;
 use bytes::Bytes;
@@ -22,6 +22,9 @@
 /// Maximum timeout that a request can set; a longer one is shortened to it.
 const MAX_TIMEOUT: Duration = Duration::from_secs(600);
 
+/// Authentication scheme of a client's key (RFC 6750, section 2.1).
+const KEY_SCHEME: &str = "bearer";
+
 /// Native protocol of calls.
 pub struct Calls;
 
@@ -33,13 +36,22 @@
             timeout: timeout(fields),
             class: class(fields),
             caller: fields.get(headers::CALLER).cloned(),
+            credential: credential(fields, KEY_SCHEME),
         }
     }
 
+    fn remove_credentials(&self, fields: &mut HeaderMap) {
+        fields.remove(header::AUTHORIZATION);
+        fields.remove(headers::CLIENT_ACCOUNT);
+    }
+
     fn for_upstream(&self, call: &UpstreamCall<'_>, fields: &mut HeaderMap) {
         set(fields, headers::HOPS, call.hops);
         let left = u64::try_from(call.left.as_millis()).unwrap_or(u64::MAX);
         set(fields, headers::TIMEOUT_MS, &left.to_string());
+        if let Some(account) = call.account {
+            set(fields, headers::CLIENT_ACCOUNT, account.as_str());
+        }
     }
 
     fn classify_answer(&self, _: &HeaderMap, answer: &ResponseHead, _: History) -> UpstreamAnswer {
@@ -65,6 +77,23 @@
     }
 }
 
+/// Returns the credential in the field `authorization`, which has this scheme and a key.
+pub fn credential(fields: &HeaderMap, scheme: &str) -> Credential {
+    let mut values = fields.get_all(header::AUTHORIZATION).iter();
+    let value = match (values.next(), values.next()) {
+        (None, _) => return Credential::Absent,
+        (Some(value), None) => value,
+        (Some(_), Some(_)) => return Credential::Malformed,
+    };
+    let parts = value.to_str().ok().and_then(|text| text.trim().split_once(' '));
+    match parts.map(|(found, key)| (found, key.trim_start())) {
+        Some((found, key)) if found.eq_ignore_ascii_case(scheme) && !key.is_empty() => {
+            Credential::Key(KeyDigest::of(key.as_bytes()))
+        }
+        Some(_) | None => Credential::Malformed,
+    }
+}
+
 /// Returns the criticality class that a request names, or the default class.
 pub(crate) fn class(fields: &HeaderMap) -> Criticality {
     text(fields, headers::CRITICALITY).map_or(Criticality::default(), Criticality::from_text)
--- a/crates/sycamore-node/tests/calls/main.rs
+++ b/crates/sycamore-node/tests/calls/main.rs
@@ -2,6 +2,7 @@
 //! connected over loopback.
 #![allow(clippy::unwrap_used)]
 
+mod accounts;
 mod body;
 mod cancel;
 mod crash;
@@ -14,5 +15,6 @@
 mod refuse;
 mod silence;
 mod upstream;
+mod warm_up;
 mod world;
 mod wrong;
--- a/crates/sycamore-node/tests/calls/world.rs
+++ b/crates/sycamore-node/tests/calls/world.rs
@@ -41,6 +41,8 @@
     pub calls: CallSettings,
     /// Whether the nodes have a configuration.
     pub is_configured: bool,
+    /// Client accounts of the configuration.
+    pub accounts: Vec<ClientAccount>,
 }
 
 impl Default for Options {
@@ -52,6 +54,7 @@
             timeout: Duration::from_secs(5),
             calls: CallSettings { key_memory: Duration::ZERO, ..CallSettings::default() },
             is_configured: true,
+            accounts: Vec::new(),
         }
     }
 }
@@ -249,6 +252,7 @@
         version: ConfigVersion(1),
         services: [(service.name.clone(), service)].into(),
         routes: vec![route].into(),
+        accounts: options.accounts.iter().cloned().collect(),
         ..Snapshot::default()
     }
 }
--- a/crates/sycamore-types/src/headers.rs
+++ b/crates/sycamore-types/src/headers.rs
@@ -50,6 +50,10 @@
 pub const KEEP: &str = "x-shift-keep";
 /// Between nodes: hash of the caller's name or address.
 pub const CALLER_HASH: &str = "x-shift-caller";
+/// Between nodes: client account of the call.
+pub const ACCOUNT: &str = "x-shift-account";
+/// Set on requests to an upstream: client account of the call.
+pub const CLIENT_ACCOUNT: &str = "shift-account";
 /// Between nodes: service of the instance that the call entered at.
 pub const ORIGIN: &str = "x-shift-origin";
 /// Between nodes: `1` where the call may run more than once.
--- a/crates/sycamore-types/src/id.rs
+++ b/crates/sycamore-types/src/id.rs
@@ -116,6 +116,10 @@
     /// Name of a deployment; nodes refuse peers of other deployments.
     Deployment, MAX_ID_BYTES
 }
+string_id! {
+    /// Name of a client account.
+    AccountName, MAX_ID_BYTES
+}
 string_id! {
     /// Name of an instance: an upstream and the node beside it.
     InstanceId, MAX_ID_BYTES
--- a/crates/sycamore-types/src/lib.rs
+++ b/crates/sycamore-types/src/lib.rs
@@ -1,5 +1,6 @@
 //! Identifiers, units, resources and messages shared by all crates; no I/O.
 
+pub mod account;
 pub mod event;
 pub mod fact;
 pub mod hash;
--- a/crates/sycamore-types/src/outcome.rs
+++ b/crates/sycamore-types/src/outcome.rs
@@ -35,6 +35,12 @@
     HopLimit,
     /// A request with the same idempotency key is running.
     InProgress,
+    /// The node can't prove that its configuration is recent enough for a call with a key.
+    Unproven,
+    /// The account has used up its rate.
+    AccountRate,
+    /// No node that lends the account's rate could be reached.
+    NoCredit,
     /// No route matches, in a configuration that is out of date: the node has rejected a newer one.
     ConfigurationRejected,
     /// No route matches, in a configuration that is out of date: the node has known of a newer one
@@ -59,6 +65,9 @@
             RefusalReason::NotReady => "not-ready",
             RefusalReason::HopLimit => "hop-limit",
             RefusalReason::InProgress => "in-progress",
+            RefusalReason::Unproven => "unproven",
+            RefusalReason::AccountRate => "account-rate",
+            RefusalReason::NoCredit => "no-credit",
             RefusalReason::ConfigurationRejected => "configuration-rejected",
             RefusalReason::ConfigurationBehind => "configuration-behind",
         }
--- a/crates/sycamore-types/src/prelude.rs
+++ b/crates/sycamore-types/src/prelude.rs
@@ -1,5 +1,6 @@
 //! Common types of the workspace, re-exported for a single import.
 
+pub use crate::account::{AccountTable, ClientAccount, KeyDigest};
 pub use crate::event::{Event, EventKind};
 pub use crate::fact::{Fact, FactKey};
 pub use crate::hash::ContentHash;
--- a/crates/sycamore-types/src/resource.rs
+++ b/crates/sycamore-types/src/resource.rs
@@ -1,5 +1,6 @@
 //! Resources that make up a configuration.
 
+use crate::account::ClientAccount;
 use crate::hash::ContentHash;
 use crate::id::{ConfigVersion, RouteName, ServiceName};
 use crate::rate::RateLimit;
@@ -35,6 +36,8 @@
     Route(Route),
     /// Limits on what callers may send and how long they may take.
     Callers(CallerLimits),
+    /// Account of a client.
+    Account(ClientAccount),
 }
 
 /// Service that upstreams serve, with its call policies.
@@ -136,6 +139,9 @@
     /// Priority among the calls of a service, 0 being the highest; `None` uses the caller's
     /// criticality.
     pub rank: Option<u8>,
+    /// Whether calls need no key although the configuration has client accounts.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub is_open: bool,
 }
 
 impl RoutePolicy {
--- a/crates/sycamore-types/src/snapshot.rs
+++ b/crates/sycamore-types/src/snapshot.rs
@@ -1,5 +1,6 @@
 //! Immutable snapshot of a validated configuration.
 
+use crate::account::AccountTable;
 use crate::id::{ConfigVersion, ServiceName};
 use crate::resource::{CallerLimits, Route, Service};
 use crate::route_table::RouteTable;
@@ -16,6 +17,8 @@
     pub routes: RouteTable,
     /// Limits on what callers may send.
     pub callers: CallerLimits,
+    /// Client accounts; calls need no key where there are none.
+    pub accounts: AccountTable,
 }
 
 impl Snapshot {
