feat(accounts): withdrawal on proof, and rates lent by the account's home

Change: proofs of freshness from the start of a read on a clock that counts suspension, handed on with answers to requests that nodes send anyway; with [accounts] withdraw_within keyed calls are refused as not run without a proof. The home of an account (rendezvous) lends its rate for the calls that wait; 429 with the time of the next credit; a node whose home doesn't answer goes on at the rate that it was lent.

--- /dev/null
+++ b/crates/sycamore-call/src/credit/lender.rs
@@ -0,0 +1,95 @@
+//! Home of accounts: token buckets from which calls are lent to other nodes.
+
+use super::LOAN_TIME;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use sycamore_types::prelude::*;
+
+/// Time for which a loan is remembered, so that a repeated request isn't granted again.
+const REQUEST_MEMORY: Duration = Duration::from_secs(1);
+
+/// Calls lent on one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Loan {
+    /// Number of calls.
+    pub calls: u32,
+    /// Time until there is credit for a further call.
+    pub wait: Duration,
+}
+
+/// Token buckets of the accounts whose home this node is.
+#[derive(Debug, Clone, Default)]
+pub struct Lender {
+    buckets: BTreeMap<AccountName, Bucket>,
+}
+
+#[derive(Debug, Clone)]
+struct Bucket {
+    /// Calls that may be lent.
+    tokens: f64,
+    updated: Time,
+    /// Earliest time of a loan: those of an earlier home are void by then.
+    opens_at: Time,
+    /// Loans of the last [`REQUEST_MEMORY`] by borrower and number of its request.
+    lent: BTreeMap<(InstanceId, u64), (Loan, Time)>,
+}
+
+impl Lender {
+    /// Makes this node the home of `accounts` at `now`, and of no others. The bucket of an account that
+    /// is new to it starts empty, since an earlier home may have lent what was in its own.
+    pub fn serve<'a>(&mut self, now: Time, accounts: impl Iterator<Item = &'a AccountName>) {
+        let mut earlier = std::mem::take(&mut self.buckets);
+        for name in accounts {
+            let bucket = earlier.remove(name).unwrap_or_else(|| Bucket {
+                tokens: 0.0,
+                updated: now,
+                opens_at: now + LOAN_TIME,
+                lent: BTreeMap::new(),
+            });
+            self.buckets.insert(name.clone(), bucket);
+        }
+    }
+
+    /// Lends up to `wanted` calls of `account` for request `number` of `borrower`; a repeated request
+    /// gets the loan that it had. `None` if this node isn't the account's home.
+    pub fn lend(
+        &mut self,
+        now: Time,
+        account: &ClientAccount,
+        borrower: &InstanceId,
+        number: u64,
+        wanted: u32,
+    ) -> Option<Loan> {
+        let rate = account.rate?.per_second();
+        let bucket = self.buckets.get_mut(&account.name)?;
+        bucket.lent.retain(|_, (_, at)| now.since(*at) < REQUEST_MEMORY);
+        if let Some((loan, _)) = bucket.lent.get(&(borrower.clone(), number)) {
+            return Some(*loan);
+        }
+        bucket.refill(now, rate, account.burst);
+        let loan = bucket.take(now, rate, wanted);
+        bucket.lent.insert((borrower.clone(), number), (loan, now));
+        Some(loan)
+    }
+}
+
+impl Bucket {
+    /// Adds the calls of the time since the last update. A lent call may start up to [`LOAN_TIME`]
+    /// later, so the bucket holds as much less than the burst, and one call at least.
+    fn refill(&mut self, now: Time, rate: f64, burst: u32) {
+        let capacity = (f64::from(burst) - rate * LOAN_TIME.as_secs_f64()).max(1.0);
+        let elapsed = now.since(self.updated).as_secs_f64();
+        self.tokens = (self.tokens + elapsed * rate).min(capacity);
+        self.updated = self.updated.max(now);
+    }
+
+    fn take(&mut self, now: Time, rate: f64, wanted: u32) -> Loan {
+        let is_open = self.opens_at <= now;
+        // The cast saturates, and tokens are never negative.
+        let calls = if is_open { wanted.min(self.tokens as u32) } else { 0 };
+        self.tokens -= f64::from(calls);
+        let missing = (1.0 - self.tokens).max(0.0);
+        let refill = Duration::try_from_secs_f64(missing / rate).unwrap_or(Duration::MAX);
+        Loan { calls, wait: refill.max(self.opens_at.since(now)) }
+    }
+}
--- a/crates/sycamore-call/src/lib.rs
+++ b/crates/sycamore-call/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admit;
 pub mod announce;
+pub mod credit;
 pub mod gate;
 pub mod key;
 pub mod load;
--- a/crates/sycamore-call/tests/decisions/main.rs
+++ b/crates/sycamore-call/tests/decisions/main.rs
@@ -4,6 +4,7 @@
 mod admit;
 mod announce;
 mod common;
+mod credit;
 mod false_rate;
 mod gate;
 mod key;
--- a/crates/sycamore-member/src/machine/packet.rs
+++ b/crates/sycamore-member/src/machine/packet.rs
@@ -36,7 +36,12 @@
                 self.relay_ping(now, from, seq, &target, actions);
             }
             Body::Nack { seq } => self.on_nack(now, &sender, seq, actions),
-            Body::Push | Body::DeltaRequest { .. } | Body::Delta { .. } | Body::Current { .. } => {}
+            Body::Push
+            | Body::DeltaRequest { .. }
+            | Body::Delta { .. }
+            | Body::Current { .. }
+            | Body::CreditRequest { .. }
+            | Body::Credit { .. } => {}
         }
     }
 
--- a/crates/sycamore-member/src/message.rs
+++ b/crates/sycamore-member/src/message.rs
@@ -172,6 +172,8 @@
     DeltaRequest {
         /// Manifest hash of the sender's configuration in force.
         base: ContentHash,
+        /// Time of the sender's clock, which the answer repeats; 0 if it needs no proof.
+        asked_at: u64,
     },
     /// Answers a [`Body::DeltaRequest`].
     Delta {
@@ -190,7 +192,40 @@
         /// Highest version above the one in force that the sender read as an operator's row and
         /// rejected; `None` if there is none.
         rejected: Option<ConfigVersion>,
+        /// Proof of how recent the sender's configuration is; `None` if it has none, or wasn't asked.
+        proof: Option<ProofAge>,
     },
+    /// Asks the home of a client account to lend calls; not handled by the membership protocol, like
+    /// the answer.
+    CreditRequest {
+        /// Number of the request; a repeated request has the same.
+        number: u64,
+        /// Account whose calls are wanted.
+        account: AccountName,
+        /// Number of calls.
+        calls: u32,
+    },
+    /// Answers a [`Body::CreditRequest`].
+    Credit {
+        /// Number of the request.
+        number: u64,
+        /// Account whose calls are lent.
+        account: AccountName,
+        /// Number of calls.
+        calls: u32,
+        /// Time until there is credit for a further call.
+        wait: Duration,
+    },
+}
+
+/// Age of a proof that a configuration is the newest, in an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct ProofAge {
+    /// Time in the request, by the clock of its sender. The time on the way is unknown, so the sender
+    /// counts the age from then on.
+    pub asked_at: u64,
+    /// Age of the proof when the answer was sent.
+    pub age: Duration,
 }
 
 /// Datagram between nodes.
--- a/crates/sycamore-node/src/calls/accounts.rs
+++ b/crates/sycamore-node/src/calls/accounts.rs
@@ -29,7 +29,10 @@
         Credential::Absent | Credential::Malformed => None,
     };
     match (account, info.credential) {
-        (Some(account), _) => Ok(Some(account.clone())),
+        (Some(account), _) => match is_proven(state) {
+            true => Ok(Some(account.clone())),
+            false => Err(refuse_unproven(state)),
+        },
         (None, _) if route.policy.is_open => Ok(None),
         (None, Credential::Absent) if is_of_upstream(state, peer) => Ok(None),
         (None, Credential::Absent) => Err(refuse(state, "the call has no key")),
@@ -38,6 +41,18 @@
     }
 }
 
+/// Returns whether the configuration is recent enough to act on a key that it holds.
+fn is_proven(state: &State) -> bool {
+    let max_age = state.hub.settings.accounts.max_proof_age();
+    max_age.is_none_or(|max_age| state.hub.proof_age().is_some_and(|age| age <= max_age))
+}
+
+/// Returns the answer to a call with a key that may have been withdrawn. The next proof comes with the
+/// next answer of a peer, at the interval of this node's requests.
+fn refuse_unproven(state: &State) -> Answer {
+    Answer::refused(RefusalReason::Unproven, state.hub.settings.config.max_age() / 2)
+}
+
 /// Returns whether a call comes from the local upstream, whose own calls carry no key.
 fn is_of_upstream(state: &State, peer: SocketAddr) -> bool {
     let own = state.hub.settings.listen.caller.ip();
--- a/crates/sycamore-node/src/calls/forward.rs
+++ b/crates/sycamore-node/src/calls/forward.rs
@@ -1,7 +1,8 @@
 //! Calling side of a call: chooses an upstream, relays the call to its node, and retries or
 //! reroutes it where that is safe.
 
-use super::answer::{respond, Answer, DEFAULT_RETRY_AFTER};
+use super::answer::{respond, Answer, Outcome, DEFAULT_RETRY_AFTER};
+use super::credit;
 use super::exchange::{read_whole_body, relay_answer, send, AnswerHead, Failure, Relayed};
 use super::failed::{
     attempt_end, failed_exchange, failure_from_answer, is_reroute, no_upstream, FailedAttempt,
@@ -92,7 +93,12 @@
 /// Runs the attempts of a call and relays the answer to the caller.
 pub(super) async fn forward(state: &Rc<State>, mut out: Outgoing<'_>) -> std::io::Result<()> {
     match out.run_attempts(state).await {
-        Forwarded::Own(answer) => send_own_answer(state, out.inbound, &answer).await,
+        Forwarded::Own(answer) => {
+            if answer.outcome == Outcome::NotRun {
+                credit::give_back(state, &out.meta);
+            }
+            send_own_answer(state, out.inbound, &answer).await
+        }
         Forwarded::CallerGone => Err(std::io::ErrorKind::ConnectionAborted.into()),
         Forwarded::Answered(reply) => relay_reply(state, out.inbound, &out.meta, *reply).await,
     }
--- a/crates/sycamore-node/src/calls/metrics.rs
+++ b/crates/sycamore-node/src/calls/metrics.rs
@@ -41,6 +41,7 @@
     rate_limit: Gauge,
     malformed_reports: IntCounter,
     cold_suspicions: IntCounter,
+    accounts: IntCounterVec,
     data_centres_out_of_use: IntGauge,
     suppressed_lines: IntCounter,
     /// Names that have a label value of their own.
@@ -137,6 +138,11 @@
         self.data_centres_out_of_use.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Counts a call of a client account with a rate, by whether it had credit.
+    pub(super) fn count_account(&self, account: &AccountName, outcome: &str) {
+        self.accounts.with_label_values(&[&self.label(account.as_str()), outcome]).inc();
+    }
+
     /// Counts an attempt by its `number` within the call, from 1: first attempts and retries.
     pub(super) fn count_attempt(&self, number: u8) {
         match number {
@@ -255,6 +261,11 @@
             "upstream_cold_suspicions_total",
             "Times at which the local upstream was paced since it might be cold",
         )?,
+        accounts: meter.counters(
+            "account_calls_total",
+            "Calls of client accounts with a rate: with credit, over the rate, home unreachable",
+            &["account", "outcome"],
+        )?,
         data_centres_out_of_use: meter.gauge(
             "data_centres_out_of_use",
             "Data centres that operators have taken out of use",
--- a/crates/sycamore-node/src/calls/mod.rs
+++ b/crates/sycamore-node/src/calls/mod.rs
@@ -10,6 +10,7 @@
 mod answer;
 mod beside;
 mod crash;
+mod credit;
 mod exchange;
 mod failed;
 mod forward;
@@ -34,6 +35,7 @@
 
 use crate::edge::Edges;
 use crate::hub::Hub;
+use crate::peers::Peers;
 use crate::tasks::TaskGroup;
 use error_stack::Report;
 use listen::ListenerKind;
@@ -44,6 +46,11 @@
 pub struct Calls(Rc<State>);
 
 impl Calls {
+    /// Starts to exchange credit of client accounts with the nodes of `peers`.
+    pub fn exchange_credit(&self, tasks: &TaskGroup, peers: &Rc<Peers>) {
+        credit::start(&self.0, tasks, peers);
+    }
+
     /// Returns the load of this node's upstream: calls running, concurrency limit and calls queued.
     pub fn load(&self) -> sycamore_call::Load {
         self.0.admission.borrow().load(self.0.now())
--- a/crates/sycamore-node/src/calls/pipeline.rs
+++ b/crates/sycamore-node/src/calls/pipeline.rs
@@ -4,6 +4,8 @@
 //! A GET without a body whose route allows repeats doesn't wait for earlier calls of its
 //! connection. Any other call starts after all earlier ones have been answered.
 
+use super::answer::Outcome;
+use super::credit;
 use super::forward::{self, send_own_answer, Call, Forwarded};
 use super::message::{Inbound, Message};
 use super::meta::CallMeta;
@@ -165,8 +167,18 @@
         let (meta, forwarded) = match identified {
             Err(answer) => (None, Forwarded::Own(answer)),
             Ok((mut meta, retry)) => {
-                let call = Call { msg: &mut msg, meta: &mut meta, retry: &retry };
-                let forwarded = forward::run_attempts(state, call, None).await;
+                let forwarded = match credit::acquire(state, &meta).await {
+                    Err(answer) => Forwarded::Own(answer),
+                    Ok(()) => {
+                        let call = Call { msg: &mut msg, meta: &mut meta, retry: &retry };
+                        let forwarded = forward::run_attempts(state, call, None).await;
+                        if matches!(&forwarded, Forwarded::Own(own) if own.outcome == Outcome::NotRun)
+                        {
+                            credit::give_back(state, &meta);
+                        }
+                        forwarded
+                    }
+                };
                 (Some(meta), forwarded)
             }
         };
--- a/crates/sycamore-node/src/calls/serve.rs
+++ b/crates/sycamore-node/src/calls/serve.rs
@@ -5,6 +5,7 @@
 use super::announce;
 use super::answer::{respond, Answer, DEFAULT_RETRY_AFTER};
 use super::beside;
+use super::credit;
 use super::forward::{self, send_own_answer, Outgoing};
 use super::introduce;
 use super::keyed;
@@ -188,6 +189,10 @@
             return send_own_answer(state, inbound, &answer).await;
         }
     };
+    if let Err(answer) = credit::acquire(state, &meta).await {
+        inbound.closes |= !msg.is_body_read();
+        return send_own_answer(state, inbound, &answer).await;
+    }
     let keyed = !meta.is_repeatable && msg.head.headers.contains_key(headers::IDEMPOTENCY_KEY);
     let out = Outgoing { inbound, msg: &mut msg, meta, retry };
     let served = match keyed {
--- a/crates/sycamore-node/src/calls/state.rs
+++ b/crates/sycamore-node/src/calls/state.rs
@@ -1,5 +1,6 @@
 //! State shared by the tasks of the call path.
 
+use super::credit::Credit;
 use super::introduce::ViewConfirmations;
 use super::journal::CallLog;
 use super::memory::BodyMemory;
@@ -57,6 +58,8 @@
     pub(super) announcements: RefCell<AnnouncementLog>,
     /// State that the local upstream reported about itself in its answers.
     pub(super) reports: Reports,
+    /// Credit of client accounts.
+    pub(super) credit: Credit,
     /// Warm-up of the local upstream.
     pub(super) warm_up: WarmUp,
     pub(super) router: RefCell<Router>,
@@ -117,6 +120,7 @@
             edges: edges.clone(),
             announcements: RefCell::default(),
             reports: Reports::default(),
+            credit: Credit::default(),
             warm_up: WarmUp::default(),
             router: RefCell::new(Router::new(RouterConfig::default(), rng.random())),
             bans: RefCell::default(),
--- a/crates/sycamore-node/src/calls/watch.rs
+++ b/crates/sycamore-node/src/calls/watch.rs
@@ -3,6 +3,7 @@
 
 use super::announce;
 use super::crash;
+use super::credit;
 use super::introduce;
 use super::report;
 use super::slot;
@@ -32,6 +33,7 @@
     tasks.spawn_until_stop(slot::run_queue(state.clone()));
     tasks.spawn_until_stop(crash::raise_facts_on_crash(state.clone()));
     tasks.spawn_until_stop(introduce::run(state.clone()));
+    tasks.spawn_until_stop(credit::repeat_requests(state.clone()));
     tasks.spawn_until_stop(tick(state.clone()));
 }
 
@@ -75,6 +77,7 @@
     let leaving = members_of(&view, service, |state| state == MemberState::Draining);
     state.ownership.borrow_mut().update(now, serving, leaving);
     introduce::update_ownership(state);
+    credit::update_homes(state);
     update_gate(state);
 }
 
@@ -157,6 +160,7 @@
         state.admission.borrow_mut().configure(&service.limits);
         warm_up::set_rate(state, service.warm_up);
     }
+    credit::update_homes(state);
     let is_configured = |service: &ServiceName| snapshot.services.contains_key(service);
     state.retry_budgets.borrow_mut().remove_unconfigured(is_configured);
 }
--- a/crates/sycamore-node/src/config/delta.rs
+++ b/crates/sycamore-node/src/config/delta.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 use sycamore_config::delta::{MAX_DATAGRAM_DELTA, MAX_FETCHED_DELTA};
 use sycamore_config::{Apply, Delta, Input};
+use sycamore_member::message::ProofAge;
 use sycamore_platform::Revision;
 use sycamore_types::prelude::*;
 
@@ -63,7 +64,7 @@
         "in_force" => driver.hub.snapshot.borrow().version.0);
     driver.metrics.count_delta("requested");
     for to in peers {
-        driver.peers.send_delta(to, DeltaBody::Request(base));
+        driver.peers.send_delta(to, DeltaBody::Request { base, asked_at: 0 });
     }
 }
 
@@ -84,10 +85,11 @@
 async fn handle_messages(driver: Rc<Driver>, mut deltas: Deltas) {
     while let Some(DeltaMessage { from, source, body }) = deltas.recv().await {
         match body {
-            DeltaBody::Request(base) => answer(&driver, from, source, base),
+            DeltaBody::Request { base, asked_at } => answer(&driver, from, source, base, asked_at),
             DeltaBody::Delta(encoded) => receive(&driver, &from, &encoded),
-            DeltaBody::Current { head, revision, age, rejected } => {
+            DeltaBody::Current { head, revision, age, rejected, proof } => {
                 driver.record_peer_rejected(&from, rejected);
+                record_proof(&driver, head, proof);
                 driver.handle_current(source, head, Revision(revision), age);
             }
         }
@@ -97,7 +99,7 @@
 /// Answers the request of the instance `from` with a delta. Without one that fits into a datagram,
 /// tells it what this node has in force, and holds the request until there is a newer
 /// configuration.
-fn answer(driver: &Driver, from: InstanceId, source: SocketAddr, base: ContentHash) {
+fn answer(driver: &Driver, from: InstanceId, source: SocketAddr, base: ContentHash, asked_at: u64) {
     let delta = driver.with_state(|apply| apply.delta_from(&base));
     if delta.is_some_and(|delta| send(driver, &from, &delta)) {
         return;
@@ -106,7 +108,7 @@
     let now = driver.hub.clock.now();
     let until = now + MIN_HOLD_TIME.max(driver.hub.settings.config.max_age());
     driver.held_requests.borrow_mut().hold(now, until, from, base);
-    send_current(driver, source);
+    send_current(driver, source, asked_at);
 }
 
 /// Answers the held requests for which the configuration in force has a delta.
@@ -118,7 +120,7 @@
     for (from, delta) in answers {
         if !send(driver, &from, &delta) {
             if let Some(to) = address(driver, &from) {
-                send_current(driver, to);
+                send_current(driver, to, 0);
             }
         }
     }
@@ -149,14 +151,29 @@
 
 /// Tells the peer at `to` what this node has in force, what it rejected, and how old its knowledge
 /// is. It is hardly longer than a request, so that the address needs no check.
-fn send_current(driver: &Driver, to: SocketAddr) {
+fn send_current(driver: &Driver, to: SocketAddr, asked_at: u64) {
     let Some(age) = driver.knowledge_age() else { return };
     let revision = driver.complete_at.get().map_or(Revision::ABSENT, |(_, at)| at).0;
     let head = driver.with_state(Apply::head);
     let in_force = head.map_or_else(ConfigVersion::default, |head| head.version);
     let rejected = driver.hub.newer_versions.borrow().rejected_row_above(in_force);
     driver.metrics.count_delta("current");
-    driver.peers.send_delta(to, DeltaBody::Current { head, revision, age, rejected });
+    let proof = driver.hub.proof_age().map(|age| ProofAge { asked_at, age });
+    let proof = proof.filter(|_| asked_at > 0);
+    driver.peers.send_delta(to, DeltaBody::Current { head, revision, age, rejected, proof });
+}
+
+/// Takes over the proof of a peer that has `head` in force. Its age is counted from when this node
+/// asked for it, since the time of the answer on its way is unknown.
+fn record_proof(driver: &Driver, head: Option<ConfigHead>, proof: Option<ProofAge>) {
+    let (Some(head), Some(ProofAge { asked_at, age })) = (head, proof) else { return };
+    let now = driver.hub.clock.boot();
+    let age_us = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+    let at = Time(asked_at.saturating_sub(age_us));
+    // A number that this node didn't send, as of its machine's earlier start, may lie ahead.
+    if Time(asked_at) <= now {
+        driver.hub.record_proof(head.version, at);
+    }
 }
 
 fn receive(driver: &Driver, from: &InstanceId, encoded: &[u8]) {
--- a/crates/sycamore-node/src/config/follow.rs
+++ b/crates/sycamore-node/src/config/follow.rs
@@ -112,6 +112,7 @@
     /// read that finds the history lost leads to a listing.
     async fn step(&mut self) -> Result<()> {
         let started = self.driver.hub.clock.now();
+        let proven_at = self.driver.hub.clock.boot();
         self.resume();
         self.reads.begin(self.highest_spread_version());
         let Some((rows, removed, at)) = self.read().await? else {
@@ -129,6 +130,7 @@
         self.driver.hub.newer_versions.borrow_mut().record_row_too_large(false);
         self.reads.end(self.highest_spread_version());
         self.driver.record_complete(self.reads.taken(), at);
+        self.driver.hub.record_proof(self.reads.taken(), proven_at);
         Ok(())
     }
 
@@ -147,9 +149,14 @@
 
     /// Returns the longest time that a read waits for a change.
     fn wait(&self) -> Duration {
-        let config = &self.driver.hub.settings.config;
+        let settings = &self.driver.hub.settings;
+        let config = &settings.config;
+        let has_accounts = !self.driver.hub.snapshot.borrow().accounts.is_empty();
+        let for_proof = settings.accounts.max_read_wait().filter(|_| has_accounts);
         match self.role {
-            Role::Watcher => config.watch_time,
+            Role::Watcher => {
+                for_proof.map_or(config.watch_time, |wait| wait.min(config.watch_time))
+            }
             // The next check of the role has to come before the node's knowledge is too old again.
             Role::Stale | Role::Unconfigured | Role::Follower => config.max_age() / 2,
         }
--- a/crates/sycamore-node/src/config/request.rs
+++ b/crates/sycamore-node/src/config/request.rs
@@ -36,7 +36,8 @@
     let base = driver.with_state(Apply::delta_base);
     for to in receivers(driver, ask) {
         driver.metrics.count_delta("followed");
-        driver.peers.send_delta(to, DeltaBody::Request(base));
+        let asked_at = driver.hub.clock.boot().0;
+        driver.peers.send_delta(to, DeltaBody::Request { base, asked_at });
     }
 }
 
--- a/crates/sycamore-node/src/hub/clock.rs
+++ b/crates/sycamore-node/src/hub/clock.rs
@@ -1,5 +1,7 @@
 //! Monotonic and wall clocks of the process.
 
+use nix::sys::time::TimeValLike;
+use nix::time::{clock_gettime, ClockId};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use sycamore_types::time::{Time, WallTime};
 
@@ -26,6 +28,16 @@
         Time(u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX))
     }
 
+    /// Returns the time since the machine's start, in microseconds, which goes on while the machine is
+    /// suspended.
+    pub fn boot(&self) -> Time {
+        match clock_gettime(ClockId::CLOCK_BOOTTIME) {
+            Ok(since) => Time(u64::try_from(since.num_microseconds()).unwrap_or_default()),
+            // The call fails for unknown clocks alone, which this one is not on Linux.
+            Err(_) => self.now(),
+        }
+    }
+
     /// Returns the wall-clock time since the Unix epoch, in milliseconds.
     pub fn wall(&self) -> WallTime {
         let since_epoch =
--- a/crates/sycamore-node/src/hub/mod.rs
+++ b/crates/sycamore-node/src/hub/mod.rs
@@ -20,7 +20,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use sycamore_config::{NewerVersions, OutOfDate};
+use std::time::Duration;
+use sycamore_config::{Freshness, NewerVersions, OutOfDate};
 use sycamore_settings::Settings;
 use sycamore_types::prelude::*;
 use tokio::sync::{mpsc, watch, Notify};
@@ -94,6 +95,8 @@
     pub snapshot: watch::Sender<Arc<Snapshot>>,
     /// Versions above the one in force that this node knows of.
     pub newer_versions: RefCell<NewerVersions>,
+    /// Proofs of how recent the configuration in force is.
+    pub freshness: RefCell<Freshness>,
     /// Known members of the fleet.
     pub members: watch::Sender<Arc<MemberView>>,
     /// Traffic shares of the versions of each service.
@@ -142,6 +145,7 @@
             registry,
             snapshot: watch::Sender::new(Arc::default()),
             newer_versions: RefCell::default(),
+            freshness: RefCell::default(),
             members: watch::Sender::new(Arc::default()),
             shares: watch::Sender::new(Arc::default()),
             upstream: watch::Sender::new(None),
@@ -207,6 +211,20 @@
         self.newer_versions.borrow().out_of_date(self.clock.now(), in_force)
     }
 
+    /// Returns the age of the latest proof that the configuration in force was the newest; `None` if
+    /// there is none.
+    pub fn proof_age(&self) -> Option<Duration> {
+        let in_force = self.snapshot.borrow().version;
+        let proven_at = self.freshness.borrow_mut().proven_at(in_force)?;
+        Some(self.clock.boot().since(proven_at))
+    }
+
+    /// Records that `version` was the newest configuration at `at` of [`Clock::boot`].
+    pub fn record_proof(&self, version: ConfigVersion, at: Time) {
+        let in_force = self.snapshot.borrow().version;
+        self.freshness.borrow_mut().record(in_force, version, at);
+    }
+
     /// Records an event on the timeline and logs it.
     pub fn record(&self, kind: EventKind) {
         let body = serde_json::to_string(&kind).unwrap_or_default();
--- a/crates/sycamore-node/src/peers/driver.rs
+++ b/crates/sycamore-node/src/peers/driver.rs
@@ -1,7 +1,7 @@
 //! Drives the membership state machine: feeds it inputs and executes its actions.
 
 use super::metrics::Metrics;
-use super::{DeltaMessage, Deltas};
+use super::{CreditMessage, Credits, DeltaMessage, Deltas};
 use crate::hub::{AnnouncedUpstream, Hub, Phase};
 use crate::platform::Platform;
 use crate::tasks::{Stop, TaskGroup};
@@ -36,12 +36,15 @@
     send: mpsc::Sender<(SocketAddr, Packet)>,
     exchanges: mpsc::Sender<(InstanceId, SocketAddr, ExchangeRequest)>,
     deltas: mpsc::Sender<DeltaMessage>,
+    credits: mpsc::Sender<CreditMessage>,
 }
 
 /// Capacity of the queue of exchanges to start; further ones are dropped.
 const EXCHANGE_QUEUE: usize = 8;
 /// Capacity of the queue of received datagrams about deltas; further ones are dropped.
 const DELTA_QUEUE: usize = 64;
+/// Capacity of the queue of received datagrams about credit; further ones are dropped.
+const CREDIT_QUEUE: usize = 1_024;
 
 impl Driver {
     /// Creates a driver that knows only this node, and the receiver of datagrams about deltas;
@@ -53,10 +56,11 @@
         calls: Peers,
         datagrams: Rc<Datagrams>,
         metrics: Metrics,
-    ) -> (Rc<Self>, Deltas) {
+    ) -> (Rc<Self>, Deltas, Credits) {
         let (send, send_rx) = mpsc::channel(SEND_QUEUE);
         let (exchanges, exchanges_rx) = mpsc::channel(EXCHANGE_QUEUE);
         let (deltas, deltas_rx) = mpsc::channel(DELTA_QUEUE);
+        let (credits, credits_rx) = mpsc::channel(CREDIT_QUEUE);
         let machine = RefCell::new(new_membership(hub));
         let driver = Rc::new(Self {
             hub: hub.clone(),
@@ -70,6 +74,7 @@
             send,
             exchanges,
             deltas,
+            credits,
         });
         tasks.spawn_until_stop(send_datagrams(
             driver.hub.clone(),
@@ -78,7 +83,7 @@
         ));
         tasks.spawn_until_stop(driver.clone().run_exchanges(exchanges_rx, tasks.stop_signal()));
         driver.publish();
-        (driver, deltas_rx)
+        (driver, deltas_rx, credits_rx)
     }
 
     /// Feeds one input to the state machine and executes the resulting actions.
@@ -104,6 +109,13 @@
         }
     }
 
+    /// Queues a received datagram about credit for the call path.
+    pub(super) fn queue_credit(&self, message: CreditMessage) {
+        if self.credits.try_send(message).is_err() {
+            self.metrics.count_dropped();
+        }
+    }
+
     /// Answers an exchange that another node started.
     pub(super) fn answer(&self, request: &ExchangeRequest) -> ExchangeReply {
         let (reply, actions) = self.machine.borrow_mut().answer_exchange(self.now(), request);
--- a/crates/sycamore-node/src/peers/mod.rs
+++ b/crates/sycamore-node/src/peers/mod.rs
@@ -21,7 +21,8 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use sycamore_member::message::Body;
+use sycamore_call::credit::Loan;
+use sycamore_member::message::{Body, ProofAge};
 use sycamore_peer::{Call, Counters, Datagrams, Evidence, FetchRequest, Fetched, PeersOptions};
 use sycamore_types::prelude::*;
 
@@ -66,8 +67,13 @@
 /// Content of a [`DeltaMessage`].
 #[derive(Debug)]
 pub enum DeltaBody {
-    /// Request for the difference from the configuration with this manifest hash.
-    Request(ContentHash),
+    /// Request for the difference from a configuration.
+    Request {
+        /// Manifest hash of the configuration.
+        base: ContentHash,
+        /// Time of the sender's clock, which the answer repeats; 0 if it needs no proof.
+        asked_at: u64,
+    },
     /// Encoded difference.
     Delta(Vec<u8>),
     /// Answer without a difference.
@@ -81,15 +87,45 @@
         /// Highest version above the one in force that the sender read and rejected; `None` if there
         /// is none.
         rejected: Option<ConfigVersion>,
+        /// Proof of how recent the sender's configuration is; `None` if it has none, or wasn't asked.
+        proof: Option<ProofAge>,
     },
 }
 
+/// Datagram from a peer about the rate of a client account.
+#[derive(Debug)]
+pub struct CreditMessage {
+    /// Instance that sent the datagram.
+    pub from: InstanceId,
+    /// Address that the datagram came from.
+    pub source: SocketAddr,
+    /// Account that it is about.
+    pub account: AccountName,
+    /// Number of the request.
+    pub number: u64,
+    /// Request or answer.
+    pub body: CreditBody,
+}
+
+/// Content of a [`CreditMessage`].
+#[derive(Debug, Clone, Copy)]
+pub enum CreditBody {
+    /// Request for this number of calls.
+    Request(u32),
+    /// Calls lent.
+    Loan(Loan),
+}
+
+/// Receiver of peers' datagrams about the rates of client accounts.
+pub type Credits = tokio::sync::mpsc::Receiver<CreditMessage>;
+
 /// Handle to the running membership subsystem.
 pub struct Peers {
     calls: sycamore_peer::Peers,
     driver: Rc<Driver>,
     fetch: RefCell<Option<FetchCalls>>,
     deltas: RefCell<Option<Deltas>>,
+    credits: RefCell<Option<Credits>>,
     evidence: RefCell<Option<EvidenceCalls>>,
 }
 
@@ -113,15 +149,30 @@
     /// Sends `body` to the peer at `to` in a datagram, which may be lost.
     pub fn send_delta(&self, to: SocketAddr, body: DeltaBody) {
         let body = match body {
-            DeltaBody::Request(base) => Body::DeltaRequest { base },
+            DeltaBody::Request { base, asked_at } => Body::DeltaRequest { base, asked_at },
             DeltaBody::Delta(encoded) => Body::Delta { encoded },
-            DeltaBody::Current { head, revision, age, rejected } => {
-                Body::Current { head, revision, age, rejected }
+            DeltaBody::Current { head, revision, age, rejected, proof } => {
+                Body::Current { head, revision, age, rejected, proof }
             }
         };
         self.driver.send(to, body);
     }
 
+    /// Sends `body` about request `number` for calls of `account` to the peer at `to` in a datagram,
+    /// which may be lost.
+    pub fn send_credit(&self, to: SocketAddr, account: AccountName, number: u64, body: CreditBody) {
+        let body = match body {
+            CreditBody::Request(calls) => Body::CreditRequest { number, account, calls },
+            CreditBody::Loan(Loan { calls, wait }) => Body::Credit { number, account, calls, wait },
+        };
+        self.driver.send(to, body);
+    }
+
+    /// Takes the receiver of datagrams about credit; `None` from the second call on.
+    pub fn take_credits(&self) -> Option<Credits> {
+        self.credits.borrow_mut().take()
+    }
+
     /// Takes the receiver of datagrams about deltas; `None` from the second call on.
     pub fn take_deltas(&self) -> Option<Deltas> {
         self.deltas.borrow_mut().take()
@@ -154,7 +205,7 @@
         counters.clone(),
     );
     let metrics = Metrics::register(&hub.registry).change_context(PeersError::Metrics)?;
-    let (driver, deltas) =
+    let (driver, deltas, credits) =
         Driver::start(hub, tasks, platform, calls.clone(), Rc::new(datagrams), metrics);
     listener::answer_heads(hub, tasks, inbox.head);
     tasks::start(&driver, tasks, inbox.exchange);
@@ -165,6 +216,7 @@
         driver,
         fetch: RefCell::new(Some(inbox.fetch)),
         deltas: RefCell::new(Some(deltas)),
+        credits: RefCell::new(Some(credits)),
         evidence: RefCell::new(Some(inbox.evidence)),
     }))
 }
--- a/crates/sycamore-node/src/peers/tasks.rs
+++ b/crates/sycamore-node/src/peers/tasks.rs
@@ -1,13 +1,14 @@
 //! Tasks that feed the membership state machine.
 
 use super::driver::Driver;
-use super::{DeltaBody, DeltaMessage};
+use super::{CreditBody, CreditMessage, DeltaBody, DeltaMessage};
 use crate::tasks::TaskGroup;
 use futures::StreamExt;
 use slog::warn;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use sycamore_call::credit::Loan;
 use sycamore_member::message::{Body, ExchangeReply, ExchangeRequest, Packet};
 use sycamore_member::Input;
 use sycamore_peer::{Call, Received};
@@ -63,10 +64,18 @@
 fn handle_packet(driver: &Driver, source: SocketAddr, packet: Packet) {
     let Packet { from, body, .. } = packet;
     let body = match body {
-        Body::DeltaRequest { base } => DeltaBody::Request(base),
+        Body::CreditRequest { number, account, calls } => {
+            let body = CreditBody::Request(calls);
+            return driver.queue_credit(CreditMessage { from, source, account, number, body });
+        }
+        Body::Credit { number, account, calls, wait } => {
+            let body = CreditBody::Loan(Loan { calls, wait });
+            return driver.queue_credit(CreditMessage { from, source, account, number, body });
+        }
+        Body::DeltaRequest { base, asked_at } => DeltaBody::Request { base, asked_at },
         Body::Delta { encoded } => DeltaBody::Delta(encoded),
-        Body::Current { head, revision, age, rejected } => {
-            DeltaBody::Current { head, revision, age, rejected }
+        Body::Current { head, revision, age, rejected, proof } => {
+            DeltaBody::Current { head, revision, age, rejected, proof }
         }
         body => {
             let packet = Packet { from, body, items: packet.items };
--- a/crates/sycamore-node/src/run.rs
+++ b/crates/sycamore-node/src/run.rs
@@ -140,6 +140,7 @@
     let calls = calls::start(hub, calls, edges)
         .await
         .change_context(RunError::Subsystem("callers' listener"))?;
+    calls.exchange_credit(tasks, &peers);
     Ok(Node { hub: hub.clone(), platform, peers, config, moves, calls })
 }
 
--- a/crates/sycamore-node/tests/calls/accounts.rs
+++ b/crates/sycamore-node/tests/calls/accounts.rs
@@ -2,6 +2,7 @@
 
 use super::world::{field, get, post, run, settle, Cluster, Options};
 use http::{header, StatusCode};
+use std::time::Duration;
 use sycamore_types::headers;
 use sycamore_types::prelude::*;
 
@@ -98,3 +99,69 @@
         cluster.stop().await;
     });
 }
+
+/// Guards against calls with a key on a node that can't prove how recent its configuration is: it may
+/// have been taken away. Without a proof, and with one that has become too old, they are refused as not
+/// run, while calls without a key go on.
+#[test]
+fn a_node_without_a_recent_proof_refuses_calls_with_keys() {
+    const BOUND: Duration = Duration::from_millis(400);
+    run(async {
+        let cluster = Cluster::start(&Options { withdraw_within: Some(BOUND), ..options() }).await;
+        cluster.publish_members(|member| member.instance.as_str() == "counter-1");
+        settle().await;
+        let call = || async {
+            let req = get("/counter/echo").header(header::AUTHORIZATION, "Bearer key-of-roofer");
+            cluster.call(req, "").await
+        };
+        let resp = call().await;
+        assert_eq!(resp.status(), StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(field(&resp, headers::OUTCOME), "not-run");
+        assert_eq!(field(&resp, headers::REASON), "unproven");
+        assert_eq!(cluster.call(get("/counter/echo"), "").await.status(), StatusCode::OK);
+
+        let hub = &cluster.nodes[0].hub;
+        hub.record_proof(ConfigVersion(2), hub.clock.boot());
+        assert_eq!(call().await.status(), StatusCode::SERVICE_UNAVAILABLE, "of a newer version");
+        hub.record_proof(ConfigVersion(1), hub.clock.boot());
+        assert_eq!(call().await.status(), StatusCode::OK);
+        monoio::time::sleep(BOUND).await;
+        assert_eq!(call().await.status(), StatusCode::SERVICE_UNAVAILABLE);
+        cluster.stop().await;
+    });
+}
+
+/// Guards against an account that calls beyond its rate, and against a refusal that doesn't tell when
+/// there is credit. Calls that no upstream could run give their credit back.
+#[test]
+fn calls_beyond_the_rate_are_refused_with_429_and_calls_not_run_cost_nothing() {
+    run(async {
+        let rate = Some(RateLimit::new(1.0).unwrap());
+        let limited = ClientAccount { rate, burst: 3, ..account("roofer", "key-of-roofer") };
+        let options = Options { nodes: 1, accounts: vec![limited], ..Options::default() };
+        let cluster = Cluster::start(&options).await;
+        let call = || async {
+            let req = get("/counter/echo").header(header::AUTHORIZATION, "Bearer key-of-roofer");
+            cluster.call(req, "").await
+        };
+        // The bucket begins empty, and holds a call after a second.
+        monoio::time::sleep(Duration::from_millis(1_100)).await;
+        cluster.publish_members(|member| member.instance.as_str() == "counter-9");
+        settle().await;
+        let resp = call().await;
+        assert_eq!(field(&resp, headers::REASON), "no-credit", "without a home");
+        cluster.publish_members(|_| true);
+        settle().await;
+        // A call that finds no home finds out whether there is one again.
+        while call().await.status() != StatusCode::OK {
+            monoio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let resp = call().await;
+        assert_eq!(resp.status(), StatusCode::TOO_MANY_REQUESTS);
+        assert_eq!(field(&resp, headers::OUTCOME), "not-run");
+        assert_eq!(field(&resp, headers::REASON), "account-rate");
+        assert!(!field(&resp, "retry-after").is_empty(), "{resp:?}");
+        assert_eq!(cluster.runs("echo"), 1);
+        cluster.stop().await;
+    });
+}
--- a/crates/sycamore-node/tests/calls/world.rs
+++ b/crates/sycamore-node/tests/calls/world.rs
@@ -13,7 +13,7 @@
 use sycamore_node::edge::Edges;
 use sycamore_node::hub::{AnnouncedUpstream, Hub};
 use sycamore_node::tasks::TaskGroup;
-use sycamore_settings::{calls::Calls as CallSettings, node, Settings};
+use sycamore_settings::{accounts::Accounts, calls::Calls as CallSettings, node, Settings};
 use sycamore_testing::unused_addr;
 use sycamore_types::prelude::*;
 
@@ -43,6 +43,8 @@
     pub is_configured: bool,
     /// Client accounts of the configuration.
     pub accounts: Vec<ClientAccount>,
+    /// Time within which a withdrawn key ends, if the settings state one.
+    pub withdraw_within: Option<Duration>,
 }
 
 impl Default for Options {
@@ -55,6 +57,7 @@
             calls: CallSettings { key_memory: Duration::ZERO, ..CallSettings::default() },
             is_configured: true,
             accounts: Vec::new(),
+            withdraw_within: None,
         }
     }
 }
@@ -191,6 +194,7 @@
         node: node::Node { instance: instance.clone(), ..node::Node::default() },
         listen: listen.clone(),
         calls: options.calls.clone(),
+        accounts: Accounts { withdraw_within: options.withdraw_within },
         log: sycamore_settings::operator::Log {
             level: sycamore_settings::operator::LogLevel::Error,
             ..Default::default()
--- a/crates/sycamore-peer/src/codec/packet.rs
+++ b/crates/sycamore-peer/src/codec/packet.rs
@@ -11,7 +11,7 @@
 use error_stack::{Report, ResultExt};
 use prost::Message;
 use std::time::Duration;
-use sycamore_member::message::{Body, Packet};
+use sycamore_member::message::{Body, Packet, ProofAge};
 use sycamore_types::prelude::*;
 
 /// Returns the number that identifies a deployment in datagrams: the first 8 bytes of the content
@@ -78,22 +78,40 @@
         }
         Body::Nack { seq } => WireBody::Nack(proto::Nack { seq: *seq }),
         Body::Push => WireBody::Push(proto::Push {}),
-        Body::DeltaRequest { base } => {
+        Body::DeltaRequest { base, asked_at } => {
             let base = Bytes::copy_from_slice(&base.0);
-            WireBody::DeltaRequest(proto::DeltaRequest { base })
+            WireBody::DeltaRequest(proto::DeltaRequest { base, asked_at: *asked_at })
         }
         Body::Delta { encoded } => {
             WireBody::Delta(proto::Delta { encoded: Bytes::copy_from_slice(encoded) })
         }
-        Body::Current { head, revision, age, rejected } => WireBody::Current(proto::Current {
-            head: head.as_ref().map(head_to_wire),
-            revision: *revision,
-            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-            rejected: rejected.unwrap_or_default().0,
+        Body::Current { head, revision, age, rejected, proof } => {
+            WireBody::Current(proto::Current {
+                head: head.as_ref().map(head_to_wire),
+                revision: *revision,
+                age_ms: to_millis(*age),
+                rejected: rejected.unwrap_or_default().0,
+                asked_at: proof.map_or(0, |proof| proof.asked_at),
+                proof_age_ms: proof.map_or(0, |proof| to_millis(proof.age)),
+            })
+        }
+        Body::CreditRequest { number, account, calls } => {
+            let (number, account, calls) = (*number, account.to_string(), *calls);
+            WireBody::CreditRequest(proto::CreditRequest { number, account, calls })
+        }
+        Body::Credit { number, account, calls, wait } => WireBody::Credit(proto::Credit {
+            number: *number,
+            account: account.to_string(),
+            calls: *calls,
+            wait_ms: to_millis(*wait),
         }),
     }
 }
 
+fn to_millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn body_from_wire(wire: Option<WireBody>) -> Result<Body> {
     Ok(match wire.ok_or_else(|| malformed("packet without a body"))? {
         WireBody::Ping(probe) => Body::Ping { seq: probe.seq, digest: probe.digest.into() },
@@ -105,14 +123,30 @@
         WireBody::Push(_) => Body::Push,
         WireBody::DeltaRequest(req) => {
             let base = req.base.as_ref().try_into().map(ContentHash);
-            Body::DeltaRequest { base: base.map_err(|_| malformed("manifest hash of a request"))? }
+            let base = base.map_err(|_| malformed("manifest hash of a request"))?;
+            Body::DeltaRequest { base, asked_at: req.asked_at }
         }
         WireBody::Delta(delta) => Body::Delta { encoded: delta.encoded.to_vec() },
         WireBody::Current(current) => {
             let head = current.head.as_ref().map(head_from_wire).transpose()?;
             let age = Duration::from_millis(current.age_ms);
             let rejected = Some(ConfigVersion(current.rejected)).filter(|version| version.0 > 0);
-            Body::Current { head, revision: current.revision, age, rejected }
+            // The age was rounded down.
+            let proof_age = Duration::from_millis(current.proof_age_ms.saturating_add(1));
+            let proof = ProofAge { asked_at: current.asked_at, age: proof_age };
+            let proof = Some(proof).filter(|proof| proof.asked_at > 0);
+            Body::Current { head, revision: current.revision, age, rejected, proof }
         }
+        WireBody::CreditRequest(req) => Body::CreditRequest {
+            number: req.number,
+            account: parse_id(&req.account, "account")?,
+            calls: req.calls,
+        },
+        WireBody::Credit(credit) => Body::Credit {
+            number: credit.number,
+            account: parse_id(&credit.account, "account")?,
+            calls: credit.calls,
+            wait: Duration::from_millis(credit.wait_ms),
+        },
     })
 }
--- a/crates/sycamore-peer/src/proto/sycamore.peer.v1.rs
+++ b/crates/sycamore-peer/src/proto/sycamore.peer.v1.rs
@@ -14,7 +14,7 @@
     /// The sender's hybrid logical clock.
     #[prost(message, optional, tag = "9")]
     pub at: ::core::option::Option<Stamp>,
-    #[prost(oneof = "packet::Body", tags = "3, 4, 5, 6, 7, 10, 11, 12")]
+    #[prost(oneof = "packet::Body", tags = "3, 4, 5, 6, 7, 10, 11, 12, 13, 14")]
     pub body: ::core::option::Option<packet::Body>,
 }
 /// Nested message and enum types in `Packet`.
@@ -45,6 +45,12 @@
         /// Answers a DeltaRequest where there is no delta that fits.
         #[prost(message, tag = "12")]
         Current(super::Current),
+        /// Asks the home of a client account for calls of its rate.
+        #[prost(message, tag = "13")]
+        CreditRequest(super::CreditRequest),
+        /// Answers a CreditRequest.
+        #[prost(message, tag = "14")]
+        Credit(super::Credit),
     }
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -75,6 +81,9 @@
     /// Manifest hash of the caller's configuration in force, 32 bytes; zero where it has none.
     #[prost(bytes = "bytes", tag = "1")]
     pub base: ::prost::bytes::Bytes,
+    /// The caller's clock, which the answer repeats; 0 where it needs no proof.
+    #[prost(fixed64, tag = "2")]
+    pub asked_at: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Delta {
@@ -97,6 +106,33 @@
     /// 0 where there is none.
     #[prost(uint64, tag = "4")]
     pub rejected: u64,
+    /// Clock of the caller in its request; 0 where the callee has no proof that its version is the newest.
+    #[prost(fixed64, tag = "5")]
+    pub asked_at: u64,
+    /// Age of that proof.
+    #[prost(uint64, tag = "6")]
+    pub proof_age_ms: u64,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CreditRequest {
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    #[prost(string, tag = "2")]
+    pub account: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "3")]
+    pub calls: u32,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Credit {
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    #[prost(string, tag = "2")]
+    pub account: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "3")]
+    pub calls: u32,
+    /// Time until there is credit for a further call.
+    #[prost(uint64, tag = "4")]
+    pub wait_ms: u64,
 }
 /// A member or a fact.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/sycamore-peer/tests/codec.rs
+++ b/crates/sycamore-peer/tests/codec.rs
@@ -130,18 +130,33 @@
 impl Arbitrary for ArbitraryPacket {
     fn arbitrary(g: &mut Gen) -> Self {
         let (seq, digest) = (u32::arbitrary(g), Digest::from(u64::arbitrary(g)));
-        let body = match u8::arbitrary(g) % 8 {
+        let body = match u8::arbitrary(g) % 10 {
             0 => Body::Ping { seq, digest },
             1 => Body::Ack { seq, digest },
             2 => Body::PingRequest { seq, target: arbitrary_id(g) },
             3 => Body::Nack { seq },
-            4 => Body::DeltaRequest { base: ContentHash::of(&[u8::arbitrary(g)]) },
+            4 => Body::DeltaRequest {
+                base: ContentHash::of(&[u8::arbitrary(g)]),
+                asked_at: u64::arbitrary(g),
+            },
             5 => Body::Delta { encoded: Arbitrary::arbitrary(g) },
             6 => Body::Current {
                 head: bool::arbitrary(g).then(|| arbitrary_head(g)),
                 revision: u64::arbitrary(g),
                 age: Duration::from_millis(u64::arbitrary(g)),
                 rejected: bool::arbitrary(g).then(|| ConfigVersion(u64::arbitrary(g).max(1))),
+                proof: None,
+            },
+            7 => Body::CreditRequest {
+                number: u64::arbitrary(g),
+                account: arbitrary_id(g),
+                calls: u32::arbitrary(g),
+            },
+            8 => Body::Credit {
+                number: u64::arbitrary(g),
+                account: arbitrary_id(g),
+                calls: u32::arbitrary(g),
+                wait: Duration::from_millis(u64::arbitrary(g)),
             },
             _ => Body::Push,
         };
--- a/crates/sycamore-settings/src/lib.rs
+++ b/crates/sycamore-settings/src/lib.rs
@@ -1,5 +1,6 @@
 //! Settings of a node, read from an INI file and checked, with all faults reported at once.
 
+pub mod accounts;
 pub mod calls;
 pub mod check;
 pub mod config;
@@ -31,6 +32,8 @@
     pub log: operator::Log,
     /// Section `[calls]`: routing, admission and retries of calls.
     pub calls: calls::Calls,
+    /// Section `[accounts]`: client accounts.
+    pub accounts: accounts::Accounts,
     /// Section `[peers]`: timing of the failure detector.
     pub peers: peers::Peers,
     /// Section `[config]`: finding and fetching configurations.
--- a/crates/sycamore-settings/src/load.rs
+++ b/crates/sycamore-settings/src/load.rs
@@ -86,6 +86,7 @@
         operator: reader.section("operator"),
         log: reader.section("log"),
         calls: reader.section("calls"),
+        accounts: reader.section("accounts"),
         peers: reader.section("peers"),
         config: reader.section("config"),
         moves: reader.section("moves"),
