fix(accounts): the home of an account is chosen among all members that live

Change: every member that isn't dead may be a home. Ruled out: lost datagrams, the clock (requests and loans were seen on time).

--- a/crates/sycamore-node/src/calls/credit.rs
+++ b/crates/sycamore-node/src/calls/credit.rs
@@ -45,10 +45,9 @@
 pub(super) fn update_homes(state: &State) {
     let snapshot = state.hub.snapshot.borrow().clone();
     let view = state.hub.members.borrow().clone();
-    let lives = |member: &&Member| {
-        matches!(member.state, MemberState::Serving | MemberState::Suspect | MemberState::Draining)
-    };
-    let members: Vec<&Member> = view.members.values().filter(lives).collect();
+    // Views agree on who is a member sooner than on states, and a home need not serve calls itself.
+    let members: Vec<&Member> =
+        view.members.values().filter(|member| member.state != MemberState::Dead).collect();
     let with_rate = snapshot.accounts.iter().filter(|account| account.rate.is_some());
     let found = homes(with_rate.map(|account| &account.name), &members);
     let own = &state.hub.settings.node.instance;
