--- a/crates/sycamore-call/src/admit/mod.rs
+++ b/crates/sycamore-call/src/admit/mod.rs
@@ -35,9 +35,6 @@
 /// Maximum wait of a call that can't meet its objective. While the queue wait is longer, such a
 /// call would take a slot from one that can still meet its objective.
 const MAX_LATE_WAIT: Duration = Duration::from_millis(25);
-/// Maximum wait of a call for an upstream that warms up. Other upstreams are faster, and the calls of
-/// a cold one would pile up until it is warm.
-const MAX_COLD_WAIT: Duration = Duration::from_millis(25);
 /// Maximum delay that a refused caller is told to wait before it retries.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
 
@@ -292,9 +289,6 @@
             (None, None) => return true,
         };
         let wait = self.expected_wait(now, self.queue.ahead_of(arrival));
-        if wait > MAX_COLD_WAIT && self.rate_limits.is_cold(now) {
-            return false;
-        }
         wait.mul_f64(WAIT_SAFETY_FACTOR) <= self.config.queue_time
             && is_wait_acceptable(now, arrival, wait.mul_f64(OBJECTIVE_WAIT_FACTOR), service)
     }
--- a/crates/sycamore-call/src/admit/rate_limits.rs
+++ b/crates/sycamore-call/src/admit/rate_limits.rs
@@ -26,11 +26,6 @@
         self.warm_up.map(|(_, until)| until)
     }
 
-    /// Returns whether the upstream warms up at `now`.
-    pub(super) fn is_cold(&self, now: Time) -> bool {
-        self.warm_up_end().is_some_and(|end| now < end)
-    }
-
     /// Returns the limit in force at `now`.
     pub(super) fn in_force(&self, now: Time) -> Option<RateLimit> {
         let cold = self.warm_up.filter(|(_, until)| now < *until).map(|(rate, _)| rate);
