feat(hedge): a second try for the slowest calls that may be repeated, within the operator's limit

Cause: a slow or frozen instance keeps the calls under way to it until their deadlines. Change: sycamore_call::hedge decides (times by route, limit by service, no network), calls::hedge runs both attempts and drops the loser; [hedge] extra, services, quantile, floor; off by default.

--- a/crates/sycamore-call/src/lib.rs
+++ b/crates/sycamore-call/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod announce;
 pub mod credit;
 pub mod gate;
+pub mod hedge;
 pub mod key;
 pub mod load;
 pub mod quarantine;
--- a/crates/sycamore-call/src/retry/mod.rs
+++ b/crates/sycamore-call/src/retry/mod.rs
@@ -188,6 +188,15 @@
         }
     }
 
+    /// Charges the budget for a second attempt that runs beside the first; returns whether it allows one.
+    pub fn spend_hedge(&mut self) -> bool {
+        let is_allowed = self.saved >= 1.0;
+        if is_allowed {
+            self.saved -= 1.0;
+        }
+        is_allowed
+    }
+
     fn is_free_reroute(&self, call: &CallState, failure: AttemptFailure) -> bool {
         let max = match failure {
             AttemptFailure::NotRun(RefusalReason::Overloaded) => self.config.free_reroutes,
--- a/crates/sycamore-call/src/route/mod.rs
+++ b/crates/sycamore-call/src/route/mod.rs
@@ -6,8 +6,10 @@
 mod unproven;
 mod version;
 
+pub use unproven::is_unproven;
 pub use version::VersionBans;
 
+use crate::hedge::MAX_UTILISATION;
 use crate::load::Load;
 use crate::report::{LimitReport, ProcessReport};
 use peer::Peer;
@@ -169,7 +171,7 @@
         let (version, share) = version::choose_version(&mut self.rng, pick, &candidates)?;
         let (of_version, others): (Vec<&Member>, Vec<&Member>) =
             candidates.into_iter().partition(|member| member.version == version);
-        let concentrated = match unproven::is_unproven(pick, &version) {
+        let concentrated = match is_unproven(pick.shares, pick.service, &version) {
             true => self.pick_concentrated(now, &of_version, &others),
             false => None,
         };
@@ -206,6 +208,13 @@
         self.reports.get(instance)
     }
 
+    /// Records that `instance` was silent while another one answered; the attempt itself ends apart.
+    pub fn record_silence(&mut self, now: Time, instance: &InstanceId) {
+        if let Some(peer) = self.peers.get_mut(instance) {
+            peer.record_failure(now, &self.config);
+        }
+    }
+
     /// Records the outcome of an attempt at `instance`.
     pub fn record_end(&mut self, now: Time, instance: &InstanceId, end: AttemptEnd) {
         if let Some(peer) = self.peers.get_mut(instance) {
@@ -236,6 +245,38 @@
         })
     }
 
+    /// Returns the utilisation of `instance` as far as it is known.
+    pub fn utilisation_of(&self, now: Time, instance: &InstanceId) -> f64 {
+        self.utilisation(now, instance)
+    }
+
+    /// Returns the mean utilisation of the instances of `service`; 1.0 where it has none.
+    pub fn mean_utilisation_of(&self, now: Time, service: &ServiceName, view: &MemberView) -> f64 {
+        let (mut sum, mut count) = (0.0, 0);
+        for member in view.serving(service) {
+            sum += self.utilisation(now, &member.instance);
+            count += 1;
+        }
+        if count == 0 {
+            1.0
+        } else {
+            sum / f64::from(count)
+        }
+    }
+
+    /// Returns whether `instance` may take a second attempt: it has room, and neither a rate limit nor a
+    /// slow start.
+    pub fn may_hedge_to(&self, now: Time, instance: &InstanceId) -> bool {
+        self.reports.limit(instance).is_none()
+            && self.weight(now, instance) >= 1.0
+            && self.utilisation(now, instance) < MAX_UTILISATION
+    }
+
+    /// Returns whether `instance` has reported its load since `at`.
+    pub fn has_answered_since(&self, at: Time, instance: &InstanceId) -> bool {
+        self.peers.get(instance).is_some_and(|peer| peer.has_answered_since(at))
+    }
+
     /// Returns the members whose rate limit, if they have one, is not known to be used up; all
     /// members where none has any rate left.
     fn with_rate_left<'a>(&self, now: Time, members: Vec<&'a Member>) -> Vec<&'a Member> {
--- a/crates/sycamore-call/src/route/peer.rs
+++ b/crates/sycamore-call/src/route/peer.rs
@@ -93,7 +93,7 @@
         }
     }
 
-    fn record_failure(&mut self, now: Time, config: &RouterConfig) {
+    pub(super) fn record_failure(&mut self, now: Time, config: &RouterConfig) {
         self.consecutive_failures += 1;
         if self.consecutive_failures < config.eject_failures || self.ejected_until(now).is_some() {
             return;
@@ -155,6 +155,11 @@
         spent.max(reported + f64::from(self.sent_since_report) / rate.per_second().max(1.0))
     }
 
+    /// Returns whether the instance has reported its load since `at`.
+    pub(super) fn has_answered_since(&self, at: Time) -> bool {
+        self.reported_at.is_some_and(|reported| at <= reported)
+    }
+
     fn is_reported_within(&self, now: Time, max_age: Duration) -> bool {
         self.reported_at.is_some_and(|at| now.since(at) < max_age)
     }
--- a/crates/sycamore-call/src/route/unproven.rs
+++ b/crates/sycamore-call/src/route/unproven.rs
@@ -4,7 +4,7 @@
 //! of its instances. So its instances are filled one after the other to the mean utilisation of the
 //! stable version's instances, and no further, since versions are compared at equal load.
 
-use super::{Pick, Router};
+use super::Router;
 use rand::Rng;
 use sycamore_types::prelude::*;
 
@@ -14,9 +14,9 @@
 /// Minimum utilisation to which an instance is filled, for when the stable version is nearly idle.
 const MIN_TARGET_UTILISATION: f64 = 0.1;
 
-/// Returns whether `version` is unproven: a move gives it less than the whole share.
-pub(super) fn is_unproven(pick: &Pick<'_>, version: &UpstreamVersion) -> bool {
-    let versions = pick.shares.services.get(pick.service);
+/// Returns whether `version` of `service` is unproven: a move gives it less than the whole share.
+pub fn is_unproven(shares: &ShareTable, service: &ServiceName, version: &UpstreamVersion) -> bool {
+    let versions = shares.services.get(service);
     versions
         .into_iter()
         .flatten()
--- a/crates/sycamore-call/tests/decisions/load/mod.rs
+++ b/crates/sycamore-call/tests/decisions/load/mod.rs
@@ -6,5 +6,6 @@
 mod limited_fleet;
 mod line;
 mod retry_storm_of_a_fleet;
+mod slow_instance;
 mod thundering_return;
 mod unproven_version_under_load;
--- a/crates/sycamore-call/tests/decisions/main.rs
+++ b/crates/sycamore-call/tests/decisions/main.rs
@@ -7,6 +7,7 @@
 mod credit;
 mod false_rate;
 mod gate;
+mod hedge;
 mod key;
 mod limit;
 mod load;
--- a/crates/sycamore-node/src/calls/forward.rs
+++ b/crates/sycamore-node/src/calls/forward.rs
@@ -7,6 +7,7 @@
 use super::failed::{
     attempt_end, failed_exchange, failure_from_answer, is_reroute, no_upstream, FailedAttempt,
 };
+use super::hedge;
 use super::journal;
 use super::listen::ListenerKind;
 use super::message::{strip_internal, Inbound, Message};
@@ -84,7 +85,7 @@
 }
 
 /// Result of one attempt.
-enum Attempt {
+pub(super) enum Attempt {
     Answered(Box<Reply>),
     Failed(FailedAttempt),
     CallerGone,
@@ -143,7 +144,12 @@
             Some(choice) => {
                 tried.push(choice.instance.clone());
                 state.metrics.count_attempt(attempt);
-                match try_once(state, out, inbound.as_deref_mut(), &choice, attempt).await {
+                let tried_once = match hedge::plan(state, out, inbound.is_some(), &choice, attempt)
+                {
+                    Some(delay) => hedge::run(state, out, &choice, delay, &mut tried).await,
+                    None => try_once(state, out, inbound.as_deref_mut(), &choice, attempt).await,
+                };
+                match tried_once {
                     Attempt::Answered(reply) => {
                         match retry_after_error(state, out, reply, attempt, &tried).await {
                             Some(reply) => return Forwarded::Answered(reply),
@@ -240,7 +246,7 @@
     }
 }
 
-fn choose_upstream(
+pub(super) fn choose_upstream(
     state: &State,
     out: &Call<'_>,
     tried: &[InstanceId],
@@ -284,7 +290,7 @@
     }
 }
 
-async fn try_once(
+pub(super) async fn try_once(
     state: &Rc<State>,
     out: &mut Call<'_>,
     inbound: Option<&mut Inbound>,
@@ -299,6 +305,7 @@
         return Attempt::Failed(FailedAttempt { failure, answer });
     }
     let mut guard = AttemptGuard { state, instance: &choice.instance, ended: false };
+    let began = now;
     let Ok(mut stream) = state.relays.connect(choice.relay).await else {
         guard.end(AttemptEnd::NoUpstream);
         return Attempt::Failed(no_upstream());
@@ -331,6 +338,7 @@
             learn_report(state, &choice.instance, &answered.head.headers, failed.is_none());
             match failed {
                 None => {
+                    hedge::record_time(state, out.meta, began);
                     guard.ended = true;
                     let (instance, address) = (choice.instance.clone(), choice.relay);
                     Attempt::Answered(Box::new(Reply { stream, answered, instance, address, load }))
--- a/crates/sycamore-node/src/calls/message.rs
+++ b/crates/sycamore-node/src/calls/message.rs
@@ -67,6 +67,18 @@
 }
 
 impl Message {
+    /// Returns a copy of a request without a body.
+    pub(super) fn copy_without_body(&self) -> Self {
+        Self {
+            head: self.head.clone(),
+            framing: Framing::Empty,
+            awaits_continue: false,
+            prefix: BytesMut::new(),
+            prefix_taken: false,
+            decoder: BodyDecoder::new(Framing::Empty),
+        }
+    }
+
     /// Removes the header fields that only nodes may set.
     pub(super) fn strip_internal(&mut self) {
         strip_internal(&mut self.head.headers);
--- a/crates/sycamore-node/src/calls/metrics.rs
+++ b/crates/sycamore-node/src/calls/metrics.rs
@@ -41,6 +41,7 @@
     rate_limit: Gauge,
     malformed_reports: IntCounter,
     cold_suspicions: IntCounter,
+    hedges: IntCounterVec,
     accounts: IntCounterVec,
     data_centres_out_of_use: IntGauge,
     suppressed_lines: IntCounter,
@@ -138,6 +139,11 @@
         self.data_centres_out_of_use.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Counts a second attempt by its result: `won`, `lost` or `failed`.
+    pub(super) fn count_hedge(&self, result: &str) {
+        self.hedges.with_label_values(&[result]).inc();
+    }
+
     /// Counts a call of a client account with a rate, by whether it had credit.
     pub(super) fn count_account(&self, account: &AccountName, outcome: &str) {
         self.accounts.with_label_values(&[&self.label(account.as_str()), outcome]).inc();
@@ -261,6 +267,11 @@
             "upstream_cold_suspicions_total",
             "Times at which the local upstream was paced since it might be cold",
         )?,
+        hedges: meter.counters(
+            "call_hedges_total",
+            "Second attempts for slow calls: won, lost or failed",
+            &["result"],
+        )?,
         accounts: meter.counters(
             "account_calls_total",
             "Calls of client accounts with a rate: with credit, over the rate, home unreachable",
--- a/crates/sycamore-node/src/calls/mod.rs
+++ b/crates/sycamore-node/src/calls/mod.rs
@@ -14,6 +14,7 @@
 mod exchange;
 mod failed;
 mod forward;
+mod hedge;
 mod introduce;
 mod journal;
 mod keyed;
--- a/crates/sycamore-node/src/calls/state.rs
+++ b/crates/sycamore-node/src/calls/state.rs
@@ -21,6 +21,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use sycamore_call::announce::AnnouncementLog;
+use sycamore_call::hedge::{Hedge, HedgeConfig};
 use sycamore_call::key::{OwnershipConfig, SuspensionTracker};
 use sycamore_call::route::VersionBans;
 use sycamore_call::{
@@ -99,6 +100,8 @@
     pub(super) metrics: Metrics,
     pub(super) call_log: CallLog,
     pub(super) retry_budgets: RefCell<RetryBudgets>,
+    /// Second attempts for the slowest calls.
+    pub(super) hedge: RefCell<Hedge>,
     /// Longest timeout that callers of each route have sent.
     longest_timeouts: RefCell<HashMap<RouteName, Duration>>,
     rng: RefCell<SmallRng>,
@@ -150,6 +153,7 @@
             metrics,
             call_log: CallLog::new(&hub.settings.log, now),
             retry_budgets: RefCell::default(),
+            hedge: RefCell::new(Hedge::new(hedge_config(&hub.settings.hedge))),
             longest_timeouts: RefCell::default(),
             rng: RefCell::new(rng),
             next_id: Cell::new(0),
@@ -213,6 +217,17 @@
     }
 }
 
+fn hedge_config(settings: &sycamore_settings::hedge::Hedge) -> HedgeConfig {
+    let fraction = |share: Share| f64::from(share.basis_points()) / 10_000.0;
+    let services = settings.services.iter();
+    HedgeConfig {
+        extra: fraction(settings.extra),
+        services: services.map(|(name, extra)| (name.clone(), fraction(*extra))).collect(),
+        quantile: fraction(settings.quantile),
+        floor: settings.floor,
+    }
+}
+
 fn limit_policy(policy: sycamore_settings::calls::LimitPolicy) -> LimitPolicy {
     use sycamore_settings::calls::LimitPolicy as Setting;
     match policy {
--- a/crates/sycamore-node/tests/calls/world.rs
+++ b/crates/sycamore-node/tests/calls/world.rs
@@ -13,7 +13,9 @@
 use sycamore_node::edge::Edges;
 use sycamore_node::hub::{AnnouncedUpstream, Hub};
 use sycamore_node::tasks::TaskGroup;
-use sycamore_settings::{accounts::Accounts, calls::Calls as CallSettings, node, Settings};
+use sycamore_settings::{
+    accounts::Accounts, calls::Calls as CallSettings, hedge::Hedge, node, Settings,
+};
 use sycamore_testing::unused_addr;
 use sycamore_types::prelude::*;
 
@@ -43,6 +45,8 @@
     pub is_configured: bool,
     /// Client accounts of the configuration.
     pub accounts: Vec<ClientAccount>,
+    /// Second attempts for slow calls.
+    pub hedge: Hedge,
     /// Time within which a withdrawn key ends, if the settings state one.
     pub withdraw_within: Option<Duration>,
 }
@@ -57,6 +61,7 @@
             calls: CallSettings { key_memory: Duration::ZERO, ..CallSettings::default() },
             is_configured: true,
             accounts: Vec::new(),
+            hedge: Hedge::default(),
             withdraw_within: None,
         }
     }
@@ -195,6 +200,7 @@
         listen: listen.clone(),
         calls: options.calls.clone(),
         accounts: Accounts { withdraw_within: options.withdraw_within },
+        hedge: options.hedge.clone(),
         log: sycamore_settings::operator::Log {
             level: sycamore_settings::operator::LogLevel::Error,
             ..Default::default()
--- a/crates/sycamore-settings/src/check.rs
+++ b/crates/sycamore-settings/src/check.rs
@@ -7,6 +7,12 @@
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use sycamore_types::share::Share;
+
+/// Smallest quantile of a route's times after which a second attempt may be sent.
+const MIN_HEDGE_QUANTILE: Share = Share::from_basis_points(5_000);
+/// Largest share of second attempts.
+const MAX_HEDGE_EXTRA: Share = Share::from_basis_points(5_000);
 
 /// Setting that is out of range or contradicts another setting.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -27,6 +33,7 @@
     check_timing_and_rates(settings, &mut found);
     check_body_memory(settings, &mut found);
     check_shutdown(settings, &mut found);
+    check_hedge(settings, &mut found);
     found
 }
 
@@ -111,6 +118,18 @@
     }
 }
 
+/// Checks that second attempts are for few calls, and that a service has as many calls as they take.
+fn check_hedge(settings: &Settings, found: &mut Vec<Contradiction>) {
+    if settings.hedge.quantile < MIN_HEDGE_QUANTILE {
+        let problem = "must be at least 50%: second attempts are for the slowest calls";
+        add(found, "hedge", "quantile", problem);
+    }
+    let shares = settings.hedge.services.values().chain([&settings.hedge.extra]);
+    if shares.copied().any(|share| share > MAX_HEDGE_EXTRA) {
+        add(found, "hedge", "extra", "must be at most 50%, for a service too");
+    }
+}
+
 /// Checks that the grace time suffices to end in order.
 fn check_shutdown(settings: &Settings, found: &mut Vec<Contradiction>) {
     if let Err(least) = Shutdown::plan(&settings.calls) {
--- a/crates/sycamore-settings/src/lib.rs
+++ b/crates/sycamore-settings/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod calls;
 pub mod check;
 pub mod config;
+pub mod hedge;
 pub mod load;
 pub mod moves;
 pub mod node;
@@ -34,6 +35,8 @@
     pub calls: calls::Calls,
     /// Section `[accounts]`: client accounts.
     pub accounts: accounts::Accounts,
+    /// Section `[hedge]`: second attempts for the slowest calls.
+    pub hedge: hedge::Hedge,
     /// Section `[peers]`: timing of the failure detector.
     pub peers: peers::Peers,
     /// Section `[config]`: finding and fetching configurations.
--- a/crates/sycamore-settings/src/load.rs
+++ b/crates/sycamore-settings/src/load.rs
@@ -87,6 +87,7 @@
         log: reader.section("log"),
         calls: reader.section("calls"),
         accounts: reader.section("accounts"),
+        hedge: reader.section("hedge"),
         peers: reader.section("peers"),
         config: reader.section("config"),
         moves: reader.section("moves"),
--- a/crates/sycamore-settings/src/unit.rs
+++ b/crates/sycamore-settings/src/unit.rs
@@ -3,7 +3,9 @@
 use serde::{de, Deserialize, Deserializer, Serializer};
 use serde_with::{DeserializeAs, SerializeAs};
 use std::borrow::Cow;
+use std::collections::BTreeMap;
 use std::time::Duration;
+use sycamore_types::id::ServiceName;
 use sycamore_types::share::Share;
 
 /// Adapter for a [`Duration`] written with its unit: `250ms`, `3s`, `2.5s`, `2m`, `1h`.
@@ -22,6 +24,9 @@
 /// Adapter for a [`Share`] of traffic written in percent: `5%`, `0.5%`.
 pub struct Percent;
 
+/// Adapter for [`Share`]s of services, written as `counter:2%, intake:0%`; empty for none.
+pub struct ServiceShares;
+
 /// Units of durations, in milliseconds.
 const DURATION_UNITS: [(&str, u64); 4] = [("ms", 1), ("s", 1_000), ("m", 60_000), ("h", 3_600_000)];
 /// Units of sizes, in bytes.
@@ -170,3 +175,35 @@
         serializer.collect_str(&format_args!("{}%", f64::from(source.basis_points()) / 100.0))
     }
 }
+
+impl<'de> DeserializeAs<'de, BTreeMap<ServiceName, Share>> for ServiceShares {
+    fn deserialize_as<D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<BTreeMap<ServiceName, Share>, D::Error> {
+        let text = deserialize_text(deserializer)?;
+        let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
+        let share = |part: &str| {
+            let (name, share) = part.rsplit_once(':').ok_or_else(|| {
+                de::Error::custom(format!(
+                    "{part:?} is not a service with its share; expected counter:2%"
+                ))
+            })?;
+            let name = ServiceName::new(name.trim()).map_err(de::Error::custom)?;
+            let share = Percent::deserialize_as(de::value::StrDeserializer::new(share.trim()))?;
+            Ok((name, share))
+        };
+        parts.map(share).collect()
+    }
+}
+
+impl SerializeAs<BTreeMap<ServiceName, Share>> for ServiceShares {
+    fn serialize_as<S: Serializer>(
+        source: &BTreeMap<ServiceName, Share>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        let part = |(name, share): (&ServiceName, &Share)| {
+            format!("{name}:{}%", f64::from(share.basis_points()) / 100.0)
+        };
+        serializer.serialize_str(&source.iter().map(part).collect::<Vec<_>>().join(", "))
+    }
+}
