fix(accounts): a node that isn't an account's home names the node that is

Change: it answers with the address of the home, whose rank is higher than its own; the borrower sends the request there.

--- a/crates/sycamore-call/src/credit/borrower.rs
+++ b/crates/sycamore-call/src/credit/borrower.rs
@@ -124,6 +124,14 @@
         Some((number, wanted))
     }
 
+    /// Returns the calls of request `number` if it is still open, and records that it is sent to another
+    /// node at `now`.
+    pub fn redirect(&mut self, now: Time, number: u64) -> Option<u32> {
+        let asked = self.asked.as_mut().filter(|asked| asked.number == number)?;
+        asked.last_at = now;
+        Some(asked.wanted)
+    }
+
     /// Applies the answer to request `number`; returns the waiting calls that may be sent on, and those
     /// that are refused.
     pub fn answer(
--- a/crates/sycamore-member/src/message.rs
+++ b/crates/sycamore-member/src/message.rs
@@ -215,6 +215,8 @@
         calls: u32,
         /// Time until there is credit for a further call.
         wait: Duration,
+        /// Address of the account's home, where the sender isn't it and has lent nothing.
+        home: Option<SocketAddr>,
     },
 }
 
--- a/crates/sycamore-node/src/calls/credit.rs
+++ b/crates/sycamore-node/src/calls/credit.rs
@@ -6,7 +6,6 @@
 use crate::peers::{CreditBody, CreditMessage, Credits, Peers};
 use crate::tasks::TaskGroup;
 use futures::future::{select, Either};
-use slog::debug;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -153,17 +152,37 @@
             }
         }
         Some((_, address)) => {
-            let peers = state.credit.peers.borrow().clone();
-            let body = CreditBody::Request(wanted);
-            peers.iter().for_each(|peers| {
-                peers.send_credit(address, account.name.clone(), number, body);
-            });
+            send(state, address, &account.name, number, CreditBody::Request(wanted));
             state.credit.asked.notify_one();
         }
         None => state.credit.asked.notify_one(),
     }
 }
 
+fn send(state: &State, to: SocketAddr, account: &AccountName, number: u64, body: CreditBody) {
+    let peers = state.credit.peers.borrow().clone();
+    peers.iter().for_each(|peers| peers.send_credit(to, account.clone(), number, body));
+}
+
+/// Returns the answer to a request for credit that another node is the home for.
+fn home_of(state: &State, account: &AccountName) -> Option<CreditBody> {
+    let homes = state.credit.homes.borrow();
+    let (home, address) = homes.get(account)?;
+    (*home != state.hub.settings.node.instance).then_some(CreditBody::Home(*address))
+}
+
+/// Sends request `number` to the `home` that another node names, until this node's view has it.
+fn redirect(state: &State, account: &AccountName, number: u64, home: SocketAddr) {
+    let is_other = {
+        let mut homes = state.credit.homes.borrow_mut();
+        homes.get_mut(account).is_some_and(|(_, known)| std::mem::replace(known, home) != home)
+    };
+    let wanted = with_borrower(state, account, |borrower, now| borrower.redirect(now, number));
+    if let Some(wanted) = wanted.filter(|_| is_other) {
+        send(state, home, account, number, CreditBody::Request(wanted));
+    }
+}
+
 fn lend(
     state: &State,
     account: &ClientAccount,
@@ -195,21 +214,16 @@
         let snapshot = state.hub.snapshot.borrow().clone();
         let Some(account) = snapshot.accounts.named(&account) else { continue };
         match body {
+            CreditBody::Home(home) => redirect(&state, &account.name, number, home),
             CreditBody::Loan(loan) => {
                 apply_loan(&state, &account.name, number, loan);
                 request(&state, account);
             }
             CreditBody::Request(wanted) => {
-                let Some(loan) = lend(&state, account, &from, number, wanted) else {
-                    debug!(state.hub.log, "credit requested at another node than the home";
-                        "account" => %account.name, "from" => %from);
-                    continue;
-                };
-                let peers = state.credit.peers.borrow().clone();
-                let body = CreditBody::Loan(loan);
-                peers.iter().for_each(|peers| {
-                    peers.send_credit(source, account.name.clone(), number, body);
-                });
+                let lent = lend(&state, account, &from, number, wanted).map(CreditBody::Loan);
+                // The borrower's view lacks the home, whose rank is higher than this node's.
+                let Some(body) = lent.or_else(|| home_of(&state, &account.name)) else { continue };
+                send(&state, source, &account.name, number, body);
             }
         }
     }
--- a/crates/sycamore-node/src/peers/mod.rs
+++ b/crates/sycamore-node/src/peers/mod.rs
@@ -114,6 +114,8 @@
     Request(u32),
     /// Calls lent.
     Loan(Loan),
+    /// Nothing lent: this address is that of the account's home.
+    Home(SocketAddr),
 }
 
 /// Receiver of peers' datagrams about the rates of client accounts.
@@ -163,7 +165,13 @@
     pub fn send_credit(&self, to: SocketAddr, account: AccountName, number: u64, body: CreditBody) {
         let body = match body {
             CreditBody::Request(calls) => Body::CreditRequest { number, account, calls },
-            CreditBody::Loan(Loan { calls, wait }) => Body::Credit { number, account, calls, wait },
+            CreditBody::Loan(Loan { calls, wait }) => {
+                Body::Credit { number, account, calls, wait, home: None }
+            }
+            CreditBody::Home(home) => {
+                let (calls, wait) = (0, Duration::ZERO);
+                Body::Credit { number, account, calls, wait, home: Some(home) }
+            }
         };
         self.driver.send(to, body);
     }
--- a/crates/sycamore-node/src/peers/tasks.rs
+++ b/crates/sycamore-node/src/peers/tasks.rs
@@ -68,8 +68,9 @@
             let body = CreditBody::Request(calls);
             return driver.queue_credit(CreditMessage { from, source, account, number, body });
         }
-        Body::Credit { number, account, calls, wait } => {
-            let body = CreditBody::Loan(Loan { calls, wait });
+        Body::Credit { number, account, calls, wait, home } => {
+            let loan = CreditBody::Loan(Loan { calls, wait });
+            let body = home.map_or(loan, CreditBody::Home);
             return driver.queue_credit(CreditMessage { from, source, account, number, body });
         }
         Body::DeltaRequest { base, asked_at } => DeltaBody::Request { base, asked_at },
--- a/crates/sycamore-peer/src/codec/item.rs
+++ b/crates/sycamore-peer/src/codec/item.rs
@@ -114,7 +114,7 @@
     }
 }
 
-fn address_to_wire(address: SocketAddr) -> proto::Address {
+pub(super) fn address_to_wire(address: SocketAddr) -> proto::Address {
     let ip = match address.ip() {
         IpAddr::V4(ip) => Bytes::copy_from_slice(&ip.octets()),
         IpAddr::V6(ip) => Bytes::copy_from_slice(&ip.octets()),
@@ -122,7 +122,7 @@
     proto::Address { ip, port: u32::from(address.port()) }
 }
 
-fn address_from_wire(wire: Option<&proto::Address>) -> Result<SocketAddr> {
+pub(super) fn address_from_wire(wire: Option<&proto::Address>) -> Result<SocketAddr> {
     let wire = wire.ok_or_else(|| malformed("member without an address"))?;
     let port = u16::try_from(wire.port).map_err(|_| malformed("port"))?;
     Ok(SocketAddr::new(ip_from_wire(&wire.ip)?, port))
--- a/crates/sycamore-peer/src/codec/packet.rs
+++ b/crates/sycamore-peer/src/codec/packet.rs
@@ -1,7 +1,7 @@
 //! Encodes and decodes the datagrams that carry membership packets.
 
 use super::fact::{head_from_wire, head_to_wire};
-use super::item::{item_to_wire, items_from_wire};
+use super::item::{address_from_wire, address_to_wire, item_to_wire, items_from_wire};
 use super::{malformed, parse_id};
 use crate::limits::{MAX_PACKET_BYTES, MAX_PACKET_ITEMS};
 use crate::proto;
@@ -99,11 +99,12 @@
             let (number, account, calls) = (*number, account.to_string(), *calls);
             WireBody::CreditRequest(proto::CreditRequest { number, account, calls })
         }
-        Body::Credit { number, account, calls, wait } => WireBody::Credit(proto::Credit {
+        Body::Credit { number, account, calls, wait, home } => WireBody::Credit(proto::Credit {
             number: *number,
             account: account.to_string(),
             calls: *calls,
             wait_ms: to_millis(*wait),
+            home: home.map(address_to_wire),
         }),
     }
 }
@@ -147,6 +148,7 @@
             account: parse_id(&credit.account, "account")?,
             calls: credit.calls,
             wait: Duration::from_millis(credit.wait_ms),
+            home: credit.home.as_ref().map(|home| address_from_wire(Some(home))).transpose()?,
         },
     })
 }
--- a/crates/sycamore-peer/src/proto/sycamore.peer.v1.rs
+++ b/crates/sycamore-peer/src/proto/sycamore.peer.v1.rs
@@ -133,6 +133,9 @@
     /// Time until there is credit for a further call.
     #[prost(uint64, tag = "4")]
     pub wait_ms: u64,
+    /// Address of the account's home; absent where the callee is it.
+    #[prost(message, optional, tag = "5")]
+    pub home: ::core::option::Option<Address>,
 }
 /// A member or a fact.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/sycamore-peer/tests/codec.rs
+++ b/crates/sycamore-peer/tests/codec.rs
@@ -157,6 +157,7 @@
                 account: arbitrary_id(g),
                 calls: u32::arbitrary(g),
                 wait: Duration::from_millis(u64::arbitrary(g)),
+                home: bool::arbitrary(g).then(|| "10.1.0.8:7620".parse().unwrap()),
             },
             _ => Body::Push,
         };
