--- a/crates/sycamore-node/src/operator/queries.rs
+++ b/crates/sycamore-node/src/operator/queries.rs
@@ -5,7 +5,7 @@
 use crate::timeline::read_archive;
 use serde::Serialize;
 use serde_json::{json, Value};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use sycamore_types::prelude::*;
 
 /// Arguments of a query, from the query string of its URL.
@@ -34,6 +34,10 @@
     phase: String,
     config: ConfigVersion,
     in_flight: usize,
+    /// Data centres that operators have taken out of use.
+    out_of_use: BTreeSet<DataCentre>,
+    /// Age of the proof that the configuration is the newest, in milliseconds; absent without one.
+    proof_age_ms: Option<u64>,
     members: Vec<&'a Member>,
 }
 
@@ -45,6 +49,8 @@
         phase: format!("{:?}", hub.phase()).to_lowercase(),
         config: hub.snapshot.borrow().version,
         in_flight: hub.in_flight(),
+        out_of_use: hub.facts.data_centres_out_of_use(),
+        proof_age_ms: hub.proof_age().map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
         members: view.members.values().collect(),
     };
     serde_json::to_value(nodes).unwrap_or_default()
