fix(accounts): an account's bucket holds its burst, but for what starts while a loan is on its way

Change: by 30 ms of the rate. Ruled out: no reduction (a loan on its way at the edge of a window would exceed it).

--- a/crates/sycamore-call/src/credit/lender.rs
+++ b/crates/sycamore-call/src/credit/lender.rs
@@ -8,6 +8,9 @@
 /// Time for which a loan is remembered, so that a repeated request isn't granted again.
 const REQUEST_MEMORY: Duration = Duration::from_secs(1);
 
+/// Time from a loan to the start of the calls that waited for it.
+const START_TIME: Duration = Duration::from_millis(30);
+
 /// Calls lent on one request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Loan {
@@ -74,10 +77,10 @@
 }
 
 impl Bucket {
-    /// Adds the calls of the time since the last update. A lent call may start up to [`LOAN_TIME`]
-    /// later, so the bucket holds as much less than the burst, and one call at least.
+    /// Adds the calls of the time since the last update. Lent calls start up to [`START_TIME`] later, so
+    /// the bucket holds as much less than the burst, and one call at least.
     fn refill(&mut self, now: Time, rate: f64, burst: u32) {
-        let capacity = (f64::from(burst) - rate * LOAN_TIME.as_secs_f64()).max(1.0);
+        let capacity = (f64::from(burst) - rate * START_TIME.as_secs_f64()).max(1.0);
         let elapsed = now.since(self.updated).as_secs_f64();
         self.tokens = (self.tokens + elapsed * rate).min(capacity);
         self.updated = self.updated.max(now);
