fix(accounts): calls without a key aren't refused for good before the upstream has announced itself; names

Cause: a node that starts beside a running upstream doesn't know its address before the next announcement, and answered the upstream's own calls, which carry no key, with 401, which is final; found by reading. Change: 503 (not ready) until then. Ruled out: taking such calls for the upstream's own.

--- a/crates/sycamore-call/src/credit/borrower.rs
+++ b/crates/sycamore-call/src/credit/borrower.rs
@@ -12,7 +12,7 @@
 /// Period over which the calls that were lent give the rate to spend without a home.
 const LENT_PERIOD: Duration = Duration::from_secs(2);
 /// Longest time for which a node spends without a home.
-const MAX_ALONE: Duration = Duration::from_secs(5);
+const MAX_TIME_WITHOUT_HOME: Duration = Duration::from_secs(5);
 /// Delay that a caller is told while no home can be reached.
 const UNREACHABLE_RETRY: Duration = Duration::from_millis(300);
 /// Maximum number of calls in one request.
@@ -60,7 +60,7 @@
     /// Calls lent in the last [`LENT_PERIOD`] before the home was lost.
     lent: VecDeque<(Time, u32)>,
     /// Time since which the node spends without a home, and the calls that it has spent.
-    alone: Option<(Time, u32)>,
+    without_home: Option<(Time, u32)>,
     /// Whether a call came while no home answered.
     must_probe: bool,
     next_number: u64,
@@ -79,9 +79,9 @@
         if self.take(now) {
             return Spent::Run;
         }
-        if self.alone.is_some() {
+        if self.without_home.is_some() {
             self.must_probe = true;
-            return self.spend_alone(now);
+            return self.spend_without_home(now);
         }
         if now < self.empty_until {
             return Spent::Refused(Refusal::RateUsed(self.empty_until.since(now)));
@@ -147,7 +147,7 @@
         let left = if now < self.expires { self.calls } else { 0 };
         self.calls = left + loan.calls;
         self.expires = asked.first_at + LOAN_TIME;
-        self.alone = None;
+        self.without_home = None;
         self.lent.push_back((now, loan.calls));
         let mut run = Vec::new();
         while !self.waiting.is_empty() && self.take(now) {
@@ -173,10 +173,10 @@
         self.asked = None;
         // Nothing was spent since the last loan, so the account's rate has room for that time.
         let since = self.lent.back().map_or(now, |(at, _)| *at);
-        self.alone.get_or_insert((since, 0));
+        self.without_home.get_or_insert((since, 0));
         let (mut run, mut refused) = (Vec::new(), Vec::new());
         for id in std::mem::take(&mut self.waiting) {
-            match self.spend_alone(now) {
+            match self.spend_without_home(now) {
                 Spent::Refused(refusal) => refused.push((id, refusal)),
                 Spent::Run | Spent::Wait => run.push(id),
             }
@@ -191,12 +191,12 @@
 
     /// Spends at the mean rate at which the home has lent, which all nodes together kept to the
     /// account's rate.
-    fn spend_alone(&mut self, now: Time) -> Spent {
-        let Some((since, spent)) = &mut self.alone else { return Spent::Wait };
+    fn spend_without_home(&mut self, now: Time) -> Spent {
+        let Some((since, spent)) = &mut self.without_home else { return Spent::Wait };
         let lent: u32 = self.lent.iter().map(|(_, calls)| *calls).sum();
         let elapsed = now.since(*since).as_secs_f64();
         let allowed = f64::from(lent) * elapsed / LENT_PERIOD.as_secs_f64();
-        if now.since(*since) < MAX_ALONE && f64::from(*spent) < allowed {
+        if now.since(*since) < MAX_TIME_WITHOUT_HOME && f64::from(*spent) < allowed {
             *spent += 1;
             return Spent::Run;
         }
@@ -212,7 +212,7 @@
     }
 
     fn forget(&mut self, now: Time) {
-        if self.alone.is_none() {
+        if self.without_home.is_none() {
             while self.lent.front().is_some_and(|(at, _)| now.since(*at) >= LENT_PERIOD) {
                 self.lent.pop_front();
             }
--- a/crates/sycamore-node/src/calls/accounts.rs
+++ b/crates/sycamore-node/src/calls/accounts.rs
@@ -35,6 +35,10 @@
         },
         (None, _) if route.policy.is_open => Ok(None),
         (None, Credential::Absent) if is_of_upstream(state, peer) => Ok(None),
+        // Before its first announcement, the upstream's own calls can't be told from others.
+        (None, Credential::Absent) if state.upstream().is_none() => {
+            Err(Answer::refused(RefusalReason::NotReady, DEFAULT_RETRY_AFTER))
+        }
         (None, Credential::Absent) => Err(refuse(state, "the call has no key")),
         (None, Credential::Malformed) => Err(refuse(state, "the call's key can't be read")),
         (None, Credential::Key(_)) => Err(refuse(state, "the key belongs to no account")),
--- a/crates/sycamore-node/tests/calls/accounts.rs
+++ b/crates/sycamore-node/tests/calls/accounts.rs
@@ -87,6 +87,9 @@
         });
         let resp = cluster.call(get("/counter/echo"), "").await;
         assert_eq!(resp.status(), StatusCode::UNAUTHORIZED);
+        cluster.nodes[0].hub.upstream.send_replace(None);
+        let resp = cluster.call(get("/counter/echo"), "").await;
+        assert_eq!(resp.status(), StatusCode::SERVICE_UNAVAILABLE, "401 is final");
         cluster.stop().await;
         let cluster = Cluster::start(&Options::default()).await;
         let req = get("/counter/echo").header(header::AUTHORIZATION, "Bearer mine");
