--- a/crates/sycamore-call/tests/decisions/credit.rs
+++ b/crates/sycamore-call/tests/decisions/credit.rs
@@ -179,27 +179,41 @@
     assert!(fleet.worst() <= 1.0, "{}", fleet.worst());
 }
 
-/// Guards against an account that can't call at all while its home is dead, and against one that calls
-/// beyond its rate then or when the home has a successor, whose bucket must not begin full.
+/// Returns the fleet of an account whose home was dead for 3 s, after which a successor lends, and the
+/// part of its rate that was used meanwhile.
+fn play_dead_home(seed: u64) -> (Fleet, f64) {
+    let mut fleet = Fleet::new(63, account(160.0, 160), seed * 31);
+    fleet.play(2_000, 8_000, 320.0, 63);
+    fleet.is_home_dead = true;
+    let before = fleet.starts.len();
+    fleet.play(8_000, 11_000, 320.0, 63);
+    let used = (fleet.starts.len() - before) as f64 / (160.0 * 3.0);
+    fleet.lender = Lender::default();
+    fleet.lender.serve(at(11_000), std::iter::once(&fleet.account.name));
+    fleet.is_home_dead = false;
+    fleet.play(11_000, 20_000, 320.0, 63);
+    (fleet, used)
+}
+
+/// Guards against calls beyond the rate while the home is dead, or when it has a successor, whose bucket
+/// must not begin full.
 #[test]
-fn an_account_goes_on_at_its_rate_while_its_home_is_dead() {
+fn an_account_keeps_its_rate_while_its_home_is_dead_and_replaced() {
     for seed in 1..=20 {
-        let mut fleet = Fleet::new(63, account(160.0, 160), seed * 31);
-        fleet.play(2_000, 8_000, 150.0, 63);
-        fleet.is_home_dead = true;
-        let before = fleet.starts.len();
-        fleet.play(8_000, 11_000, 150.0, 63);
-        let alone = (fleet.starts.len() - before) as f64 / 450.0;
-        assert!(alone >= 0.5, "{alone} of the calls without a home, seed {seed}");
-        fleet.lender = Lender::default();
-        fleet.lender.serve(at(11_000), std::iter::once(&fleet.account.name));
-        fleet.is_home_dead = false;
-        fleet.play(11_000, 20_000, 300.0, 63);
-        let worst = fleet.worst();
+        let worst = play_dead_home(seed).0.worst();
         assert!(worst <= 1.0, "{worst} of rate and burst, seed {seed}");
     }
 }
 
+/// Guards against a rate that can't be used while the home is dead, at twice the rate.
+#[test]
+fn an_account_uses_its_rate_while_its_home_is_dead() {
+    for seed in 1..=20 {
+        let used = play_dead_home(seed).1;
+        assert!(used >= 0.95, "{used} of the rate without a home, seed {seed}");
+    }
+}
+
 /// Guards against a request that is granted twice since its answer was lost, and against a loan that is
 /// spent after it is void.
 #[test]
