--- a/review/1/case.py
+++ b/review/1/case.py
@@ -63,6 +63,10 @@
             raw, body = data.split(b"\r\n\r\n", 1)
             fields = dict(line.split(": ", 1) for line in raw.decode().split("\r\n")[1:])
             ident, length = fields["request-id"], int(fields.get("content-length", 0))
+            if fields.get("target-instance", self.name) != self.name:
+                self.record(f"backend {self.name}: {ident} is for another, 421")
+                return sock.send((f"HTTP/1.1 421 Misdirected Request\r\nRequest-Id: {ident}\r\n"
+                                  "Connection: close\r\nContent-Length: 0\r\n\r\n").encode())
             start = (f"HTTP/1.1 200 OK\r\nRequest-Id: {ident}\r\n"
                      f"Server-Seal: seal.{self.name}.{ident}\r\nConnection: close\r\n\r\n").encode()
             if random.random() < self.breaks_off:
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -176,6 +176,9 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
+        # Ended from outside, the script ends its nodes as well.
+        current = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, current.cancel)
         try:
             held = await asyncio.wait_for(case(folder, trouble), 110)
         except BaseException as error:  # the case couldn't run
