--- a/crates/sycamore-node/src/calls/meta.rs
+++ b/crates/sycamore-node/src/calls/meta.rs
@@ -175,8 +175,8 @@
             class: class(fields),
             depth: Depth::read(fields),
             deadline: now + timeout(fields)?,
-            account: match text(fields, headers::ACCOUNT) {
-                Some(name) => Some(AccountName::new(name).ok()?),
+            account: match fields.get(headers::ACCOUNT) {
+                Some(name) => Some(std::str::from_utf8(name.as_bytes()).ok()?.parse().ok()?),
                 None => None,
             },
             origin: ServiceName::new(text(fields, headers::ORIGIN)?).ok()?,
--- a/crates/sycamore-node/src/edge/mod.rs
+++ b/crates/sycamore-node/src/edge/mod.rs
@@ -259,6 +259,8 @@
     pub service: ServiceName,
     /// Version that the calls move to.
     pub to: UpstreamVersion,
+    /// Name of that version as the operator wrote it.
+    pub to_name: String,
     /// Time from the order to the end of the move.
     pub duration: Duration,
 }
--- a/crates/sycamore-node/src/edge/native.rs
+++ b/crates/sycamore-node/src/edge/native.rs
@@ -112,7 +112,7 @@
 
 /// Sets the header field `name`, unless `value` is not a valid field value.
 pub(crate) fn set(fields: &mut HeaderMap, name: &'static str, value: &str) {
-    if let Ok(value) = HeaderValue::from_str(value) {
+    if let Ok(value) = HeaderValue::from_bytes(value.as_bytes()) {
         fields.insert(HeaderName::from_static(name), value);
     }
 }
--- a/crates/sycamore-types/src/id.rs
+++ b/crates/sycamore-types/src/id.rs
@@ -4,12 +4,15 @@
 use std::fmt;
 use std::sync::Arc;
 
-/// Maximum length of an identifier other than a service's name, in bytes.
+/// Maximum length of an identifier other than a service's or a client account's name, in bytes.
 pub const MAX_ID_BYTES: usize = 64;
 /// Maximum length of a service's name, in bytes. Operators may name a service without asking a
 /// node, in rows whose keys hold the name and have at most this length.
 pub const MAX_SERVICE_BYTES: usize = 200;
 
+/// Maximum length of the name of a client account, in bytes; a datagram between nodes has room for it.
+pub const MAX_ACCOUNT_BYTES: usize = 1_024;
+
 /// Error of a string that is not a valid identifier.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum IdError {
@@ -25,6 +28,9 @@
     /// String with a character other than ASCII letters, digits, `-`, `_`, `.` and `:`; holds the
     /// first such character.
     BadCharacter(char),
+    /// Text that no header field carries unchanged; holds the first character that prevents it: a
+    /// control character, or a space at the start or the end.
+    NotFieldText(char),
 }
 
 impl fmt::Display for IdError {
@@ -39,6 +45,9 @@
                 "identifier contains {c:?}; only ASCII letters, digits, '-', '_', '.' and ':' are \
                  allowed"
             ),
+            IdError::NotFieldText(c) => {
+                write!(f, "name contains {c:?} where no header field carries it")
+            }
         }
     }
 }
@@ -58,8 +67,28 @@
     }
 }
 
+/// Checks that a header field can carry `text` unchanged.
+fn validate_field_text(text: &str, max: usize) -> Result<(), IdError> {
+    if text.is_empty() {
+        return Err(IdError::Empty);
+    }
+    if text.len() > max {
+        return Err(IdError::TooLong { len: text.len(), max });
+    }
+    // Parsers strip spaces around a field's value.
+    let is_outer_space = text.starts_with([' ', '\t']) || text.ends_with([' ', '\t']);
+    let control = text.chars().find(|c| c.is_ascii_control() && *c != '\t');
+    match control.or(is_outer_space.then_some(' ')) {
+        Some(c) => Err(IdError::NotFieldText(c)),
+        None => Ok(()),
+    }
+}
+
 macro_rules! string_id {
     ($(#[$doc:meta])* $name:ident, $max:expr) => {
+        string_id! { $(#[$doc])* $name, $max, validate }
+    };
+    ($(#[$doc:meta])* $name:ident, $max:expr, $validate:ident) => {
         $(#[$doc])*
         #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         #[serde(try_from = "String", into = "String")]
@@ -70,9 +99,9 @@
             ///
             /// # Errors
             /// Returns [`IdError`] where `id` is empty, too long or contains a character that is
-            /// not allowed.
+            /// not allowed there.
             pub fn new(id: impl AsRef<str>) -> Result<Self, IdError> {
-                validate(id.as_ref(), $max)?;
+                $validate(id.as_ref(), $max)?;
                 Ok(Self(Arc::from(id.as_ref())))
             }
 
@@ -117,8 +146,9 @@
     Deployment, MAX_ID_BYTES
 }
 string_id! {
-    /// Name of a client account.
-    AccountName, MAX_ID_BYTES
+    /// Name of a client account: any text that a header field carries, as upstreams are told the name
+    /// in one.
+    AccountName, MAX_ACCOUNT_BYTES, validate_field_text
 }
 string_id! {
     /// Name of an instance: an upstream and the node beside it.
--- a/crates/sycamore-types/src/rate.rs
+++ b/crates/sycamore-types/src/rate.rs
@@ -5,9 +5,11 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-/// Maximum value of a [`RateLimit`]; a higher number is no rate that an upstream could serve, so it
-/// is read as a mistake.
-const MAX_PER_SECOND: f64 = 1e6;
+/// Maximum value of a [`RateLimit`], in requests per second; a higher number is no rate that an upstream
+/// could serve, so it is read as a mistake.
+pub const MAX_RATE_PER_SECOND: f64 = 1e6;
+/// Smallest value of a [`RateLimit`] above zero, in requests per second.
+pub const MIN_RATE_PER_SECOND: f64 = 1.0 / UNITS;
 /// Units of a [`RateLimit`] per request per second.
 const UNITS: f64 = 1e6;
 
@@ -27,7 +29,7 @@
     /// # Errors
     /// Returns [`InvalidRateLimit`] for a number that is negative, not finite or too large.
     pub fn new(per_second: f64) -> Result<Self, InvalidRateLimit> {
-        match (0.0..=MAX_PER_SECOND).contains(&per_second) {
+        match (0.0..=MAX_RATE_PER_SECOND).contains(&per_second) {
             // The product is at most 1e12, which a u64 holds.
             true => Ok(Self((per_second * UNITS).round() as u64)),
             false => Err(InvalidRateLimit),
@@ -78,7 +80,7 @@
 
 impl fmt::Display for InvalidRateLimit {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "invalid rate limit: expected a number of 0 to {MAX_PER_SECOND}")
+        write!(f, "invalid rate limit: expected a number of 0 to {MAX_RATE_PER_SECOND}")
     }
 }
 
