fix(calls): the leave of an upstream outlives the nodes that know it

Cause: the order of an upstream's messages was kept by its node's process alone. The member's record names a process that has left, but only for a leave that an answer reported. Evidence: `upstream draining`, the restart, then `upstream announced draining=false` and the member serving, 1.9 s after the restart. Change: a leave of a named process is final, by message, announcement or answer, and an announced one counts however it is numbered; the record names it until another process follows; the node's row holds it before the acknowledgement, which waits 500 ms at most. A new process reads it as it registers. Ruled out: a health check at the restart (its answers may be false); waiting for two announcements (a leaving upstream may send two late ones).

--- a/crates/sycamore-call/src/announce/mod.rs
+++ b/crates/sycamore-call/src/announce/mod.rs
@@ -38,25 +38,33 @@
 }
 
 impl AnnouncementLog {
-    /// Records an announcement; `sequence` numbers the announcements of one process.
+    /// Records an announcement; `sequence` numbers the announcements of one process, and `is_leaving`
+    /// tells whether it announces that the process leaves. A leave is final for a process with a name,
+    /// so it counts however late it arrives.
     pub fn record_announcement(
         &mut self,
         process: ProcessRef<'_>,
         sequence: Option<u64>,
+        is_leaving: bool,
     ) -> MessageOrder {
         match (self.order_of(process), &mut self.current) {
             (ProcessOrder::Earlier, _) => MessageOrder::Earlier,
             (ProcessOrder::Same, Some(current)) => {
                 let is_repeated = sequence.is_some() && sequence <= current.sequence;
-                if is_repeated || (current.left && current.name.is_some()) {
+                let has_left = current.left && current.name.is_some();
+                let is_outdated = match is_leaving {
+                    true => is_repeated && has_left,
+                    false => is_repeated || has_left,
+                };
+                if is_outdated {
                     return MessageOrder::Repeated;
                 }
-                current.sequence = sequence;
-                current.left = false;
+                current.sequence = current.sequence.max(sequence);
+                current.left = is_leaving;
                 MessageOrder::Current
             }
             _ => {
-                self.start_process(process, sequence, false);
+                self.start_process(process, sequence, is_leaving);
                 MessageOrder::Current
             }
         }
--- a/crates/sycamore-member/src/machine/local.rs
+++ b/crates/sycamore-member/src/machine/local.rs
@@ -26,7 +26,10 @@
     ) {
         let mut me = Member { left: None, ..self.me.clone() };
         me.state = match local {
-            LocalState::Joining => MemberState::Joining,
+            LocalState::Joining { left } => {
+                me.left = left;
+                MemberState::Joining
+            }
             LocalState::Serving { version, slots } => {
                 (me.version, me.slots) = (version, slots);
                 MemberState::Serving
@@ -35,7 +38,10 @@
                 me.left = left;
                 MemberState::Draining
             }
-            LocalState::Left => MemberState::Dead,
+            LocalState::Left => {
+                me.left = self.me.left;
+                MemberState::Dead
+            }
         };
         if me == self.me || self.me.state == MemberState::Dead {
             return;
--- a/crates/sycamore-member/src/machine/mod.rs
+++ b/crates/sycamore-member/src/machine/mod.rs
@@ -31,7 +31,10 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum LocalState {
     /// The upstream has not announced itself yet, or was lost.
-    Joining,
+    Joining {
+        /// Upstream process that has left, and that no other has followed; `None` where there is none.
+        left: Option<ProcessId>,
+    },
     /// The upstream accepts calls.
     Serving {
         /// Version of the upstream.
@@ -41,7 +44,7 @@
     },
     /// The instance accepts no new calls and will leave.
     Draining {
-        /// Upstream process that reported its leave in an answer; `None` where none did.
+        /// Upstream process that has left; `None` where the node leaves for another reason.
         left: Option<ProcessId>,
     },
     /// The node stops; no later state is announced.
--- a/crates/sycamore-node/src/calls/announce.rs
+++ b/crates/sycamore-node/src/calls/announce.rs
@@ -16,6 +16,9 @@
 use sycamore_call::announce::{MessageOrder, ProcessRef};
 use sycamore_types::prelude::*;
 
+/// Maximum time that an acknowledgement waits for a leave to be stored: upstreams wait for it no longer
+/// than a second.
+const MAX_STORE_TIME: Duration = Duration::from_millis(500);
 /// Maximum difference between two ends of a cold start that count as the same.
 const WARM_AT_SLACK: Duration = Duration::from_millis(500);
 
@@ -29,18 +32,21 @@
     if msg.read_prefix(inbound).await.is_err() || !msg.is_body_buffered() {
         return Err(std::io::ErrorKind::InvalidData.into());
     }
-    let order = match state.edges.upstream.read(&msg.head, msg.prefix()) {
-        Ok(UpstreamMessage::Announce(announcement)) => record_announcement(state, announcement),
-        Ok(UpstreamMessage::Leave(process)) => Ok(record_leave(state, &process)),
-        Err(err) => Err(err),
-    };
+    let order = state.edges.upstream.read(&msg.head, msg.prefix()).and_then(|message| {
+        match message {
+            UpstreamMessage::Announce(announcement) => record_announcement(state, announcement),
+            UpstreamMessage::Leave(process) => Ok(record_leave(state, &process)),
+        }
+    });
+    if order.is_ok() {
+        store_leave(state).await;
+    }
     match order {
         Ok(MessageOrder::Current | MessageOrder::Repeated) => {
             let in_flight = state.admission.borrow().load(state.now()).running;
             respond(inbound, &state.edges.upstream.acknowledge(in_flight)).await
         }
         Ok(MessageOrder::Earlier) => {
-            state.metrics.count_announcement("earlier");
             let detail = "a later start of the upstream has announced itself already";
             let answer = Answer::rejected(StatusCode::CONFLICT, "earlier", detail);
             send_own_answer(state, inbound, &answer).await
@@ -60,11 +66,18 @@
         return Err(format!("announcement names service {other}, expected {own}"));
     }
     let process = process_ref(&announcement.process);
-    let order =
-        state.announcements.borrow_mut().record_announcement(process, announcement.sequence);
-    if order == MessageOrder::Current {
-        state.metrics.count_announcement("taken");
-        apply_announcement(state, announcement);
+    let order = state.announcements.borrow_mut().record_announcement(
+        process,
+        announcement.sequence,
+        announcement.draining,
+    );
+    match order {
+        MessageOrder::Current => {
+            state.metrics.count_announcement("taken");
+            apply_announcement(state, announcement);
+        }
+        MessageOrder::Repeated => state.metrics.count_announcement("repeated"),
+        MessageOrder::Earlier => state.metrics.count_announcement("earlier"),
     }
     Ok(order)
 }
@@ -72,8 +85,8 @@
 fn apply_announcement(state: &State, announcement: Announcement) {
     let now = state.now();
     let process = process_id(&announcement);
-    let has_reported_leave =
-        state.reports.is_leaving(process) || state.hub.has_left_earlier(process);
+    let leaves = announcement.draining && announcement.process.name.is_some();
+    let has_left = leaves || state.reports.is_leaving(process) || state.hub.has_left(process);
     state.last_announced.set(now);
     state.hub.dependencies.record_reached(&state.hub.log, now, Dependency::Upstream);
     let changed = state.hub.upstream.send_if_modified(|known| {
@@ -92,13 +105,16 @@
             slots: announcement.slots,
             connections: announcement.connections,
             warm_at,
-            draining: announcement.draining || has_reported_leave,
-            has_reported_leave,
+            draining: announcement.draining || has_left,
+            has_left,
         };
         let changed = known.as_ref() != Some(&next);
         *known = Some(next);
         changed
     });
+    if leaves {
+        state.hub.record_leave(process);
+    }
     warm_up::end_suspicion(state);
     if let (true, Some(known)) = (changed, state.upstream()) {
         info!(state.hub.log, "upstream announced";
@@ -123,6 +139,9 @@
 fn record_leave(state: &State, process: &Process) -> MessageOrder {
     let order = state.announcements.borrow_mut().record_leave(process_ref(process));
     if order == MessageOrder::Current {
+        if let Some(left) = leaving_process(state, process) {
+            state.hub.record_leave(left);
+        }
         state.hub.upstream.send_if_modified(|known| {
             let was_serving = known.as_ref().is_some_and(|upstream| !upstream.draining);
             known.iter_mut().for_each(|upstream| upstream.draining = true);
@@ -134,6 +153,29 @@
     order
 }
 
+/// Returns the identifier of `process`, which sent a leave message; `None` if it gives no name, so that
+/// the leave holds until the next announcement only. A message without the start time is of the
+/// announced process of that name.
+fn leaving_process(state: &State, process: &Process) -> Option<ProcessId> {
+    process.name.as_ref()?;
+    let announced = state.upstream().filter(|known| known.name == process.name);
+    let announced =
+        announced.filter(|known| process.started.is_none() || process.started == known.started);
+    Some(announced.map_or_else(|| named_process_id(process), |known| known.process))
+}
+
+/// Waits until the platform's table holds the latest leave, for at most [`MAX_STORE_TIME`]: nodes that
+/// are all killed after the acknowledgement find it there when they start again.
+async fn store_leave(state: &State) {
+    if let Some(process) = state.hub.left() {
+        let stored = state.hub.wait_for_stored_leave(process);
+        if monoio::time::timeout(MAX_STORE_TIME, stored).await.is_err() {
+            warn!(state.hub.log, "leave of upstream acknowledged before it is stored";
+                "process" => %process);
+        }
+    }
+}
+
 fn process_ref(process: &Process) -> ProcessRef<'_> {
     ProcessRef { name: process.name.as_deref(), started: process.started }
 }
@@ -141,11 +183,21 @@
 /// Returns the identifier of the process that sent an announcement. A process that gives no name is
 /// told apart by its version and address.
 fn process_id(announcement: &Announcement) -> ProcessId {
-    let Process { name, started } = &announcement.process;
-    let text = match (name, started) {
-        (None, None) => format!("{}\n{}", announcement.version, announcement.address),
-        _ => format!("{}\n{}", name.as_deref().unwrap_or("-"), started.map_or(0, |at| at.0)),
-    };
+    match &announcement.process {
+        Process { name: None, started: None } => {
+            hashed_id(&format!("{}\n{}", announcement.version, announcement.address))
+        }
+        process => named_process_id(process),
+    }
+}
+
+/// Returns the identifier of a process that gives its name or its start time.
+fn named_process_id(process: &Process) -> ProcessId {
+    let Process { name, started } = process;
+    hashed_id(&format!("{}\n{}", name.as_deref().unwrap_or("-"), started.map_or(0, |at| at.0)))
+}
+
+fn hashed_id(text: &str) -> ProcessId {
     ProcessId(first_bytes(&ContentHash::of(text.as_bytes())))
 }
 
--- a/crates/sycamore-node/src/calls/report.rs
+++ b/crates/sycamore-node/src/calls/report.rs
@@ -158,11 +158,11 @@
     }
 }
 
-/// Takes over a leave of the local upstream that an earlier process of this node recorded.
-pub(super) fn adopt_earlier_leave(state: &State, upstream: &AnnouncedUpstream) {
-    if upstream.has_reported_leave {
-        let (process, limit) = (upstream.process, LimitReport::Unknown);
-        adopt(state, upstream, &ProcessReport { process, limit, is_leaving: true });
+/// Takes over a leave of the local upstream that no answer reported, so that other nodes are told.
+pub(super) fn adopt_leave(state: &State, upstream: &AnnouncedUpstream) {
+    if upstream.has_left {
+        begin(state, upstream);
+        state.reports.log.borrow_mut().record_leaving(upstream.process);
     }
 }
 
@@ -221,7 +221,7 @@
         }
         ReportChange::Leaving => {
             info!(state.hub.log, "upstream reported leaving"; "upstream" => name, "from" => from);
-            state.hub.mark_leave_reported(upstream.process);
+            state.hub.record_leave(upstream.process);
         }
     }
 }
--- a/crates/sycamore-node/src/calls/watch.rs
+++ b/crates/sycamore-node/src/calls/watch.rs
@@ -138,7 +138,7 @@
     slot::step(state, Input::Announce { slots: capacity.0, connections: capacity.1 });
     let Some(announced) = announced else { return };
     report::begin(state, &announced);
-    report::adopt_earlier_leave(state, &announced);
+    report::adopt_leave(state, &announced);
     warm_up::follow(state, &announced);
     let is_draining = state.admission.borrow().is_draining();
     match (announced.draining || state.is_out_of_use(), is_draining) {
--- a/crates/sycamore-node/src/hub/mod.rs
+++ b/crates/sycamore-node/src/hub/mod.rs
@@ -16,7 +16,7 @@
 use prometheus::Registry;
 use slog::{info, Logger};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -68,17 +68,20 @@
     pub warm_at: Time,
     /// Whether the upstream asked to leave.
     pub draining: bool,
-    /// Whether the upstream said in an answer that it is leaving, which holds for its process.
-    pub has_reported_leave: bool,
+    /// Whether the process has left, by a message of its own or an answer, which holds for good.
+    pub has_left: bool,
 }
 
 impl AnnouncedUpstream {
-    /// Returns the upstream's process if it said in an answer that it is leaving.
+    /// Returns the upstream's process if it has left for good.
     pub fn left(&self) -> Option<ProcessId> {
-        self.has_reported_leave.then_some(self.process)
+        self.has_left.then_some(self.process)
     }
 }
 
+/// Largest number of upstream processes whose leave is remembered; the oldest is dropped first.
+const MAX_LEFT: usize = 8;
+
 /// State shared by the subsystems of a node, all of which run on one thread.
 pub struct Hub {
     /// Settings the node was started with.
@@ -103,8 +106,11 @@
     pub shares: watch::Sender<Arc<ShareTable>>,
     /// Local upstream; `None` while it does not announce itself.
     pub upstream: watch::Sender<Option<AnnouncedUpstream>>,
-    /// Upstream process whose leave an earlier process of this node recorded.
-    earlier_leave: Cell<Option<ProcessId>>,
+    /// Upstream processes that have left, the latest last, as this node or an earlier process of it
+    /// recorded.
+    left: RefCell<VecDeque<ProcessId>>,
+    /// Latest leave that the platform's table holds.
+    stored_leave: watch::Sender<Option<ProcessId>>,
     /// Release orders of operators by row key, each with the revision of its row.
     pub orders: watch::Sender<Arc<BTreeMap<String, (ReleaseOrder, u64)>>>,
     /// Facts that spread between nodes.
@@ -149,7 +155,8 @@
             members: watch::Sender::new(Arc::default()),
             shares: watch::Sender::new(Arc::default()),
             upstream: watch::Sender::new(None),
-            earlier_leave: Cell::default(),
+            left: RefCell::default(),
+            stored_leave: watch::Sender::new(None),
             orders: watch::Sender::new(Arc::default()),
             facts: Facts::default(),
             dependencies,
@@ -257,30 +264,74 @@
         }
     }
 
-    /// Learns that the upstream `process` has said in an answer that it is leaving, as an earlier
-    /// process of this node recorded.
-    pub fn learn_leave(&self, process: ProcessId) {
-        self.earlier_leave.set(Some(process));
-        self.mark_leave_reported(process);
+    /// Records that the upstream `process` has left: it is drained for good, whatever it announces.
+    pub fn record_leave(&self, process: ProcessId) {
+        let is_new = !self.has_left(process);
+        if is_new {
+            let mut left = self.left.borrow_mut();
+            left.push_back(process);
+            if left.len() > MAX_LEFT {
+                left.pop_front();
+            }
+        }
+        self.drain_upstream(process, is_new);
+    }
+
+    /// Learns of the leave of the upstream `process` that an earlier process of this node recorded.
+    /// Returns whether it is news.
+    pub fn learn_leave(&self, process: ProcessId) -> bool {
+        let is_new = !self.has_left(process) && self.left.borrow().len() < MAX_LEFT;
+        if is_new {
+            info!(self.log, "earlier leave of upstream learned"; "process" => %process);
+            self.left.borrow_mut().push_front(process);
+            self.drain_upstream(process, is_new);
+        }
+        is_new
+    }
+
+    /// Returns whether the upstream `process` has left.
+    pub fn has_left(&self, process: ProcessId) -> bool {
+        self.left.borrow().contains(&process)
     }
 
-    /// Returns whether an earlier process of this node recorded the leave of the upstream `process`.
-    pub fn has_left_earlier(&self, process: ProcessId) -> bool {
-        self.earlier_leave.get() == Some(process)
+    /// Returns the upstream process that has left and that no other has followed yet.
+    pub fn left(&self) -> Option<ProcessId> {
+        match &*self.upstream.borrow() {
+            Some(upstream) => upstream.left(),
+            None => self.left.borrow().back().copied(),
+        }
     }
 
-    /// Marks the local upstream as draining for good if it is still `process`, which said in an answer
-    /// that it is leaving.
-    pub fn mark_leave_reported(&self, process: ProcessId) {
+    /// Drains the local upstream for good if it is still `process`. Subscribers are notified of a new
+    /// leave also if no upstream is known.
+    fn drain_upstream(&self, process: ProcessId, is_new: bool) {
         self.upstream.send_if_modified(|known| match known {
-            Some(upstream) if upstream.process == process && !upstream.has_reported_leave => {
-                (upstream.draining, upstream.has_reported_leave) = (true, true);
+            Some(upstream) if upstream.process == process && !upstream.has_left => {
+                (upstream.draining, upstream.has_left) = (true, true);
                 true
             }
-            _ => false,
+            Some(_) => false,
+            None => is_new,
         });
     }
 
+    /// Records that the platform's table holds the leave of the upstream `process`.
+    pub fn record_stored_leave(&self, process: ProcessId) {
+        self.stored_leave.send_replace(Some(process));
+    }
+
+    /// Returns whether the platform's table holds the leave of the upstream `process`.
+    pub fn is_leave_stored(&self, process: ProcessId) -> bool {
+        *self.stored_leave.borrow() == Some(process)
+    }
+
+    /// Waits until the platform's table holds the leave of the upstream `process`.
+    pub async fn wait_for_stored_leave(&self, process: ProcessId) {
+        let mut stored = self.stored_leave.subscribe();
+        // The sender lives as long as the hub.
+        let _ = stored.wait_for(|stored| *stored == Some(process)).await;
+    }
+
     /// Queues the outcome of a call for the moves subsystem; drops and counts it if the queue is
     /// full.
     pub fn report_outcome(&self, outcome: CallOutcome) {
--- a/crates/sycamore-node/src/peers/driver.rs
+++ b/crates/sycamore-node/src/peers/driver.rs
@@ -2,7 +2,7 @@
 
 use super::metrics::Metrics;
 use super::{CreditMessage, Credits, DeltaMessage, Deltas};
-use crate::hub::{AnnouncedUpstream, Hub, Phase};
+use crate::hub::{Hub, Phase};
 use crate::platform::Platform;
 use crate::tasks::{Stop, TaskGroup};
 use std::cell::{Cell, RefCell};
@@ -180,7 +180,11 @@
                 Action::Exchange { peer, to, request } => self.queue_exchange(peer, to, request),
                 Action::MemberChanged(member) => self.member_changed(&member),
                 Action::Declared(member) => self.record_member(&member),
-                Action::EarlierLeave(process) => self.hub.learn_leave(process),
+                Action::EarlierLeave(process) => {
+                    if self.hub.learn_leave(process) {
+                        self.update_local();
+                    }
+                }
                 Action::FactLearnt(fact) => self.learn(fact, source),
                 Action::ViewChanged => self.view_changed.set(true),
             }
@@ -275,15 +279,16 @@
 
 /// Returns the state of this node's member record, derived from its phase and its upstream.
 fn local_state(hub: &Hub) -> LocalState {
+    let left = hub.left();
     let upstream = hub.upstream.borrow();
     match (hub.phase(), &*upstream) {
-        (Phase::Closing | Phase::Stopped, upstream) => {
-            LocalState::Draining { left: upstream.as_ref().and_then(AnnouncedUpstream::left) }
-        }
-        (_, Some(upstream)) if upstream.draining => LocalState::Draining { left: upstream.left() },
+        (Phase::Closing | Phase::Stopped, _) => LocalState::Draining { left },
+        (_, Some(upstream)) if upstream.draining => LocalState::Draining { left },
         (Phase::Ready | Phase::Draining, Some(upstream)) => {
             LocalState::Serving { version: upstream.version.clone(), slots: upstream.slots }
         }
-        (Phase::Starting, _) | (Phase::Ready | Phase::Draining, None) => LocalState::Joining,
+        (Phase::Starting, _) | (Phase::Ready | Phase::Draining, None) => {
+            LocalState::Joining { left }
+        }
     }
 }
--- a/crates/sycamore-node/src/peers/register.rs
+++ b/crates/sycamore-node/src/peers/register.rs
@@ -36,6 +36,7 @@
 
 /// Spawns the task that reads contacts, registers this node and then refreshes periodically.
 pub(super) fn start(driver: &Rc<Driver>, platform: &Rc<Platform>, tasks: &TaskGroup) {
+    tasks.spawn_until_stop(store_leaves(driver.clone(), platform.clone()));
     let (driver, platform) = (driver.clone(), platform.clone());
     tasks.spawn_until_stop(async move {
         monoio::time::sleep(random_up_to(START_JITTER)).await;
@@ -68,10 +69,41 @@
             }
             monoio::time::sleep(random_up_to(EPOCH_JITTER)).await;
             retry_until_done(|| register(&driver, &platform)).await;
+            if driver.hub.left().is_some() {
+                retry_until_done(|| store_leave(&driver, &platform)).await;
+            }
         }
     });
 }
 
+/// Writes this node's row again with each leave of its upstream, which a later process of the node
+/// then finds even if no other node remembers it.
+async fn store_leaves(driver: Rc<Driver>, platform: Rc<Platform>) {
+    let mut upstream = driver.hub.upstream.subscribe();
+    loop {
+        drop(upstream.borrow_and_update());
+        if driver.hub.left().is_some_and(|left| !driver.hub.is_leave_stored(left)) {
+            retry_until_done(|| store_leave(&driver, &platform)).await;
+        }
+        if upstream.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Writes this node's row with the leave that it knows of. Returns whether the table holds it.
+async fn store_leave(driver: &Driver, platform: &Platform) -> Result<bool> {
+    driver.update_local();
+    let revision = driver.own_row.get().unwrap_or(Revision::ABSENT);
+    match write_row(driver, platform, revision).await? {
+        None => Ok(true),
+        Some(found) => {
+            driver.own_row.set(Some(found.revision));
+            Ok(false)
+        }
+    }
+}
+
 /// Returns the key of an instance's row.
 pub(super) fn member_key(instance: &InstanceId) -> String {
     format!("{MEMBER_PREFIX}{instance}")
@@ -119,7 +151,6 @@
         // Written by this process, or by one with a later incarnation, which this process refutes
         // with a higher one.
         driver.own_row.set(Some(row.revision));
-        driver.input(Input::Rows(stored.into_iter().collect()));
         return Ok(true);
     }
     Ok(write_row(driver, platform, row.revision).await?.is_none())
@@ -128,12 +159,16 @@
 /// Writes this node's row if it has `revision`, else returns what the table holds in its place.
 async fn write_row(
     driver: &Driver,
+    // The row of an earlier process names the upstream process whose leave that one recorded.
+    driver.input(Input::Rows(stored.iter().cloned().collect()));
     platform: &Platform,
     revision: Revision,
 ) -> Result<Option<Conflict>> {
     let me = driver.me();
     let key = member_key(&me.instance);
-    // The row only holds where to reach this process; peers learn its state by gossip.
+    // The row holds where to reach this process, and the leave of its upstream; peers learn its state
+    // by gossip.
+    let left = me.left;
     let record = Member { incarnation: driver.hub.incarnation, state: MemberState::Joining, ..me };
     let value = serde_json::to_value(record).ok();
     let transaction = Transaction {
@@ -156,6 +191,7 @@
 }
 
 /// Reads one page of members' rows from a random position, so that partitions of the fleet that
+            left.iter().for_each(|process| driver.hub.record_stored_leave(*process));
 /// have lost contact find each other again.
 async fn refresh(driver: &Driver, platform: &Platform) -> Result<()> {
     let after = random_member(driver).map_or_else(String::new, |instance| member_key(&instance));
--- a/crates/sycamore-node/tests/calls/limited.rs
+++ b/crates/sycamore-node/tests/calls/limited.rs
@@ -253,7 +253,7 @@
         cluster.nodes[1].hub.upstream.send_modify(|upstream| {
             let upstream = upstream.as_mut().expect("an announced upstream");
             (upstream.process, upstream.draining) = (ProcessId(2), false);
-            upstream.has_reported_leave = false;
+            upstream.has_left = false;
         });
         cluster.nodes[1].member.incarnation.0 += 1;
         cluster.publish_members(|_| true);
--- a/crates/sycamore-node/tests/calls/world.rs
+++ b/crates/sycamore-node/tests/calls/world.rs
@@ -235,7 +235,7 @@
         name: None,
         warm_at: Time(0),
         draining: false,
-        has_reported_leave: false,
+        has_left: false,
     }));
     let config = ClientConfig { body_bytes: 64 << 20, ..ClientConfig::default() };
     let caller = Client::new(listen.caller, config);
--- a/crates/sycamore-types/src/member.rs
+++ b/crates/sycamore-types/src/member.rs
@@ -59,8 +59,8 @@
     pub endpoints: Endpoints,
     /// Number of concurrent calls that the upstream declared it can run.
     pub slots: u16,
-    /// Upstream process that said in an answer that it is leaving, while the member drains for that:
-    /// no node calls it again, also once the node beside it has restarted and doesn't know it.
+    /// Upstream process that has left and that no other has followed: no node calls it again, also once
+    /// the node beside it has restarted and doesn't know it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub left: Option<ProcessId>,
 }
