fix: an odd entry of another writer ends no node and takes no other with it

Ruled out: deep nesting ends no process (decoders bound it); an answer of the native store with it would have been refused whole.

--- a/crates/sycamore-moves/src/plan/mod.rs
+++ b/crates/sycamore-moves/src/plan/mod.rs
@@ -13,5 +13,5 @@
 pub use order::order_move;
 pub use row::{
     move_key, plan_key, Author, Cause, MoveRow, MoveSpec, OnTimeout, Outcome, OutcomeKind, PlanRow,
-    Summary, DEFAULT_CAP, MOVE_PREFIX,
+    RowError, Summary, DEFAULT_CAP, MOVE_PREFIX,
 };
--- a/crates/sycamore-moves/src/plan/row.rs
+++ b/crates/sycamore-moves/src/plan/row.rs
@@ -1,7 +1,8 @@
 //! Rows of plans and moves in the platform's table, stored as JSON.
 
-use crate::ramp::Schedule;
+use crate::ramp::{Schedule, MAX_STEPS, MIN_STEPS};
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use serde_with::{serde_as, DurationMilliSeconds};
 use std::fmt;
 use std::time::Duration;
@@ -171,7 +172,70 @@
     pub evidence: Summary,
 }
 
+/// Error of a row that holds no valid move.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RowError {
+    /// The value can't be decoded, for this reason.
+    Malformed(String),
+    /// The row under this key holds the move with the other one.
+    Misplaced {
+        /// Key of the row.
+        key: String,
+        /// Key of the move in it.
+        held: String,
+    },
+    /// The schedule has this number of steps.
+    Steps(usize),
+}
+
+impl fmt::Display for RowError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            RowError::Malformed(why) => write!(f, "value is no move: {why}"),
+            RowError::Misplaced { key, held } => {
+                write!(f, "row {key} holds the move of row {held}")
+            }
+            RowError::Steps(steps) => {
+                write!(f, "schedule has {steps} steps; expected {MIN_STEPS} to {MAX_STEPS}")
+            }
+        }
+    }
+}
+
+impl std::error::Error for RowError {}
+
 impl MoveRow {
+    /// Decodes the `value` of the row under `key`, which anybody may have written.
+    ///
+    /// # Errors
+    /// [`RowError`] if the value is malformed, or the move doesn't belong to the key or has no valid
+    /// schedule.
+    pub fn decode(key: &str, value: &Value) -> Result<Self, RowError> {
+        let row = Self::deserialize(value).map_err(|err| RowError::Malformed(err.to_string()))?;
+        let held = move_key(&row.plan, &row.spec.mv);
+        if held != key {
+            return Err(RowError::Misplaced { key: key.to_owned(), held });
+        }
+        row.checked()
+    }
+
+    /// Decodes the `text` of a row that another node passed on.
+    ///
+    /// # Errors
+    /// [`RowError`] if the text is malformed, or the move has no valid schedule.
+    pub fn decode_text(text: &str) -> Result<Self, RowError> {
+        let row: Self =
+            serde_json::from_str(text).map_err(|err| RowError::Malformed(err.to_string()))?;
+        row.checked()
+    }
+
+    fn checked(self) -> Result<Self, RowError> {
+        match self.schedule.steps.len() {
+            MIN_STEPS..=MAX_STEPS => Ok(self),
+            steps => Err(RowError::Steps(steps)),
+        }
+    }
+
     /// Returns whether the move has its outcome.
     pub fn is_ended(&self) -> bool {
         self.outcome.is_some()
--- a/crates/sycamore-moves/src/ramp/mod.rs
+++ b/crates/sycamore-moves/src/ramp/mod.rs
@@ -27,11 +27,16 @@
     pub margin: Share,
 }
 
+/// Smallest number of steps of a schedule: the watch period, and all traffic.
+pub const MIN_STEPS: usize = 2;
+/// Largest number of steps of a schedule, which bounds the work of a tick.
+pub const MAX_STEPS: usize = 64;
+
 /// Schedule of a move. Clearing step `k` opens step `k + 1`. The last step has all traffic; the one
 /// before it is the watch period, in which the old version keeps some traffic for comparison.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Schedule {
-    /// Steps of the schedule, at least two, with growing shares.
+    /// Steps of the schedule, [`MIN_STEPS`] to [`MAX_STEPS`], with growing shares.
     pub steps: Vec<Step>,
     /// Time by which the move must be decided.
     pub deadline: WallTime,
--- a/crates/sycamore-moves/tests/plan.rs
+++ b/crates/sycamore-moves/tests/plan.rs
@@ -4,9 +4,10 @@
 
 use support::{change, now, outcome, spec};
 use sycamore_moves::plan::{
-    abort, end, import, order_move, settle, Author, ImportRefusal, MoveRow, OutcomeKind, Settled,
-    Stored, Summary,
+    abort, end, import, move_key, order_move, settle, Author, ImportRefusal, MoveRow, OutcomeKind,
+    RowError, Settled, Stored, Summary,
 };
+use sycamore_moves::ramp::MAX_STEPS;
 use sycamore_types::prelude::*;
 
 fn plan() -> PlanId {
@@ -147,3 +148,29 @@
     assert_ne!(hashed.as_str(), format!("{service}.{to}.421"));
     assert_eq!(hashed, ordered(&service, &to, 421), "every node gives the same");
 }
+
+/// Guards against a row of another writer that ends the process of every node which reads it: a schedule
+/// without steps, or with more than the work of a tick allows, a share beyond all traffic, and a row that
+/// takes the place of another move.
+#[test]
+fn a_row_that_is_no_valid_move_is_not_decoded() {
+    let row = stored_after(&[spec("a")]).moves.into_values().next().expect("one move").0;
+    let key = move_key(&row.plan, &row.spec.mv);
+    let value = serde_json::to_value(&row).expect("a row serialises");
+    assert_eq!(MoveRow::decode(&key, &value).as_ref(), Ok(&row));
+    assert_eq!(MoveRow::decode_text(&value.to_string()), Ok(row));
+    let step = value["schedule"]["steps"][0].clone();
+    for steps in [0, 1, MAX_STEPS + 1] {
+        let mut odd = value.clone();
+        odd["schedule"]["steps"] = vec![step.clone(); steps].into();
+        assert_eq!(MoveRow::decode(&key, &odd), Err(RowError::Steps(steps)));
+        assert_eq!(MoveRow::decode_text(&odd.to_string()), Err(RowError::Steps(steps)));
+    }
+    let mut odd = value.clone();
+    odd["schedule"]["steps"][0]["share"] = 10_001.into();
+    let refused = MoveRow::decode(&key, &odd);
+    assert!(matches!(refused, Err(RowError::Malformed(_))), "{refused:?}");
+    let misplaced = MoveRow::decode("move/morning/b", &value);
+    assert!(matches!(misplaced, Err(RowError::Misplaced { .. })), "{misplaced:?}");
+    assert!(MoveRow::decode(&key, &serde_json::Value::Null).is_err());
+}
--- a/crates/sycamore-node/src/calls/announce.rs
+++ b/crates/sycamore-node/src/calls/announce.rs
@@ -19,6 +19,8 @@
 /// Maximum time that an acknowledgement waits for a leave to be stored: upstreams wait for it no longer
 /// than a second.
 const MAX_STORE_TIME: Duration = Duration::from_millis(500);
+/// Maximum time by which the start of an upstream process may lie ahead of the node's clock.
+const MAX_START_AHEAD: Duration = Duration::from_secs(3_600);
 /// Maximum difference between two ends of a cold start that count as the same.
 const WARM_AT_SLACK: Duration = Duration::from_millis(500);
 
@@ -33,6 +35,7 @@
         return Err(std::io::ErrorKind::InvalidData.into());
     }
     let order = state.edges.upstream.read(&msg.head, msg.prefix()).and_then(|message| {
+        check_start(state, &message)?;
         match message {
             UpstreamMessage::Announce(announcement) => record_announcement(state, announcement),
             UpstreamMessage::Leave(process) => Ok(record_leave(state, &process)),
@@ -60,6 +63,22 @@
     }
 }
 
+/// Checks that the sender of a message has started: a start far ahead would make all messages of the
+/// real process count as earlier.
+fn check_start(state: &State, message: &UpstreamMessage) -> Result<(), String> {
+    let process = match message {
+        UpstreamMessage::Announce(announcement) => &announcement.process,
+        UpstreamMessage::Leave(process) => process,
+    };
+    let now = state.hub.clock.wall();
+    match process.started {
+        Some(started) if started.since(now) > MAX_START_AHEAD => {
+            Err(format!("start time {} ms is ahead of the time of day", started.0))
+        }
+        Some(_) | None => Ok(()),
+    }
+}
+
 fn record_announcement(state: &State, announcement: Announcement) -> Result<MessageOrder, String> {
     let own = &state.hub.settings.node.service;
     if let Some(other) = announcement.service.as_ref().filter(|service| *service != own) {
--- a/crates/sycamore-node/src/moves/act.rs
+++ b/crates/sycamore-node/src/moves/act.rs
@@ -3,7 +3,7 @@
 use super::rows;
 use super::state::{Entry, State};
 use rand::Rng;
-use slog::{info, warn};
+use slog::info;
 use std::rc::Rc;
 use sycamore_moves::control::{Action, Input, Peer, Phase};
 use sycamore_moves::plan::{end, move_key, Author, Change, MoveRow, Outcome, OutcomeKind};
@@ -135,10 +135,7 @@
 /// learnt in either case.
 async fn write_outcome_once(state: &State, key: &str, outcome: Outcome) {
     let Ok(Some(stored)) = state.platform.http().get(key).await else { return };
-    let Ok(row) = serde_json::from_value::<MoveRow>(stored.value.clone()) else {
-        warn!(state.hub.log, "move row rejected"; "key" => key);
-        return;
-    };
+    let Some(row) = rows::decode(state, &stored) else { return };
     let change = Change {
         author: Author::Node(state.hub.settings.node.instance.clone()),
         op: OpId(rand::rng().random()),
@@ -180,7 +177,7 @@
         Settled::Won { revision } => rows::learn(state, row, revision.0),
         Settled::Lost { winner } => {
             let value = winner.value.clone().unwrap_or_default();
-            if let Ok(current) = serde_json::from_value::<MoveRow>(value) {
+            if let Ok(current) = MoveRow::decode(&winner.key, &value) {
                 rows::learn(state, current, winner.revision.0);
             }
         }
--- a/crates/sycamore-node/src/moves/commands.rs
+++ b/crates/sycamore-node/src/moves/commands.rs
@@ -118,7 +118,7 @@
 async fn read_stored(state: &State, plan: Option<&Row>) -> Result<Stored, OperatorError> {
     let plan = match plan {
         None => None,
-        Some(row) => Some((parse::<PlanRow>(row)?, row.revision.0)),
+        Some(row) => Some((parse_plan(row)?, row.revision.0)),
     };
     let mut moves = std::collections::BTreeMap::new();
     let mut after = String::new();
@@ -126,8 +126,10 @@
         let query = PageQuery { prefix: MOVE_PREFIX, after: &after, limit: PAGE_ROWS };
         let page = state.platform.http().list(query).await.map_err(unavailable)?;
         for row in &page.rows {
-            let parsed: MoveRow = parse(row)?;
-            moves.insert(parsed.spec.mv.clone(), (parsed, row.revision.0));
+            // The transaction that would replace a row which can't be read fails for its revision.
+            if let Some(parsed) = rows::decode(state, row) {
+                moves.insert(parsed.spec.mv.clone(), (parsed, row.revision.0));
+            }
         }
         match page.rows.last() {
             Some(last) if page.more => after = last.key.clone(),
@@ -205,7 +207,8 @@
     let Some(stored) = stored else {
         return Err(OperatorError::NotFound(format!("move {}", body.mv)));
     };
-    let row: MoveRow = parse(&stored)?;
+    let row =
+        MoveRow::decode(&stored.key, &stored.value).map_err(|error| malformed(&stored, &error))?;
     let evidence =
         state.moves.borrow().get(&body.mv).map(|entry| entry.control.summary()).unwrap_or_default();
     let change = Change {
@@ -235,10 +238,12 @@
     state.platform.http().get(key).await.map_err(unavailable)
 }
 
-fn parse<T: serde::de::DeserializeOwned>(row: &Row) -> Result<T, OperatorError> {
-    serde_json::from_value(row.value.clone()).map_err(|error| {
-        OperatorError::Unavailable(format!("row {} is malformed: {error}", row.key))
-    })
+fn parse_plan(row: &Row) -> Result<PlanRow, OperatorError> {
+    PlanRow::deserialize(&row.value).map_err(|error| malformed(row, &error))
+}
+
+fn malformed(row: &Row, error: &dyn std::error::Error) -> OperatorError {
+    OperatorError::Unavailable(format!("row {} is malformed: {error}", row.key))
 }
 
 fn unavailable(report: error_stack::Report<sycamore_platform::Error>) -> OperatorError {
@@ -258,7 +263,7 @@
 /// Describes the conflict with `winner`, the row of a plan or of a move that was committed first.
 fn conflict(winner: &Conflict) -> OperatorError {
     let value = winner.value.clone().unwrap_or_default();
-    let conflict = match serde_json::from_value::<MoveRow>(value.clone()) {
+    let conflict = match MoveRow::decode(&winner.key, &value) {
         Ok(row) => Some(sycamore_moves::plan::Conflict::with(&row)),
         Err(_) => serde_json::from_value::<PlanRow>(value)
             .ok()
--- a/crates/sycamore-node/src/moves/orders.rs
+++ b/crates/sycamore-node/src/moves/orders.rs
@@ -242,13 +242,13 @@
 /// Learns the row at `key`, after ending it like `known` if only its end is lost.
 async fn end_again(state: &Rc<State>, key: &str, known: MoveRow) {
     let Ok(Some(stored)) = state.platform.http().get(key).await else { return };
-    match serde_json::from_value::<MoveRow>(stored.value.clone()) {
-        Ok(row) if known.is_ended() && !row.is_ended() => {
+    match rows::decode(state, &stored) {
+        Some(row) if known.is_ended() && !row.is_ended() => {
             let op = known.op;
             act::write_row(state, &stored, known, op).await;
         }
-        Ok(row) => rows::learn(state, row, stored.revision.0),
-        Err(error) => warn!(state.hub.log, "move row rejected"; "key" => key, "error" => %error),
+        Some(row) => rows::learn(state, row, stored.revision.0),
+        None => {}
     }
 }
 
--- a/crates/sycamore-node/src/moves/rows.rs
+++ b/crates/sycamore-node/src/moves/rows.rs
@@ -4,12 +4,12 @@
 use crate::config::role::all_watchers;
 use crate::hub::Hub;
 use rand::Rng;
-use slog::debug;
+use slog::{debug, warn};
 use std::rc::Rc;
 use std::time::Duration;
 use sycamore_moves::control::Input;
 use sycamore_moves::plan::{MoveRow, MOVE_PREFIX};
-use sycamore_platform::{PageQuery, Table};
+use sycamore_platform::{PageQuery, Row, Table};
 use sycamore_types::fact::MAX_ROW_BYTES;
 use sycamore_types::prelude::*;
 
@@ -83,7 +83,7 @@
             }
         };
         for row in &page.rows {
-            if let Ok(parsed) = serde_json::from_value::<MoveRow>(row.value.clone()) {
+            if let Some(parsed) = decode(state, row) {
                 learn(state, parsed, row.revision.0);
             }
         }
@@ -98,11 +98,21 @@
 /// Reads and learns the row of one move.
 pub(super) async fn read_one(state: &State, key: &str) {
     let Ok(Some(row)) = state.platform.http().get(key).await else { return };
-    if let Ok(parsed) = serde_json::from_value::<MoveRow>(row.value) {
+    if let Some(parsed) = decode(state, &row) {
         learn(state, parsed, row.revision.0);
     }
 }
 
+/// Decodes a row of the platform's table; `None` if it holds no valid move, which is logged.
+pub(super) fn decode(state: &State, row: &Row) -> Option<MoveRow> {
+    let decoded = MoveRow::decode(&row.key, &row.value);
+    if let Err(error) = &decoded {
+        warn!(state.hub.log, "move row rejected"; "key" => &row.key,
+            "revision" => row.revision.0, "why" => %error);
+    }
+    decoded.ok()
+}
+
 /// Learns a row that was read or written, and raises a fact for it if it is new and fits into one.
 pub(super) fn learn(state: &State, row: MoveRow, revision: u64) {
     let Ok(text) = serde_json::to_string(&row) else { return };
@@ -138,7 +148,7 @@
 fn apply_fact(state: &Rc<State>, fact: &Fact) {
     match fact {
         Fact::MoveRow { revision, row, .. } => {
-            if let Ok(row) = serde_json::from_str::<MoveRow>(row) {
+            if let Ok(row) = MoveRow::decode_text(row) {
                 state.learn(row, *revision);
             }
         }
--- a/crates/sycamore-node/src/peers/register.rs
+++ b/crates/sycamore-node/src/peers/register.rs
@@ -5,7 +5,7 @@
 use crate::platform::Platform;
 use crate::tasks::TaskGroup;
 use rand::Rng;
-use slog::info;
+use slog::{info, warn};
 use std::rc::Rc;
 use std::time::Duration;
 use sycamore_member::Input;
@@ -115,6 +115,19 @@
     (member_key(&member.instance) == row.key).then_some(member)
 }
 
+/// Decodes the members in `rows`, and logs the rows that hold none.
+fn decode_members(driver: &Driver, rows: &[Row]) -> Vec<Member> {
+    let decode = |row: &Row| {
+        let member = decode_member(row);
+        if member.is_none() {
+            warn!(driver.hub.log, "member row rejected"; "key" => &row.key,
+                "revision" => row.revision.0);
+        }
+        member
+    };
+    rows.iter().filter_map(decode).collect()
+}
+
 /// Repeats `step` with full-jitter backoff until it returns `Ok(true)`.
 async fn retry_until_done<F>(step: impl Fn() -> F)
 where
@@ -134,7 +147,7 @@
     if rows.len() < CONTACT_ROWS {
         rows.extend(read_page(platform, "", CONTACT_ROWS).await?.rows);
     }
-    driver.input(Input::Rows(rows.iter().filter_map(decode_member).collect()));
+    driver.input(Input::Rows(decode_members(driver, &rows)));
     Ok(true)
 }
 
@@ -147,6 +160,8 @@
     let value = found.value.unwrap_or_default();
     let row = Row { key, value, revision: found.revision };
     let stored = decode_member(&row);
+    // The row of an earlier process names the upstream process whose leave that one recorded.
+    driver.input(Input::Rows(stored.iter().cloned().collect()));
     if stored.as_ref().is_some_and(|stored| stored.incarnation >= driver.hub.incarnation) {
         // Written by this process, or by one with a later incarnation, which this process refutes
         // with a higher one.
@@ -159,8 +174,6 @@
 /// Writes this node's row if it has `revision`, else returns what the table holds in its place.
 async fn write_row(
     driver: &Driver,
-    // The row of an earlier process names the upstream process whose leave that one recorded.
-    driver.input(Input::Rows(stored.iter().cloned().collect()));
     platform: &Platform,
     revision: Revision,
 ) -> Result<Option<Conflict>> {
@@ -178,6 +191,7 @@
     match platform.http().transact(&transaction).await? {
         Transacted::Committed { revisions } => {
             driver.own_row.set(revisions.get(&key).copied());
+            left.iter().for_each(|process| driver.hub.record_stored_leave(*process));
             Ok(None)
         }
         Transacted::Conflicted { conflicts } => {
@@ -191,13 +205,12 @@
 }
 
 /// Reads one page of members' rows from a random position, so that partitions of the fleet that
-            left.iter().for_each(|process| driver.hub.record_stored_leave(*process));
 /// have lost contact find each other again.
 async fn refresh(driver: &Driver, platform: &Platform) -> Result<()> {
     let after = random_member(driver).map_or_else(String::new, |instance| member_key(&instance));
     let page = read_page(platform, &after, REFRESH_ROWS).await?;
     delete_dead_row(driver, platform, &page).await?;
-    driver.input(Input::Rows(page.rows.iter().filter_map(decode_member).collect()));
+    driver.input(Input::Rows(decode_members(driver, &page.rows)));
     Ok(())
 }
 
--- a/crates/sycamore-platform/src/table.rs
+++ b/crates/sycamore-platform/src/table.rs
@@ -1,7 +1,8 @@
 //! Interface of the platform's transactional table, which holds JSON rows under string keys.
 
 use crate::error::Result;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
+use serde_json::value::RawValue;
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -41,12 +42,30 @@
     }
 }
 
+/// Decodes the JSON value of a row that anybody may have written. One that can't be decoded, such as one
+/// that is nested too deeply or holds a number out of range, becomes null, since it must not take the rest
+/// of the answer with it.
+fn decode_value<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> std::result::Result<Value, D::Error> {
+    let raw = Box::<RawValue>::deserialize(deserializer)?;
+    Ok(serde_json::from_str(raw.get()).unwrap_or(Value::Null))
+}
+
+fn decode_optional_value<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> std::result::Result<Option<Value>, D::Error> {
+    let raw = Option::<Box<RawValue>>::deserialize(deserializer)?;
+    Ok(raw.map(|raw| serde_json::from_str(raw.get()).unwrap_or(Value::Null)))
+}
+
 /// Row of the table as last read.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Row {
     /// Key of the row.
     pub key: String,
     /// Value of the row.
+    #[serde(deserialize_with = "decode_value")]
     pub value: Value,
     /// Revision of the row, at least 1.
     pub revision: Revision,
@@ -117,6 +136,7 @@
     /// Current revision of the row; [`Revision::ABSENT`] if it does not exist.
     pub revision: Revision,
     /// Current value of the row; `None` if it does not exist.
+    #[serde(default, deserialize_with = "decode_optional_value")]
     pub value: Option<Value>,
 }
 
--- a/crates/sycamore-platform/tests/http.rs
+++ b/crates/sycamore-platform/tests/http.rs
@@ -8,7 +8,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 use sycamore_platform::prelude::*;
-use sycamore_platform::{HttpPlatform, HttpSettings};
+use sycamore_platform::{HttpPlatform, HttpSettings, NativeProtocol, StoreProtocol};
 
 const COMMITTED: &str =
     "HTTP/1.1 200 OK\r\ncontent-length: 38\r\n\r\n{\"committed\":true,\"revisions\":{\"k\":4}}\n";
@@ -188,3 +188,33 @@
     assert_eq!(answer, Err(Error::NoAnswer));
     assert!(started.elapsed() < Duration::from_secs(2), "{:?}", started.elapsed());
 }
+
+// Guards against one row of another writer, which is nested too deeply or holds a number out of range, that
+// has the whole answer rejected: the others must be decoded.
+#[test]
+fn a_value_that_cannot_be_decoded_leaves_the_other_rows_of_an_answer() {
+    let deep = format!("{}1{}", "[".repeat(100_000), "]".repeat(100_000));
+    let objects = format!("{}1{}", "{\"a\":".repeat(10_000), "}".repeat(10_000));
+    for odd in ["1e400", "[-1e999]", &"9".repeat(500), deep.as_str(), objects.as_str()] {
+        let row = |key: &str, value: &str| {
+            format!("{{\"key\":\"{key}\",\"value\":{value},\"revision\":3}}")
+        };
+        let rows = [row("member/a", "{\"n\":1}"), row("member/b", odd), row("member/c", "7")];
+        let body = format!("{{\"rows\":[{}],\"more\":false}}", rows.join(","));
+        let query = PageQuery { prefix: "member/", ..PageQuery::default() };
+        let page = NativeProtocol.decode_page(query, http::StatusCode::OK, body.as_bytes());
+        let page = page.expect("an answer with an odd row");
+        assert_eq!(page.rows.len(), 3);
+        assert_eq!(page.rows[0].value["n"], 1);
+        assert_eq!(page.rows[2].value, 7);
+        let one = NativeProtocol.decode_row("k", http::StatusCode::OK, row("k", odd).as_bytes());
+        assert!(one.expect("an odd row").is_some());
+        let conflict = format!("{{\"committed\":false,\"conflicts\":[{}]}}", row("k", odd));
+        let conflicted = NativeProtocol.decode_transaction(
+            &Transaction::default(),
+            http::StatusCode::CONFLICT,
+            conflict.as_bytes(),
+        );
+        assert!(conflicted.is_ok(), "{conflicted:?}");
+    }
+}
--- a/crates/sycamore-types/src/share.rs
+++ b/crates/sycamore-types/src/share.rs
@@ -9,9 +9,38 @@
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
-#[serde(transparent)]
+#[serde(try_from = "u16", into = "u16")]
 pub struct Share(u16);
 
+/// Error of a number of basis points above 10,000.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct InvalidShare(u16);
+
+impl fmt::Display for InvalidShare {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} basis points are out of range; expected 0 to {}", self.0, Share::ALL.0)
+    }
+}
+
+impl std::error::Error for InvalidShare {}
+
+impl TryFrom<u16> for Share {
+    type Error = InvalidShare;
+
+    fn try_from(points: u16) -> Result<Self, InvalidShare> {
+        match points <= Self::ALL.0 {
+            true => Ok(Self(points)),
+            false => Err(InvalidShare(points)),
+        }
+    }
+}
+
+impl From<Share> for u16 {
+    fn from(share: Share) -> Self {
+        share.0
+    }
+}
+
 impl Share {
     /// Share of a version that receives no traffic.
     pub const NONE: Share = Share(0);
--- a/crates/sycamore-types/tests/types.rs
+++ b/crates/sycamore-types/tests/types.rs
@@ -16,6 +16,26 @@
     }
 }
 
+/// Guards against refusing the name of an account that a header field carries, which has every node reject
+/// the configuration, and against one that upstreams would be told differently.
+#[test]
+fn names_of_accounts_are_what_a_header_field_carries_unchanged() {
+    for name in ["hule930", "Farmacia del Centro", "\u{10d}", "a\tb", "a;b", &"x".repeat(1_024)] {
+        assert_eq!(AccountName::new(name).as_ref().map(AccountName::as_str), Ok(name));
+    }
+    for bad in ["", " a", "a ", "\ta", "a\nb", "a\r", "\0", "\u{7f}", &"x".repeat(1_025)] {
+        assert!(AccountName::new(bad).is_err(), "{bad:?} was accepted");
+    }
+}
+
+/// Guards against a share beyond all traffic, as another writer may state it.
+#[test]
+fn shares_above_all_traffic_are_refused() {
+    assert_eq!(Share::try_from(10_000).ok(), Some(Share::ALL));
+    assert!(Share::try_from(10_001).is_err());
+    assert_eq!(u16::from(Share::from_basis_points(250)), 250);
+}
+
 /// Guards against a prefix that matches in the middle of a path segment, such as `/tickets` on
 /// `/ticketsale`.
 #[test]
