fix(calls): a connection that carried an upstream's refusal isn't used again by the native protocol

Callers saw: nothing here yet; other operators report calls that ran and were refused as not run, after an upstream wrote an earlier refusal once more. Cause: native answers name no request, so that the copy was taken for the answer to the next call of the connection. Evidence: calls::wrong, one run and the answer not-run. On the users' platform, whose answers name the request, no variant did it (adapter::refused). Change: the connection closes after a call that the upstream shed. Tests for the report on heads that stop: it can't happen, for any byte of a head. Result: a_refusal_written_once_more_is_not_the_answer_to_a_later_call failed before and passes; adapter::refused and the tests of heads in calls::cut passed before as well and stay as proof. Ruled out: refusing refusals without an identifier on used connections, which would tell callers less.

--- a/crates/sycamore-node/src/calls/beside.rs
+++ b/crates/sycamore-node/src/calls/beside.rs
@@ -285,7 +285,9 @@
                 Err(std::io::ErrorKind::ConnectionAborted.into())
             }
             relayed => {
-                if relayed == Relayed::Reusable {
+                // A refusal need not name its call: one that is written once more on the connection would
+                // be taken for the answer to a later call, which may run.
+                if relayed == Relayed::Reusable && !shed {
                     self.state.upstreams.put(self.upstream.address, stream);
                 }
                 self.record_answer(status, shed);
--- a/crates/sycamore-node/tests/calls/cut.rs
+++ b/crates/sycamore-node/tests/calls/cut.rs
@@ -1,6 +1,6 @@
 //! Answers of upstreams whose connection ends or fails early: none may reach its caller as complete.
 
-use super::world::{run, settle, Cluster, Options};
+use super::world::{field, get, post, run, settle, Cluster, Options};
 use bytes::{Bytes, BytesMut};
 use http::StatusCode;
 use monoio::io::{AsyncReadRent, AsyncWriteRentExt, Splitable};
@@ -10,6 +10,7 @@
 use sycamore_http::conn::{write_all, ReadError, Reader};
 use sycamore_http::wire::response_framing;
 use sycamore_http::{BodyDecoder, HeadLimits};
+use sycamore_types::headers;
 
 /// Size of an upload in bytes, beyond what the sockets on its way buffer.
 const UPLOAD_BYTES: usize = 32 << 20;
@@ -174,3 +175,81 @@
         }
     });
 }
+
+/// Head of an answer, whose parts are all the answer that some upstreams give.
+const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nserver: a\r\ncontent-length: 5\r\nx-last: 1\r\n\r\n";
+/// Head without a length.
+const UNFRAMED_HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nserver: a\r\nx-last: 1\r\n\r\n";
+
+/// Guards against an answer of 200 with an empty or short body after an upstream that stopped within the
+/// head: at any byte, by a close or a reset, to a request with and without a body.
+#[test]
+fn an_answer_that_stops_within_its_head_is_never_a_success() {
+    run(async {
+        let close = [Close::InOrder, Close::Reset];
+        for (head, close) in [(HEAD, close[0]), (HEAD, close[1]), (UNFRAMED_HEAD, close[0])] {
+            for end in 1..head.len() {
+                let address = start_upstream(&head[..end], close, false);
+                let cluster = start_node(address).await;
+                for req in [post("/counter/x"), get("/counter/x")] {
+                    let body = if end % 2 == 0 { "x" } else { "" };
+                    let resp = cluster.call(req, body).await;
+                    let text = String::from_utf8_lossy(&head[..end]);
+                    assert_eq!(resp.status(), StatusCode::BAD_GATEWAY, "{close:?}: {text:?}");
+                    assert_eq!(field(&resp, headers::OUTCOME), "unknown", "{close:?}: {text:?}");
+                }
+                cluster.stop().await;
+            }
+        }
+    });
+}
+
+/// Guards against the same for uploads that are still sent, and for heads behind an interim answer.
+#[test]
+fn an_upload_whose_answer_stops_within_its_head_is_never_a_success() {
+    const INTERIM: &[u8] =
+        b"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 5\r\n";
+    run(async {
+        for (answer, is_early) in [
+            (&HEAD[..HEAD.len() - 2], true),
+            (&HEAD[..30], true),
+            (INTERIM, true),
+            (INTERIM, false),
+            (&UNFRAMED_HEAD[..UNFRAMED_HEAD.len() - 1], false),
+        ] {
+            let address = start_upstream(answer, Close::Reset, is_early);
+            let cluster = start_node(address).await;
+            let bytes = if is_early { UPLOAD_BYTES } else { 200 << 10 };
+            let answered = upload(&cluster, bytes).await;
+            let text = String::from_utf8_lossy(answer);
+            assert!(!matches!(answered, Ok((StatusCode::OK, _))), "{text:?}: {answered:?}");
+            cluster.stop().await;
+        }
+    });
+}
+
+/// Guards against answers of pipelined requests in the wrong order, or a success in the place of one
+/// whose upstream stopped within its head.
+#[test]
+fn pipelined_requests_behind_a_cut_head_get_no_answer_of_another() {
+    run(async {
+        let address = start_upstream(&HEAD[..HEAD.len() - 2], Close::InOrder, false);
+        let cluster = start_node(address).await;
+        let caller = cluster.nodes[0].hub.settings.listen.caller;
+        let mut stream = TcpStream::connect(caller).await.unwrap();
+        let requests = "GET /counter/x HTTP/1.1\r\nhost: a\r\n\r\n".repeat(3)
+            + "GET /nowhere HTTP/1.1\r\nhost: a\r\n\r\n";
+        stream.write_all(requests.into_bytes()).await.0.unwrap();
+        let (read, _writer) = stream.into_split();
+        let mut reader = Reader::new(read);
+        let mut statuses = Vec::new();
+        for _ in 0..4 {
+            let head = reader.response_head(&HeadLimits::DEFAULT).await.unwrap();
+            let framing = response_framing(&head, &http::Method::GET).unwrap();
+            reader.body(BodyDecoder::new(framing), usize::MAX).await.unwrap();
+            statuses.push(head.status.as_u16());
+        }
+        assert_eq!(statuses, [502, 502, 502, 404]);
+        cluster.stop().await;
+    });
+}
--- a/crates/sycamore-node/tests/calls/upstream.rs
+++ b/crates/sycamore-node/tests/calls/upstream.rs
@@ -78,7 +78,7 @@
     pub fn last_field(&self, name: &str) -> Option<String> {
         let heads = self.shared.heads.borrow();
         let value = heads.last()?.headers.get(name)?;
-        Some(value.to_str().unwrap().to_owned())
+        Some(String::from_utf8_lossy(value.as_bytes()).into_owned())
     }
 
     /// Returns the number of connections that were opened so far.
@@ -141,6 +141,8 @@
     let mut reader = Reader::new(read);
     let number = shared.opened.get();
     shared.opened.set(number + 1);
+    // Refusal that the connection carried, which a faulty upstream writes once more.
+    let mut refusal = None;
     while let Ok(head) = reader.request_head(&HeadLimits::DEFAULT).await {
         if number < shared.muted.get() {
             std::future::pending::<()>().await;
@@ -169,6 +171,16 @@
         }
         let Some((bytes, keep)) = answer else { return };
         let bytes = with_fields(&bytes, &shared.fields.borrow());
+        if path.ends_with("shed") {
+            refusal = Some(bytes.clone());
+        }
+        if let Some(refusal) = refusal.clone().filter(|_| path.ends_with("repeats")) {
+            // The answer follows in a packet of its own.
+            if write_all(&mut writer, refusal).await.is_err() {
+                return;
+            }
+            monoio::time::sleep(Duration::from_millis(20)).await;
+        }
         if write_all(&mut writer, bytes).await.is_err() || !keep {
             return;
         }
--- a/crates/sycamore-node/tests/calls/wrong.rs
+++ b/crates/sycamore-node/tests/calls/wrong.rs
@@ -99,6 +99,26 @@
     });
 }
 
+/// Guards against a call that ran and whose caller is told that it has not, as the upstream wrote the
+/// refusal of an earlier call once more on the kept connection: before the answer, and alone.
+#[test]
+fn a_refusal_written_once_more_is_not_the_answer_to_a_later_call() {
+    run(async {
+        let cluster = Cluster::start(&Options::default()).await;
+        for _ in 0..3 {
+            for _ in 0..4 {
+                cluster.call(post("/counter/shed"), "x").await;
+            }
+            let before = cluster.runs("repeats");
+            let resp = cluster.call(post("/counter/repeats"), "x").await;
+            let runs = cluster.runs("repeats") - before;
+            let is_refused = field(&resp, headers::OUTCOME) == "not-run";
+            assert!(runs == 1 && !is_refused, "{runs} runs, answered {resp:?}");
+        }
+        cluster.stop().await;
+    });
+}
+
 /// A call that an upstream ran and answered with 500 must not be reported as `not-run`, also after
 /// a retry; a call that is not idempotent must not be retried.
 #[test]
