fix(calls): an upload that crashes upstreams is quarantined however it arrives

Cause: a fingerprint covered the buffered part of the body, which ends at the first read beyond 32 KiB, so that each try had another. Evidence: an upload of 20,000 bytes was quarantined, and one in other pieces never. Change: the fingerprint covers the first 32 KiB exactly. Ruled out: the length in the fingerprint, as the same body may come in chunks.

--- a/crates/sycamore-node/src/calls/serve.rs
+++ b/crates/sycamore-node/src/calls/serve.rs
@@ -11,7 +11,7 @@
 use super::keyed;
 use super::listen::ListenerKind;
 use super::memory::{Reservation, Role};
-use super::message::{Inbound, Message};
+use super::message::{Inbound, Message, PREFIX_BYTES};
 use super::meta::{self, first_bytes, CallMeta, Depth};
 use super::pipeline;
 use super::state::State;
@@ -357,11 +357,13 @@
 }
 
 /// Returns a hash that identifies a request across its repeats: of its route, method, target and
-/// the first part of its body.
+/// the first [`PREFIX_BYTES`] of its body.
 fn fingerprint(msg: &Message, route: &RouteName) -> Fingerprint {
     let target = msg.head.uri.path_and_query().map_or("/", |target| target.as_str());
     let mut text = format!("{route}\n{}\n{target}\n", msg.head.method).into_bytes();
-    text.extend_from_slice(msg.prefix());
+    // How much is buffered beyond that depends on how the body arrived.
+    let prefix = msg.prefix();
+    text.extend_from_slice(&prefix[..prefix.len().min(PREFIX_BYTES)]);
     Fingerprint(first_bytes(&ContentHash::of(&text)))
 }
 
--- a/crates/sycamore-node/tests/calls/crash.rs
+++ b/crates/sycamore-node/tests/calls/crash.rs
@@ -2,6 +2,9 @@
 
 use super::world::{field, post, run, wait_until, Cluster, Options};
 use http::StatusCode;
+use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
+use monoio::net::TcpStream;
+use std::time::Duration;
 use sycamore_types::headers;
 use sycamore_types::prelude::*;
 
@@ -70,3 +73,47 @@
         cluster.stop().await;
     });
 }
+
+/// Size of an upload in bytes, of which nodes buffer the first part.
+const UPLOAD_BYTES: usize = 60_000;
+
+/// Sends an upload for `path` to the node with this index, in pieces of `piece` bytes as they arrive over a
+/// network; returns the status of the answer.
+async fn upload(cluster: &Cluster, node: usize, path: &str, piece: usize) -> u16 {
+    let caller = cluster.nodes[node].hub.settings.listen.caller;
+    let mut stream = TcpStream::connect(caller).await.unwrap();
+    stream.set_nodelay(true).unwrap();
+    let head = format!("POST {path} HTTP/1.1\r\nhost: a\r\ncontent-length: {UPLOAD_BYTES}\r\n\r\n");
+    stream.write_all(head.into_bytes()).await.0.unwrap();
+    for bytes in vec![b'x'; UPLOAD_BYTES].chunks(piece) {
+        // A refusal may come before the end of the upload.
+        if stream.write_all(bytes.to_vec()).await.0.is_err() {
+            break;
+        }
+        monoio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let (read, bytes) = stream.read(vec![0; 4_096]).await;
+    let answer = String::from_utf8_lossy(&bytes[..read.unwrap()]).into_owned();
+    answer.split(' ').nth(1).and_then(|status| status.parse().ok()).expect("a status")
+}
+
+/// Guards against an upload that crashes upstreams and is never quarantined, since its fingerprint depends
+/// on how much of it a node had buffered: it comes in other pieces each time.
+#[test]
+fn an_upload_is_quarantined_however_it_arrives() {
+    run(async {
+        let cluster = Cluster::start(&Options { nodes: 3, ..Options::default() }).await;
+        for (node, piece) in [(0, 4_096), (1, 7_000)] {
+            assert_eq!(upload(&cluster, node, "/counter/crash", piece).await, 502);
+            monoio::time::sleep(Duration::from_millis(100)).await;
+            spread(&cluster);
+        }
+        wait_until(|| quarantined(&cluster)).await;
+        for (node, piece) in [(0, 3_000), (1, 9_999), (2, 1_000), (2, UPLOAD_BYTES)] {
+            assert_eq!(upload(&cluster, node, "/counter/crash", piece).await, 429);
+        }
+        assert_eq!(cluster.runs("crash"), 2);
+        assert_ne!(upload(&cluster, 0, "/counter/echo", 5_000).await, 429, "another upload");
+        cluster.stop().await;
+    });
+}
