test(soak): upstreams that leave and go on announcing themselves, and rows of another writer

Cause: leaves that outlive a killed node, and odd entries among those of nodes, came from nothing that the soak plays. Change: two kinds of events from a generator of their own, so that a seed keeps the events that it had. A departure kills the node beside once the leave is acknowledged, unless that took as long as the node waits for the platform; the stand-in upstream has an endpoint for it.

--- a/crates/sycamore-bench/src/fleet/query.rs
+++ b/crates/sycamore-bench/src/fleet/query.rs
@@ -9,7 +9,7 @@
 use error_stack::{Report, ResultExt};
 use http::{Method, Request, StatusCode};
 use http_body_util::Full;
-use serde_json::Value;
+use serde_json::{json, Value};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -149,4 +149,29 @@
         let body = report.map(|report| serde_json::to_vec(&report).unwrap_or_default());
         operator(addr, Method::POST, report::PATH, body.unwrap_or_default()).await?.json()
     }
+
+    /// Has the upstream of `instance` leave its node without an end of its process.
+    ///
+    /// # Errors
+    /// [`BenchError::Http`] if the upstream doesn't answer, or its node did not acknowledge the leave.
+    pub async fn depart(&self, instance: &str) -> Result<()> {
+        let addr = self.addrs(instance)?.service;
+        let answer = operator(addr, Method::POST, report::DEPART_PATH, "").await?;
+        match answer.status.is_success() {
+            true => Ok(()),
+            false => Err(Report::new(BenchError::Http(format!("status {}", answer.status)))),
+        }
+    }
+
+    /// Writes rows to the platform's table as another writer than the fleet's nodes may.
+    ///
+    /// # Errors
+    /// [`BenchError::Http`] if the platform doesn't answer that it wrote them.
+    pub async fn write_rows(&self, rows: &[(String, Value)]) -> Result<()> {
+        let writes: Vec<Value> =
+            rows.iter().map(|(key, value)| json!({ "key": key, "value": value })).collect();
+        let body = json!({ "conditions": [], "writes": writes }).to_string();
+        let answer = operator(self.platform_addr(), Method::POST, "/table/transact", body).await?;
+        success(answer).map(drop)
+    }
 }
--- a/crates/sycamore-bench/src/soak/play.rs
+++ b/crates/sycamore-bench/src/soak/play.rs
@@ -9,13 +9,17 @@
 use crate::witness::now_us;
 use crate::Result;
 use nix::sys::signal::Signal;
-use serde_json::json;
+use serde_json::{json, Value};
 use std::cell::Cell;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time within which a node must exit after SIGTERM, as the users require; time while paused does
 /// not count.
 const SHUTDOWN_LIMIT: Duration = Duration::from_secs(6);
+/// Time that a node waits at most until the platform holds a leave, less what its answer takes.
+const MAX_STORE_TIME: Duration = Duration::from_millis(400);
+/// Time between the kill of a node and its start.
+const RESTART_PAUSE: Duration = Duration::from_millis(300);
 /// Time between two checks of whether a node has exited.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -102,6 +106,28 @@
             Action::Leave => {
                 self.report(instance, SelfReport { rate_limit: None, leaving: true }).await;
             }
+            Action::Depart => self.depart(instance).await?,
+            Action::OddRows => {
+                if let Err(report) = fleet.write_rows(&odd_rows()).await {
+                    eprintln!("         odd rows: {}", report.current_context());
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Has the upstream of `instance` leave, and starts its node anew. A leave that took as long as the
+    /// node waits at most for the platform may be held by that node alone, which is then left running.
+    async fn depart(&self, instance: &str) -> Result<()> {
+        let began = Instant::now();
+        if let Err(report) = self.fleet.depart(instance).await {
+            eprintln!("         departure of {instance}: {}", report.current_context());
+            return Ok(());
+        }
+        if began.elapsed() < MAX_STORE_TIME {
+            self.fleet.kill_node(instance)?;
+            monoio::time::sleep(RESTART_PAUSE).await;
+            self.fleet.start_node(instance)?;
         }
         Ok(())
     }
@@ -131,7 +157,7 @@
                 self.report(instance, SelfReport::default()).await;
                 Ok(())
             }
-            Action::Leave => {
+            Action::Leave | Action::Depart => {
                 fleet.kill_upstream(instance)?;
                 fleet.start_upstream(instance)
             }
@@ -143,6 +169,7 @@
             | Action::Mute(_)
             | Action::Outage
             | Action::LoseAnswers(_)
+            | Action::OddRows
             | Action::Change => Ok(()),
         }
     }
@@ -214,6 +241,34 @@
     }
 }
 
+/// Returns rows under keys of members and of moves that hold no valid one.
+fn odd_rows() -> Vec<(String, Value)> {
+    let nested = (0..100).fold(json!(1), |inner, _| json!([inner]));
+    let member = json!({
+        "instance": "odd", "incarnation": u64::MAX, "state": "serving", "service": "counter",
+        "version": "1.0.0", "data_centre": "a", "region": "r", "slots": 1,
+        "endpoints": { "peer": "127.0.0.1:99999", "relay": "127.0.0.1:0" },
+    });
+    let step = json!({ "share": 65_535, "at": u64::MAX, "hold_ms": u64::MAX, "margin": 0 });
+    let move_of = |steps: Vec<Value>| {
+        json!({
+            "plan": "odd", "spec": { "mv": "m", "service": "counter", "from": "1", "to": "2",
+                "start": 0, "deadline": u64::MAX, "cap": 1, "watch_ms": null,
+                "on_timeout": "take-back" },
+            "schedule": { "steps": steps, "deadline": u64::MAX }, "outcome": null,
+            "author": { "operator": "odd" }, "op": "0".repeat(32), "at": 0,
+        })
+    };
+    vec![
+        ("member/odd".to_owned(), member),
+        ("member/odd-deep".to_owned(), nested.clone()),
+        ("member/odd-text".to_owned(), json!("odd")),
+        ("move/odd/m".to_owned(), move_of(Vec::new())),
+        ("move/odd/n".to_owned(), move_of(vec![step; 200])),
+        ("move/odd/deep".to_owned(), nested),
+    ]
+}
+
 /// Returns whether the process `pid` is paused by a signal, according to `/proc/{pid}/stat`.
 fn is_paused(pid: i32) -> bool {
     let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
@@ -226,12 +281,12 @@
 fn disturbs_callers(action: Action) -> bool {
     match action {
         Action::Kill(Part::Node) | Action::Stop(Part::Node) | Action::Pause(Part::Node) => true,
-        Action::Skew(_) => true,
+        Action::Skew(_) | Action::Depart => true,
         Action::Disturb(hop, _) | Action::Reset(hop) | Action::Mute(hop) => hop == Hop::Caller,
         Action::Kill(Part::Upstream)
         | Action::Stop(Part::Upstream)
         | Action::Pause(Part::Upstream) => false,
         Action::Outage | Action::Slow(_) | Action::LoseAnswers(_) | Action::Change => false,
-        Action::Limit(_) | Action::Leave => false,
+        Action::Limit(_) | Action::Leave | Action::OddRows => false,
     }
 }
--- a/crates/sycamore-bench/src/soak/schedule.rs
+++ b/crates/sycamore-bench/src/soak/schedule.rs
@@ -27,6 +27,12 @@
 const RATE_LIMIT: Range<u32> = 1..9;
 /// Minimum duration of a rate limit, in milliseconds, after which it is checked at all.
 const MIN_LIMIT_MS: u64 = 4_000;
+/// Minimum duration of a departure, in milliseconds, after which its requests are checked at all.
+const MIN_DEPART_MS: u64 = 5_000;
+/// Time between the starts of two departures or writes of odd rows, in milliseconds.
+const OTHER_GAP_MS: Range<u64> = 2_000..7_000;
+/// Bits by which the seed of those events differs from that of the others.
+const OTHER_SEED: u64 = 0x6f64_6420_726f_7773;
 /// Number of consecutive answers that the platform loses.
 const LOST_ANSWERS: Range<u32> = 1..6;
 
@@ -68,6 +74,11 @@
     Limit(u32),
     /// Has an upstream report that it is leaving; replaces it at the event's end.
     Leave,
+    /// Has an upstream leave while it goes on announcing itself, and kills its node once the leave is
+    /// acknowledged; replaces the upstream at the event's end.
+    Depart,
+    /// Writes rows that hold no valid entry among those of the members and of the moves.
+    OddRows,
 }
 
 /// Scheduled fault of a fleet or change of its configuration.
@@ -86,15 +97,30 @@
 /// Draws the events within `time` for `instances`, in order of their start.
 pub fn plan(seed: u64, time: Duration, instances: &[String]) -> Vec<Event> {
     let mut rng = SmallRng::seed_from_u64(seed);
+    let mut events = draw_events(&mut rng, time, instances, GAP_MS, draw_action);
+    // From a generator of their own, so that a seed keeps the events that it had before these kinds.
+    let mut rng = SmallRng::seed_from_u64(seed ^ OTHER_SEED);
+    events.extend(draw_events(&mut rng, time, instances, OTHER_GAP_MS, draw_other_action));
+    events.sort_by_key(|event| event.at);
+    events
+}
+
+fn draw_events(
+    rng: &mut SmallRng,
+    time: Duration,
+    instances: &[String],
+    gap_ms: Range<u64>,
+    draw: impl Fn(&mut SmallRng) -> Action,
+) -> Vec<Event> {
     let mut events = Vec::new();
-    let mut at = Duration::from_millis(rng.random_range(GAP_MS));
+    let mut at = Duration::from_millis(rng.random_range(gap_ms.clone()));
     while at < time {
         let drawn = Duration::from_millis(rng.random_range(LASTS_MS));
-        let instance = instances.choose(&mut rng).cloned().unwrap_or_default();
-        let action = draw_action(&mut rng);
+        let instance = instances.choose(rng).cloned().unwrap_or_default();
+        let action = draw(rng);
         let lasts = drawn.max(min_duration(action)).min(max_duration(action)).min(time - at);
         events.push(Event { at, lasts, instance, action });
-        at += Duration::from_millis(rng.random_range(GAP_MS));
+        at += Duration::from_millis(rng.random_range(gap_ms.clone()));
     }
     events
 }
@@ -103,6 +129,7 @@
 fn min_duration(action: Action) -> Duration {
     match action {
         Action::Limit(_) => Duration::from_millis(MIN_LIMIT_MS),
+        Action::Depart => Duration::from_millis(MIN_DEPART_MS),
         _ => Duration::ZERO,
     }
 }
@@ -117,6 +144,13 @@
     }
 }
 
+fn draw_other_action(rng: &mut SmallRng) -> Action {
+    match rng.random_range(0..3) {
+        0 | 1 => Action::Depart,
+        _ => Action::OddRows,
+    }
+}
+
 fn draw_action(rng: &mut SmallRng) -> Action {
     let part = if rng.random() { Part::Node } else { Part::Upstream };
     let hop = *Hop::ALL.choose(rng).expect("there are hops");
--- a/crates/sycamore-bench/src/stand_in/upstream/announce.rs
+++ b/crates/sycamore-bench/src/stand_in/upstream/announce.rs
@@ -34,10 +34,10 @@
     }
 }
 
-/// Notifies `node` once that its upstream begins to drain; an error is ignored.
-pub async fn drain(options: &Options, node: SocketAddr) {
+/// Notifies `node` once that its upstream begins to drain. Returns whether the node acknowledged it.
+pub async fn drain(options: &Options, node: SocketAddr) -> bool {
     let body = json!({ "process": process(options), "started_ms": started_ms() });
-    post(&Client::default(), node, "/shift/drain", Bytes::from(body.to_string())).await;
+    post(&Client::default(), node, "/shift/drain", Bytes::from(body.to_string())).await
 }
 
 /// Returns the name of this process, which no other one has.
--- a/crates/sycamore-bench/src/stand_in/upstream/report.rs
+++ b/crates/sycamore-bench/src/stand_in/upstream/report.rs
@@ -11,6 +11,10 @@
 
 /// Path at which the report is set (POST, a [`SelfReport`]) and the count is read (GET, a [`Count`]).
 pub const PATH: &str = "/report";
+/// Path at which the upstream is told to leave without an end of its process (POST): it sends its node
+/// the message of a leave, and goes on announcing itself and running requests, as messages that were
+/// sent before a leave may arrive after it.
+pub const DEPART_PATH: &str = "/depart";
 /// Span over which the users count the requests of a limited upstream.
 const WINDOW: Duration = Duration::from_secs(4);
 /// Time after the first report of a limit from which the users count.
--- a/crates/sycamore-bench/src/stand_in/upstream/serve.rs
+++ b/crates/sycamore-bench/src/stand_in/upstream/serve.rs
@@ -163,6 +163,7 @@
             }
             "/load" => Ok(self.probes.borrow().load(self.options.probe, self.load())),
             report::PATH => self.answer_report(req).await,
+            report::DEPART_PATH => Ok(self.answer_depart().await),
             _ => {
                 self.reported.count_arrival();
                 let _in_flight = InFlight::new(&self.requests);
@@ -187,6 +188,19 @@
         Ok(text(StatusCode::OK, count))
     }
 
+    /// Leaves the node, and answers whether the node acknowledged it.
+    async fn answer_depart(&self) -> Answer {
+        let acknowledged = match self.options.node {
+            Some(node) => announce::drain(&self.options, node).await,
+            None => false,
+        };
+        if !acknowledged {
+            return text(StatusCode::BAD_GATEWAY, "the node did not acknowledge the leave");
+        }
+        self.reporter.report(UpstreamEventKind::Drain, "", "");
+        text(StatusCode::OK, "")
+    }
+
     /// Waits for a slot and runs the request in it; sheds the request if the queue is full or its
     /// deadline passes.
     async fn admit(&self, req: Request<Incoming>) -> Reply {
