fix(calls): a new process of a node knows its row before it believes an announcement

Cause: a node registers up to 150 ms after its start, and hears its peers then; until that an announcement sent before the leave counts. Change: messages of the upstream wait until the node has read its own row, for 500 ms from its start at most. Ruled out: registering without a delay, which has all nodes of a fleet write at once.

--- a/crates/sycamore-node/src/calls/announce.rs
+++ b/crates/sycamore-node/src/calls/announce.rs
@@ -19,6 +19,8 @@
 /// Maximum time that an acknowledgement waits for a leave to be stored: upstreams wait for it no longer
 /// than a second.
 const MAX_STORE_TIME: Duration = Duration::from_millis(500);
+/// Maximum time from the start of the node for which messages wait until the node has read its own row.
+const MAX_ROW_TIME: Duration = Duration::from_millis(500);
 /// Maximum time by which the start of an upstream process may lie ahead of the node's clock.
 const MAX_START_AHEAD: Duration = Duration::from_secs(3_600);
 /// Maximum difference between two ends of a cold start that count as the same.
@@ -34,6 +36,7 @@
     if msg.read_prefix(inbound).await.is_err() || !msg.is_body_buffered() {
         return Err(std::io::ErrorKind::InvalidData.into());
     }
+    wait_for_own_row(state).await;
     let order = state.edges.upstream.read(&msg.head, msg.prefix()).and_then(|message| {
         check_start(state, &message)?;
         match message {
@@ -63,6 +66,16 @@
     }
 }
 
+/// Waits until this process knows the leave that an earlier process of the node stored, but no longer than
+/// [`MAX_ROW_TIME`] from its start: an announcement that was sent before that leave may come first.
+async fn wait_for_own_row(state: &State) {
+    let left = MAX_ROW_TIME.saturating_sub(state.now().since(Time::default()));
+    if !left.is_zero() {
+        // Without the row, the upstream's word counts.
+        let _ = monoio::time::timeout(left, state.hub.wait_for_own_row()).await;
+    }
+}
+
 /// Checks that the sender of a message has started: a start far ahead would make all messages of the
 /// real process count as earlier.
 fn check_start(state: &State, message: &UpstreamMessage) -> Result<(), String> {
--- a/crates/sycamore-node/src/hub/mod.rs
+++ b/crates/sycamore-node/src/hub/mod.rs
@@ -111,6 +111,9 @@
     left: RefCell<VecDeque<ProcessId>>,
     /// Latest leave that the platform's table holds.
     stored_leave: watch::Sender<Option<ProcessId>>,
+    /// Whether this process has still to read the row of an earlier process of the node, which may hold
+    /// a leave.
+    awaits_own_row: watch::Sender<bool>,
     /// Release orders of operators by row key, each with the revision of its row.
     pub orders: watch::Sender<Arc<BTreeMap<String, (ReleaseOrder, u64)>>>,
     /// Facts that spread between nodes.
@@ -157,6 +160,7 @@
             upstream: watch::Sender::new(None),
             left: RefCell::default(),
             stored_leave: watch::Sender::new(None),
+            awaits_own_row: watch::Sender::new(false),
             orders: watch::Sender::new(Arc::default()),
             facts: Facts::default(),
             dependencies,
@@ -320,6 +324,18 @@
         self.stored_leave.send_replace(Some(process));
     }
 
+    /// Records whether this process has still to read the row of an earlier process of the node.
+    pub fn set_awaits_own_row(&self, awaits: bool) {
+        self.awaits_own_row.send_replace(awaits);
+    }
+
+    /// Waits until this process has read the row of an earlier process of the node.
+    pub async fn wait_for_own_row(&self) {
+        let mut awaits = self.awaits_own_row.subscribe();
+        // The sender lives as long as the hub.
+        let _ = awaits.wait_for(|awaits| !awaits).await;
+    }
+
     /// Returns whether the platform's table holds the leave of the upstream `process`.
     pub fn is_leave_stored(&self, process: ProcessId) -> bool {
         *self.stored_leave.borrow() == Some(process)
--- a/crates/sycamore-node/src/peers/register.rs
+++ b/crates/sycamore-node/src/peers/register.rs
@@ -36,6 +36,7 @@
 
 /// Spawns the task that reads contacts, registers this node and then refreshes periodically.
 pub(super) fn start(driver: &Rc<Driver>, platform: &Rc<Platform>, tasks: &TaskGroup) {
+    driver.hub.set_awaits_own_row(true);
     tasks.spawn_until_stop(store_leaves(driver.clone(), platform.clone()));
     let (driver, platform) = (driver.clone(), platform.clone());
     tasks.spawn_until_stop(async move {
@@ -156,12 +157,16 @@
 /// the row.
 async fn register(driver: &Driver, platform: &Platform) -> Result<bool> {
     let key = member_key(&driver.hub.settings.node.instance);
-    let Some(found) = write_row(driver, platform, Revision::ABSENT).await? else { return Ok(true) };
+    let Some(found) = write_row(driver, platform, Revision::ABSENT).await? else {
+        driver.hub.set_awaits_own_row(false);
+        return Ok(true);
+    };
     let value = found.value.unwrap_or_default();
     let row = Row { key, value, revision: found.revision };
     let stored = decode_member(&row);
     // The row of an earlier process names the upstream process whose leave that one recorded.
     driver.input(Input::Rows(stored.iter().cloned().collect()));
+    driver.hub.set_awaits_own_row(false);
     if stored.as_ref().is_some_and(|stored| stored.incarnation >= driver.hub.incarnation) {
         // Written by this process, or by one with a later incarnation, which this process refutes
         // with a higher one.
