test: an answer without end keeps a node from everything else

At fault: relay_body in crates/sycamore-http/src/conn/reader.rs, which never yields while its sender is as fast as the node.

--- /dev/null
+++ b/review/6/run.py
@@ -0,0 +1,128 @@
+"""An answer without end: requests of other routes at the same node stay unanswered past their timeout."""
+
+import multiprocessing
+import os
+import socket
+import sys
+import threading
+import time
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(os.path.dirname(HERE), "lib2"))
+from mesh import *  # noqa: E402,F403
+
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+# Timeouts, objectives and deadlines of two kinds of requests as the sheets of the pages have them:
+# `invoice-history` (objective 2 s, deadline 8 s) and `order-status` (objective 0.25 s, deadline 1.2 s).
+HISTORY = {"timeout_s": 4.0, "target_s": 2.0, "deadline_ms": 8000}
+STATUS = {"timeout_s": 0.5, "target_s": 0.25, "deadline_ms": 1200}
+# The rule: no final answer half a second after the route's `timeout_s`, for eight requests and over a
+# quarter of those that last longer than it.
+GRACE_S, MIN_LATE, MAX_SHARE = 0.5, 8, 0.25
+PLAY_S, QUIET_S, STATUS_CLIENTS, HISTORY_CLIENTS = 24.0, 2.0, 8, 1
+
+
+def read_history(port, until, results):
+    """Sends one request after the other and reads each answer until it ends, or the deadline."""
+    buf = bytearray(1 << 22)
+    deadline_s = HISTORY["deadline_ms"] / 1000
+    while time.monotonic() < until:
+        sent, got, end = time.monotonic(), 0, "deadline"
+        rid = new_id()
+        sock = socket.create_connection((HOST, port), timeout=1.0)
+        sock.sendall(encode("GET", "/history/1", client_headers("shop.example",
+                                                                HISTORY["deadline_ms"], rid)))
+        try:
+            status, fields, rest = read_head(sock)
+            got = len(rest)
+            length = int(fields["content-length"]) if "content-length" in fields else None
+            end = "whole %d" % status if length is not None and got >= length else end
+            while end == "deadline" and time.monotonic() < sent + deadline_s:
+                sock.settimeout(max(0.01, sent + deadline_s - time.monotonic()))
+                # The client counts the bytes and keeps none.
+                read = sock.recv_into(buf, len(buf), socket.MSG_TRUNC)
+                got += read
+                end = "closed" if read == 0 else end
+                if length is not None and got >= length:
+                    end = "whole %d" % status
+        except socket.timeout:
+            pass
+        except OSError as error:
+            end = "closed (%s)" % type(error).__name__
+        sock.close()
+        results.put(("history", rid, sent, time.monotonic() - sent, end, got))
+        time.sleep(0.3)
+
+
+def ask_status(port, until, results):
+    while time.monotonic() < until:
+        sent, rid = time.monotonic(), new_id()
+        try:
+            status, _, body = request(port, "GET", "/status/1", client_headers(
+                "shop.example", STATUS["deadline_ms"], rid), timeout=STATUS["deadline_ms"] / 1000)
+            end = "whole %d" % status
+        except OSError as error:
+            end = "none (%s)" % type(error).__name__
+        results.put(("status", rid, sent, time.monotonic() - sent, end, 0))
+        time.sleep(max(0.0, 0.1 - (time.monotonic() - sent)))
+
+
+def main(record):
+    routes = [route("r-history", "/history/", "safe", "offert", HISTORY["timeout_s"],
+                    HISTORY["target_s"]),
+              route("r-status", "/status/", "safe", "bench", STATUS["timeout_s"],
+                    STATUS["target_s"])]
+    trouble = {"trouble": ["endless", {"suffix": "/1"}]} if TROUBLE else None
+    machines = [("offert-a", "offert", "hr-north-a", trouble),
+                ("offert-b", "offert", "hr-north-b", None),
+                ("bench-a", "bench", "hr-north-a", None),
+                ("bench-b", "bench", "hr-north-b", None)]
+    with Mesh(machines, routes, ["offert", "bench"], record) as mesh:
+        mesh.start()
+        node = mesh.machines["bench-a"]
+        time.sleep(3.0)
+        begin = time.monotonic()
+        results = multiprocessing.Queue()
+        clients = [multiprocessing.Process(target=ask_status,
+                                           args=(node.outbound, begin + PLAY_S, results))
+                   for _ in range(STATUS_CLIENTS)]
+        for client in clients:
+            client.start()
+        time.sleep(QUIET_S)
+        mesh.note("requests for histories begin; the backend at offert-a %s"
+                  % ("answers them without end" if TROUBLE else "answers them whole"))
+        readers = [multiprocessing.Process(target=read_history,
+                                           args=(node.outbound, begin + PLAY_S - 4, results))
+                   for _ in range(HISTORY_CLIENTS)]
+        for reader in readers:
+            reader.start()
+        rows = []
+        while any(p.is_alive() for p in clients + readers) or not results.empty():
+            try:
+                rows.append(results.get(timeout=0.2))
+            except Exception:
+                pass
+        alive = node.node.poll() is None
+        for kind, rid, sent, took, end, got in sorted(rows, key=lambda row: row[2]):
+            record.write("%8.3f %-7s %s took %.3f s, %s, %d MB\n"
+                         % (sent - mesh.t0, kind, rid, took, end, got >> 20))
+        limits = {"history": HISTORY["timeout_s"], "status": STATUS["timeout_s"]}
+        over = [r for r in rows if r[3] > limits[r[0]]]
+        late = [r for r in over if r[3] > limits[r[0]] + GRACE_S]
+        broken = len(late) >= MIN_LATE and len(late) > MAX_SHARE * len(over)
+        mesh.note("%d requests at the node of bench-a, %d lasted longer than their route's timeout, "
+                  "%d had no final answer 0.5 s after it; longest status request %.3f s; node alive: %s"
+                  % (len(rows), len(over), len(late),
+                     max((r[3] for r in rows if r[0] == "status"), default=0.0), alive))
+        mesh.note("the rule is %s" % ("broken" if broken else "kept"))
+        return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    with open(os.path.join(HERE, "record.txt"), "w") as record:
+        try:
+            code = main(record)
+        except CannotRun as error:
+            record.write("can't run: %s\n" % error)
+            code = 2
+    sys.exit(code)
