--- a/review/6/run.py
+++ b/review/6/run.py
@@ -19,7 +19,9 @@
 # The rule: no final answer half a second after the route's `timeout_s`, for eight requests and over a
 # quarter of those that last longer than it.
 GRACE_S, MIN_LATE, MAX_SHARE = 0.5, 8, 0.25
-PLAY_S, QUIET_S, STATUS_CLIENTS, HISTORY_CLIENTS = 24.0, 2.0, 8, 1
+# Less than the 1,000 Mbit/s of a machine's link.
+RATE = 100e6
+PLAY_S, QUIET_S, STATUS_CLIENTS, HISTORY_CLIENTS = 24.0, 2.0, 6, 1
 
 
 def read_history(port, until, results):
@@ -72,25 +74,27 @@
                     HISTORY["target_s"]),
               route("r-status", "/status/", "safe", "bench", STATUS["timeout_s"],
                     STATUS["target_s"])]
-    trouble = {"trouble": ["endless", {"suffix": "/1"}]} if TROUBLE else None
+    trouble = {"trouble": ["endless", {"suffix": "/1", "bytes_per_s": RATE}]} if TROUBLE else None
     machines = [("offert-a", "offert", "hr-north-a", trouble),
-                ("offert-b", "offert", "hr-north-b", None),
+                ("offert-b", "offert", "hr-north-b", trouble),
                 ("bench-a", "bench", "hr-north-a", None),
                 ("bench-b", "bench", "hr-north-b", None)]
     with Mesh(machines, routes, ["offert", "bench"], record) as mesh:
         mesh.start()
         node = mesh.machines["bench-a"]
+        # An answer without end passes through its backend's node and the client's.
+        nodes = [mesh.machines[name] for name in ("bench-a", "offert-a", "offert-b")]
         time.sleep(3.0)
         begin = time.monotonic()
         results = multiprocessing.Queue()
         clients = [multiprocessing.Process(target=ask_status,
-                                           args=(node.outbound, begin + PLAY_S, results))
-                   for _ in range(STATUS_CLIENTS)]
+                                           args=(machine.outbound, begin + PLAY_S, results))
+                   for machine in nodes for _ in range(STATUS_CLIENTS)]
         for client in clients:
             client.start()
         time.sleep(QUIET_S)
-        mesh.note("requests for histories begin; the backend at offert-a %s"
-                  % ("answers them without end" if TROUBLE else "answers them whole"))
+        mesh.note("requests for histories begin; the backends of offert %s"
+                  % ("answer them without end" if TROUBLE else "answer them whole"))
         readers = [multiprocessing.Process(target=read_history,
                                            args=(node.outbound, begin + PLAY_S - 4, results))
                    for _ in range(HISTORY_CLIENTS)]
@@ -102,7 +106,7 @@
                 rows.append(results.get(timeout=0.2))
             except Exception:
                 pass
-        alive = node.node.poll() is None
+        alive = all(machine.node.poll() is None for machine in nodes)
         for kind, rid, sent, took, end, got in sorted(rows, key=lambda row: row[2]):
             record.write("%8.3f %-7s %s took %.3f s, %s, %d MB\n"
                          % (sent - mesh.t0, kind, rid, took, end, got >> 20))
@@ -110,8 +114,8 @@
         over = [r for r in rows if r[3] > limits[r[0]]]
         late = [r for r in over if r[3] > limits[r[0]] + GRACE_S]
         broken = len(late) >= MIN_LATE and len(late) > MAX_SHARE * len(over)
-        mesh.note("%d requests at the node of bench-a, %d lasted longer than their route's timeout, "
-                  "%d had no final answer 0.5 s after it; longest status request %.3f s; node alive: %s"
+        mesh.note("%d requests at three nodes, %d lasted longer than their route's timeout, "
+                  "%d had no final answer 0.5 s after it; longest status request %.3f s; nodes alive: %s"
                   % (len(rows), len(over), len(late),
                      max((r[3] for r in rows if r[0] == "status"), default=0.0), alive))
         mesh.note("the rule is %s" % ("broken" if broken else "kept"))
--- a/review/lib2/mesh.py
+++ b/review/lib2/mesh.py
@@ -576,18 +576,23 @@
         sock.sendall("\r\n".join(lines).encode() + body)
 
     def endless(self, sock, buf, rid, path, options):
-        """Sends an answer without a length, whose body does not end before the caller closes."""
-        lines = ["HTTP/1.1 200 OK", "Request-Id: " + rid, "Server-Seal: 3e1b.07." + rid, "", ""]
+        """Sends an answer in chunks of one byte whose body does not end before the caller closes, at no more
+        than the rate in the options."""
+        lines = ["HTTP/1.1 200 OK", "Request-Id: " + rid, "Server-Seal: 3e1b.07." + rid,
+                 "Transfer-Encoding: chunked", "", ""]
         sock.sendall("\r\n".join(lines).encode())
-        sent, block = 0, 1 << 22
-        with tempfile.TemporaryFile() as file:
-            file.write(b"x" * block)
-            file.flush()
-            try:
-                while True:
-                    sent += os.sendfile(sock.fileno(), file.fileno(), 0, block)
-            finally:
-                self.note("endless ended", id=rid, sent=sent)
+        # What is under way bridges the pauses of this process.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 22)
+        block = b"1\r\nx\r\n" * 50000
+        pace, sent, due = len(block) / options["bytes_per_s"], 0, time.monotonic()
+        try:
+            while True:
+                sock.sendall(block)
+                sent += len(block)
+                due = max(due + pace, time.monotonic() - 0.1)
+                time.sleep(max(0.0, due - time.monotonic()))
+        finally:
+            self.note("endless ended", id=rid, sent=sent)
 
 
 if __name__ == "__main__" and sys.argv[1:2] == ["backend"]:
