test: a change right after a short silence of the store is seen late

At fault: a watch whose answer is lost counts as current knowledge until its wait is over (crates/sycamore-node/src/config/role.rs, follow.rs), and the wait is 4 s.

--- a/review/lib2/mesh.py
+++ b/review/lib2/mesh.py
@@ -61,7 +61,8 @@
         self.rows, self.log, self.blobs = {}, [], {}
         self.ver, self.floor, self.era = 1, 0, None
         self.history_s, self.started = history_s, time.monotonic()
-        self.calls = []
+        # While the store is silent it answers nothing, nor afterwards what it held then.
+        self.silent, self.silences = False, 0
         # Called with the method and the path; returns None, a status, "reset" or a delay in seconds.
         self.trouble = lambda method, path: None
         store = self
@@ -85,6 +86,7 @@
             def handle_call(self):
                 length = int(self.headers.get("Content-Length") or 0)
                 body = self.rfile.read(length)
+                held = store.silences + store.silent
                 done = store.trouble(self.command, self.path)
                 if done == "reset":
                     self.connection.setsockopt(
@@ -100,6 +102,8 @@
                     status, answer = store.call(self.command, self.path, body, self.headers)
                 except (KeyError, ValueError) as error:
                     status, answer = 400, {"error": str(error)}
+                if store.silent or store.silences != held:
+                    threading.Event().wait()
                 self.answer(status, answer)
 
             do_GET = do_POST = do_PUT = do_DELETE = handle_call
@@ -115,6 +119,12 @@
         self.address = "%s:%d" % self.server.server_address
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
+    def set_silent(self, silent):
+        with self.lock:
+            self.silences += silent and not self.silent
+            self.silent = silent
+            self.lock.notify_all()
+
     def now(self):
         return round(time.monotonic() - self.started, 3)
 
