--- a/review/7/run.py
+++ b/review/7/run.py
@@ -19,8 +19,7 @@
 BEAT_AT, BEAT_LATE_S = 1.0, 3.4
 LEAVE_AT = 1.5
 KILL_AT, START_AT = 3.0, 4.0
-SERVES_S = 12.0         # the backend goes on serving "at times many seconds"
-END_AT = 12.0
+END_AT = 12.0           # the backend goes on serving "at times many seconds"
 DRAIN_S, CONTACT_S = BOUNDS["drain_s"], BOUNDS["contact_s"]
 
 
--- a/review/lib2/mesh.py
+++ b/review/lib2/mesh.py
@@ -561,11 +561,15 @@
         finally:
             with self.log_lock:
                 self.waiting -= 1
+        with self.log_lock:
+            self.running += 1
         try:
             self.note("run", id=rid, path=path, method=method,
                       caller=fields.get("caller-service"))
             return self.work(sock, buf, rid, path, deadline)
         finally:
+            with self.log_lock:
+                self.running -= 1
             self.slots.release()
 
     def work(self, sock, buf, rid, path, deadline):
@@ -580,8 +584,9 @@
         return buf
 
     def answer(self, sock, status, rid, body):
+        load = "%d,%d,%d" % (self.running, self.waiting, self.o["slots"])
         lines = ["HTTP/1.1 " + status, "Request-Id: " + rid, "Server-Seal: 3e1b.07." + rid,
-                 "Server-Load: 0,0,%d" % self.o["slots"], "Content-Length: %d" % len(body), "", ""]
+                 "Server-Load: " + load, "Content-Length: %d" % len(body), "", ""]
         self.note("answered", id=rid, status=status)
         sock.sendall("\r\n".join(lines).encode() + body)
 
