fix(node): a leave is acknowledged only once the platform's table holds it

Cause: a node that could not store a leave within 500 ms acknowledged it all the same, with nothing but its own memory to hold it. A planned stop deleted the row that held an earlier leave, so that the other nodes' memory was all that was left of it.

Change: a leave that is not stored in time is answered with 503 and acted on at once; it is acknowledged when it is sent again after the table has it, which the node tries twice a second at least. A row with a leave outlives a planned stop; other nodes delete it as they delete rows of killed nodes.

Ruled out: two announcements in a row as a proof after a restart: both may have been sent before the leave. An acknowledgement once peers have it: all nodes may be killed at once.

--- a/crates/sycamore-node/src/calls/announce.rs
+++ b/crates/sycamore-node/src/calls/announce.rs
@@ -1,6 +1,6 @@
 //! Handling of the upstream's announcements and drain requests, and of their absence.
 
-use super::answer::{respond, Answer};
+use super::answer::{respond, Answer, DEFAULT_RETRY_AFTER};
 use super::forward::send_own_answer;
 use super::message::{Inbound, Message};
 use super::meta::first_bytes;
@@ -16,8 +16,8 @@
 use sycamore_call::announce::{MessageOrder, ProcessRef};
 use sycamore_types::prelude::*;
 
-/// Maximum time that an acknowledgement waits for a leave to be stored: upstreams wait for it no longer
-/// than a second.
+/// Maximum time that the answer to a leave waits for it to be stored: upstreams wait for an answer no
+/// longer than a second.
 const MAX_STORE_TIME: Duration = Duration::from_millis(500);
 /// Maximum time from the start of the node for which messages wait until the node has read its own row.
 const MAX_ROW_TIME: Duration = Duration::from_millis(500);
@@ -37,17 +37,21 @@
         return Err(std::io::ErrorKind::InvalidData.into());
     }
     wait_for_own_row(state).await;
-    let order = state.edges.upstream.read(&msg.head, msg.prefix()).and_then(|message| {
+    let message = state.edges.upstream.read(&msg.head, msg.prefix());
+    let is_leave = message.as_ref().is_ok_and(is_leave);
+    let order = message.and_then(|message| {
         check_start(state, &message)?;
         match message {
             UpstreamMessage::Announce(announcement) => record_announcement(state, announcement),
             UpstreamMessage::Leave(process) => Ok(record_leave(state, &process)),
         }
     });
-    if order.is_ok() {
-        store_leave(state).await;
-    }
     match order {
+        Ok(MessageOrder::Current | MessageOrder::Repeated)
+            if is_leave && !is_leave_stored_in_time(state).await =>
+        {
+            send_own_answer(state, inbound, &leave_not_stored()).await
+        }
         Ok(MessageOrder::Current | MessageOrder::Repeated) => {
             let in_flight = state.admission.borrow().load(state.now()).running;
             respond(inbound, &state.edges.upstream.acknowledge(in_flight)).await
@@ -196,16 +200,33 @@
     Some(announced.map_or_else(|| named_process_id(process), |known| known.process))
 }
 
-/// Waits until the platform's table holds the latest leave, for at most [`MAX_STORE_TIME`]: nodes that
-/// are all killed after the acknowledgement find it there when they start again.
-async fn store_leave(state: &State) {
-    if let Some(process) = state.hub.left() {
-        let stored = state.hub.wait_for_stored_leave(process);
-        if monoio::time::timeout(MAX_STORE_TIME, stored).await.is_err() {
-            warn!(state.hub.log, "leave of upstream acknowledged before it is stored";
-                "process" => %process);
-        }
+/// Returns whether `message` says that its sender leaves.
+fn is_leave(message: &UpstreamMessage) -> bool {
+    match message {
+        UpstreamMessage::Announce(announcement) => announcement.draining,
+        UpstreamMessage::Leave(_) => true,
+    }
+}
+
+/// Waits until the platform's table holds the latest leave, for at most [`MAX_STORE_TIME`]; returns
+/// whether it does. Nodes that are all killed find the leave nowhere else when they start again.
+async fn is_leave_stored_in_time(state: &State) -> bool {
+    // A process without a name can't be told from its successor, so its leave isn't kept.
+    let Some(process) = state.hub.left() else { return true };
+    let stored = state.hub.wait_for_stored_leave(process);
+    let is_stored = monoio::time::timeout(MAX_STORE_TIME, stored).await.is_ok();
+    if !is_stored {
+        warn!(state.hub.log, "leave of upstream not acknowledged, as it is not stored";
+            "process" => %process);
     }
+    is_stored
+}
+
+/// Returns the answer to a leave that this process acts on and no other might remember.
+fn leave_not_stored() -> Answer {
+    let detail = "the leave is in force here, and not stored yet: send it again";
+    let answer = Answer::unknown(StatusCode::SERVICE_UNAVAILABLE, "leave-not-stored", detail);
+    Answer { retry_after: Some(DEFAULT_RETRY_AFTER), ..answer }
 }
 
 fn process_ref(process: &Process) -> ProcessRef<'_> {
--- a/crates/sycamore-node/src/peers/leave.rs
+++ b/crates/sycamore-node/src/peers/leave.rs
@@ -1,5 +1,5 @@
 //! Leaves the fleet at shutdown: notifies peers and deletes this node's row from the platform's
-//! table.
+//! table, unless it holds a leave of the upstream.
 
 use super::driver::Driver;
 use super::register::member_key;
@@ -31,9 +31,13 @@
     });
 }
 
-/// Deletes the row that this node has written, unless another process has replaced it since.
+/// Deletes the row that this node has written, unless another process has replaced it since. A row
+/// with a leave of the upstream stays: a later process of the node may find it nowhere else.
 async fn delete_row(driver: &Driver, platform: &Platform) {
     let Some(revision) = driver.own_row.get() else { return };
+    if driver.hub.left().is_some() {
+        return;
+    }
     let key = member_key(&driver.hub.settings.node.instance);
     let conditions = vec![Condition { key: key.clone(), revision }];
     let writes = vec![Write { key, value: None }];
--- a/crates/sycamore-node/src/peers/register.rs
+++ b/crates/sycamore-node/src/peers/register.rs
@@ -27,6 +27,9 @@
 const FLEET_REFRESHES_PER_S: f64 = 0.5;
 /// Shortest mean time between two refreshes of one node.
 const MIN_REFRESH_INTERVAL: Duration = Duration::from_secs(15);
+/// Longest pause between two attempts to store a leave, whose upstream waits some seconds for the
+/// acknowledgement.
+const LEAVE_RETRY_CAP: Duration = Duration::from_millis(500);
 /// Longest random delay before the first read, so that nodes started together don't read at once.
 const START_JITTER: Duration = Duration::from_millis(150);
 /// Longest random delay before a node registers again in a new epoch of the table.
@@ -84,7 +87,8 @@
     loop {
         drop(upstream.borrow_and_update());
         if driver.hub.left().is_some_and(|left| !driver.hub.is_leave_stored(left)) {
-            retry_until_done(|| store_leave(&driver, &platform)).await;
+            let settings = BackoffSettings { cap: LEAVE_RETRY_CAP, ..BackoffSettings::default() };
+            retry_with(settings, || store_leave(&driver, &platform)).await;
         }
         if upstream.changed().await.is_err() {
             return;
@@ -134,7 +138,15 @@
 where
     F: std::future::Future<Output = Result<bool>>,
 {
-    let mut backoff = Backoff::new(BackoffSettings::default(), rand::random());
+    retry_with(BackoffSettings::default(), step).await;
+}
+
+/// Repeats `step` with the delays of `settings` until it returns `Ok(true)`.
+async fn retry_with<F>(settings: BackoffSettings, step: impl Fn() -> F)
+where
+    F: std::future::Future<Output = Result<bool>>,
+{
+    let mut backoff = Backoff::new(settings, rand::random());
     while !matches!(step().await, Ok(true)) {
         monoio::time::sleep(backoff.record_failure()).await;
     }
