fix: the name of a service may be any text that a header field carries

Cause: names of services were identifiers of ASCII letters, digits and four signs, in configurations, announcements, settings and messages between nodes. The platform limits none of its names, and one value beyond a node's range has the whole row rejected.

Between nodes they are escaped, identifiers look as before.

Ruled out: identifiers with a table of names in the adapter: upstreams must be told the name, and nodes know it from their settings alone.

--- a/crates/sycamore-config/src/bundle/check.rs
+++ b/crates/sycamore-config/src/bundle/check.rs
@@ -120,7 +120,8 @@
         }
         self.check_range("timeout_ms", to_millis(route.timeout), 1, MAX_TIMEOUT_MS);
         let host = route.host.as_deref().unwrap_or_default();
-        let is_invalid = |c: char| !c.is_ascii_graphic() || "/?#@:".contains(c);
+        // Requests may name hosts with characters beyond ASCII as they are.
+        let is_invalid = |c: char| c.is_ascii() && !c.is_ascii_graphic() || "/?#@:".contains(c);
         // A colon outside of an IPv6 address would begin a port, which routing ignores.
         let is_ipv6 = host
             .strip_prefix('[')
--- a/crates/sycamore-moves/tests/plan.rs
+++ b/crates/sycamore-moves/tests/plan.rs
@@ -122,6 +122,17 @@
     order_move(&service, &UpstreamVersion::new(to).expect("valid"), revision)
 }
 
+// Guards against a node that ends at an order for a service whose name is no identifier, and against two
+// such services with one move.
+#[test]
+fn orders_for_services_of_any_name_have_distinct_moves() {
+    let names = ["Repair desk", "Repair_desk", "Repair/desk", "Popravke \u{10d}akovec", "\u{10d}"];
+    let moves: std::collections::BTreeSet<MoveId> =
+        names.into_iter().map(|name| ordered(name, "v2", 7)).collect();
+    assert_eq!(moves.len(), names.len(), "{moves:?}");
+    assert_eq!(ordered("counter", "v2", 7).as_str(), "counter.v2.7");
+}
+
 // Guards against orders that are never planned: the parts of the identifier may each be valid and
 // together be longer than an identifier.
 #[test]
--- a/crates/sycamore-node/src/calls/meta.rs
+++ b/crates/sycamore-node/src/calls/meta.rs
@@ -5,6 +5,7 @@
 use super::report::read_report;
 use crate::edge::native::{class, timeout};
 use http::HeaderMap;
+use percent_encoding::{percent_decode_str, utf8_percent_encode, AsciiSet, NON_ALPHANUMERIC};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 use sycamore_call::admit::MAX_KINDS;
@@ -14,6 +15,10 @@
 use sycamore_types::headers;
 use sycamore_types::prelude::*;
 
+/// Characters of a service's name that are escaped between nodes: all that no identifier has. Some
+/// separate the parts of a field, and those beyond ASCII not every reader of a field accepts.
+const ESCAPED: &AsciiSet = &NON_ALPHANUMERIC.remove(b'-').remove(b'_').remove(b'.').remove(b':');
+
 // Every route of a configuration may be a kind of work.
 const _: () = assert!(MAX_RESOURCES <= MAX_KINDS);
 
@@ -122,7 +127,7 @@
         set(fields, headers::CALLER_HASH, &format!("{:x}", self.caller));
         set(fields, headers::ATTEMPT, &attempt.to_string());
         set(fields, headers::CRITICALITY, self.class.as_str());
-        set(fields, headers::ORIGIN, self.origin.as_str());
+        set(fields, headers::ORIGIN, &escape(&self.origin));
         if let Some(account) = &self.account {
             set(fields, headers::ACCOUNT, account.as_str());
         }
@@ -139,7 +144,7 @@
             Some(target) => (target.version.as_str(), target.share.basis_points()),
             None => ("-", 0),
         };
-        let route = format!("{};{};{version};{share}", self.route, self.service);
+        let route = format!("{};{};{version};{share}", self.route, escape(&self.service));
         set(fields, headers::ROUTE, &route);
         if target.is_none() {
             set(fields, headers::KEEP, "1");
@@ -156,7 +161,7 @@
     ) -> Option<(Self, Option<Target>)> {
         let mut parts = text(fields, headers::ROUTE)?.splitn(4, ';');
         let route = RouteName::new(parts.next()?).ok()?;
-        let service = ServiceName::new(parts.next()?).ok()?;
+        let service = unescape(parts.next()?)?;
         let version = parts.next()?;
         let share = parts.next()?.parse().ok()?;
         let target = match fields.contains_key(headers::KEEP) {
@@ -179,7 +184,7 @@
                 Some(name) => Some(std::str::from_utf8(name.as_bytes()).ok()?.parse().ok()?),
                 None => None,
             },
-            origin: ServiceName::new(text(fields, headers::ORIGIN)?).ok()?,
+            origin: unescape(text(fields, headers::ORIGIN)?)?,
             received_at: now,
             // Without the field the age is unknown, and so counts as unbounded.
             max_prior_age: text(fields, headers::AGE_MS)
@@ -197,6 +202,16 @@
     }
 }
 
+/// Returns a service's name as header fields between nodes carry it; identifiers stay as they are.
+fn escape(service: &ServiceName) -> String {
+    utf8_percent_encode(service.as_str(), ESCAPED).to_string()
+}
+
+/// Returns the service's name that [`escape`] wrote; `None` if it is malformed.
+fn unescape(text: &str) -> Option<ServiceName> {
+    ServiceName::new(percent_decode_str(text).decode_utf8().ok()?).ok()
+}
+
 /// Returns the first eight bytes of a hash as a number.
 pub(super) fn first_bytes(hash: &ContentHash) -> u64 {
     let mut bytes = [0; 8];
--- a/crates/sycamore-node/src/calls/serve.rs
+++ b/crates/sycamore-node/src/calls/serve.rs
@@ -31,12 +31,14 @@
 use sycamore_http::conn::ReadError;
 use sycamore_http::HeadLimits;
 use sycamore_types::headers;
+use sycamore_types::id::MAX_SERVICE_BYTES;
 use sycamore_types::prelude::*;
 
 /// Maximum idle time of a connection from another node.
 const RELAY_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
-/// Maximum size in bytes of the header fields that nodes add to a request.
-const RELAY_HEAD_BYTES: usize = 4 << 10;
+/// Maximum size in bytes of the header fields that nodes add to a request: the names of two services,
+/// each byte of which may take three when escaped, that of an account, and some short fields.
+const RELAY_HEAD_BYTES: usize = 7 * MAX_SERVICE_BYTES + (4 << 10);
 /// Maximum time for the sender to send the first part of a body.
 const PREFIX_TIMEOUT: Duration = Duration::from_secs(10);
 /// Maximum number of bytes that are read and dropped before a connection with an unread request
@@ -330,7 +332,8 @@
     let malformed = |detail| Answer::rejected(StatusCode::BAD_REQUEST, "malformed", detail);
     let mut hosts = msg.head.headers.get_all(header::HOST).iter();
     match (hosts.next(), hosts.next()) {
-        (Some(host), None) => host.to_str().map_err(|_| malformed("the host field is not ASCII")),
+        (Some(host), None) => std::str::from_utf8(host.as_bytes())
+            .map_err(|_| malformed("the host field is not UTF-8")),
         (None, _) if msg.head.version == Version::HTTP_10 => Ok(""),
         (None, _) => Err(malformed("the request has no host field")),
         (Some(_), Some(_)) => Err(malformed("the request has more than one host field")),
--- a/crates/sycamore-types/src/id.rs
+++ b/crates/sycamore-types/src/id.rs
@@ -6,9 +6,9 @@
 
 /// Maximum length of an identifier other than a service's or a client account's name, in bytes.
 pub const MAX_ID_BYTES: usize = 64;
-/// Maximum length of a service's name, in bytes. Operators may name a service without asking a
-/// node, in rows whose keys hold the name and have at most this length.
-pub const MAX_SERVICE_BYTES: usize = 200;
+/// Maximum length of a service's name, in bytes; a datagram between nodes has room for it. Operators
+/// may name a service without asking a node.
+pub const MAX_SERVICE_BYTES: usize = 1_024;
 
 /// Maximum length of the name of a client account, in bytes; a datagram between nodes has room for it.
 pub const MAX_ACCOUNT_BYTES: usize = 1_024;
@@ -155,8 +155,9 @@
     InstanceId, MAX_ID_BYTES
 }
 string_id! {
-    /// Name of a service, which one or more upstreams serve.
-    ServiceName, MAX_SERVICE_BYTES
+    /// Name of a service, which one or more upstreams serve: any text that a header field carries, as
+    /// upstreams are told the name in one.
+    ServiceName, MAX_SERVICE_BYTES, validate_field_text
 }
 string_id! {
     /// Version of an upstream's software, such as `4.2.0`.
