fix(call): nodes that lose an account's home go on at parts of its rate

Cause: a node without a home took the mean of what it was lent in the last 2 s for its part of the rate. A burst is lent at once, so all nodes together went on at 267 calls a second of 200. On related paths: a home that had stood still or was cut off lent its burst once more when it was back, as its bucket had filled while others spent in its place; each node rounded its part up, and counted it from its last loan on, in which time the home had lent to others.

Change: a loan names the part of the rate that the borrower may go on at; the home gives out no more than the rate over all borrowers of the last 2 s. Requests name the calls spent without a home, which it takes off its bucket. Nodes round at different fractions and count from the middle between the last loan and the first request without an answer.

Ruled out: equal parts of the rate for all nodes: an account that comes in at five nodes of 63 would get a twelfth. Scaling each node's mean by what the home lent in all: the sum exceeds the rate once demand has moved between nodes.

--- a/crates/sycamore-call/src/credit/borrower.rs
+++ b/crates/sycamore-call/src/credit/borrower.rs
@@ -1,6 +1,7 @@
 //! Spending of an account's rate at the node that its calls come in at.
 
-use super::{Loan, LOAN_TIME};
+use super::shares::SHARE_TIME;
+use super::{mix, Ask, Loan, LOAN_TIME};
 use std::collections::VecDeque;
 use std::time::Duration;
 use sycamore_types::prelude::*;
@@ -9,8 +10,6 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(30);
 /// Time without an answer after which the account's home counts as unreachable.
 const HOME_TIMEOUT: Duration = Duration::from_millis(120);
-/// Period over which the calls that were lent give the rate to spend without a home.
-const LENT_PERIOD: Duration = Duration::from_secs(2);
 /// Longest time for which a node spends without a home.
 const MAX_TIME_WITHOUT_HOME: Duration = Duration::from_secs(5);
 /// Delay that a caller is told while no home can be reached.
@@ -41,13 +40,23 @@
 /// Request to the account's home that isn't answered yet.
 #[derive(Debug, Clone, Copy)]
 struct Asked {
-    number: u64,
-    wanted: u32,
+    ask: Ask,
     /// Time at which it was first sent, and last.
     first_at: Time,
     last_at: Time,
 }
 
+/// Spending without a home.
+#[derive(Debug, Clone, Copy)]
+struct Alone {
+    /// Time at which the home was lost.
+    since: Time,
+    /// Part of the account's rate, in calls per second.
+    per_second: f64,
+    /// Calls spent since then.
+    spent: u32,
+}
+
 /// Credit of one account at one node.
 #[derive(Debug, Clone, Default)]
 pub struct Borrower {
@@ -57,31 +66,37 @@
     asked: Option<Asked>,
     /// Time before which the home has no credit.
     empty_until: Time,
-    /// Calls lent in the last [`LENT_PERIOD`] before the home was lost.
-    lent: VecDeque<(Time, u32)>,
-    /// Time since which the node spends without a home, and the calls that it has spent.
-    without_home: Option<(Time, u32)>,
+    /// Time of the last loan, and the part of the account's rate that came with it, in calls per
+    /// second.
+    granted: Option<(Time, f64)>,
+    /// Spending while no home answers.
+    alone: Option<Alone>,
+    /// Calls spent without a home that no home knows of.
+    untold: u32,
+    /// Fraction of a call by which this node rounds its part of the rate. It differs between nodes, so
+    /// that all together round neither up nor down.
+    rounding: f64,
     /// Whether a call came while no home answered.
     must_probe: bool,
     next_number: u64,
 }
 
 impl Borrower {
-    /// Creates an account's credit; `first` numbers its first request, and differs between starts of
-    /// the node.
+    /// Creates an account's credit; `first` numbers its first request, and differs between nodes and
+    /// between starts of a node.
     pub fn new(first: u64) -> Self {
-        Self { next_number: first, ..Self::default() }
+        let rounding = f64::from((mix(first) >> 32) as u32) / (f64::from(u32::MAX) + 1.0);
+        Self { next_number: first, rounding, ..Self::default() }
     }
 
     /// Spends credit for the call `id`.
     pub fn spend(&mut self, now: Time, id: u64) -> Spent {
-        self.forget(now);
         if self.take(now) {
             return Spent::Run;
         }
-        if self.without_home.is_some() {
+        if self.alone.is_some() {
             self.must_probe = true;
-            return self.spend_without_home(now);
+            return self.spend_alone(now);
         }
         if now < self.empty_until {
             return Spent::Refused(Refusal::RateUsed(self.empty_until.since(now)));
@@ -102,34 +117,33 @@
         }
     }
 
-    /// Returns the number and the calls of a request that is due, and records that it is sent: for the
-    /// calls that wait, or for one while no home answers.
-    pub fn request(&mut self, now: Time) -> Option<(u64, u32)> {
-        self.forget(now);
+    /// Returns a request that is due, and records that it is sent: for the calls that wait, or for one
+    /// while no home answers.
+    pub fn request(&mut self, now: Time) -> Option<Ask> {
         if let Some(asked) = &mut self.asked {
             if now.since(asked.last_at) < ANSWER_TIMEOUT {
                 return None;
             }
             asked.last_at = now;
-            return Some((asked.number, asked.wanted));
+            return Some(asked.ask);
         }
         let count = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
         let wanted = count.min(MAX_WANTED).max(u32::from(std::mem::take(&mut self.must_probe)));
         if wanted == 0 || now < self.empty_until {
             return None;
         }
-        let number = self.next_number;
+        let ask = Ask { number: self.next_number, wanted, spent: self.untold };
         self.next_number = self.next_number.wrapping_add(1);
-        self.asked = Some(Asked { number, wanted, first_at: now, last_at: now });
-        Some((number, wanted))
+        self.asked = Some(Asked { ask, first_at: now, last_at: now });
+        Some(ask)
     }
 
-    /// Returns the calls of request `number` if it is still open, and records that it is sent to another
-    /// node at `now`.
-    pub fn redirect(&mut self, now: Time, number: u64) -> Option<u32> {
-        let asked = self.asked.as_mut().filter(|asked| asked.number == number)?;
+    /// Returns request `number` if it is still open, and records that it is sent to another node at
+    /// `now`.
+    pub fn redirect(&mut self, now: Time, number: u64) -> Option<Ask> {
+        let asked = self.asked.as_mut().filter(|asked| asked.ask.number == number)?;
         asked.last_at = now;
-        Some(asked.wanted)
+        Some(asked.ask)
     }
 
     /// Applies the answer to request `number`; returns the waiting calls that may be sent on, and those
@@ -140,20 +154,21 @@
         number: u64,
         loan: Loan,
     ) -> (Vec<u64>, Vec<(u64, Refusal)>) {
-        let Some(asked) = self.asked.take_if(|asked| asked.number == number) else {
+        let Some(asked) = self.asked.take_if(|asked| asked.ask.number == number) else {
             return Default::default();
         };
         // The loan may have been made when the request was first sent.
         let left = if now < self.expires { self.calls } else { 0 };
         self.calls = left + loan.calls;
         self.expires = asked.first_at + LOAN_TIME;
-        self.without_home = None;
-        self.lent.push_back((now, loan.calls));
+        self.alone = None;
+        self.untold = self.untold.saturating_sub(asked.ask.spent);
+        self.granted = Some((now, f64::from(loan.alone_per_ks) / 1_000.0));
         let mut run = Vec::new();
         while !self.waiting.is_empty() && self.take(now) {
             run.extend(self.waiting.pop_front());
         }
-        if loan.calls >= asked.wanted {
+        if loan.calls >= asked.ask.wanted {
             // Those that still wait came after the request.
             return (run, Vec::new());
         }
@@ -165,18 +180,13 @@
     /// Finds out whether the home has not answered in time; returns the waiting calls that may be sent
     /// on without it, and those that are refused.
     pub fn tick(&mut self, now: Time) -> (Vec<u64>, Vec<(u64, Refusal)>) {
-        self.forget(now);
-        let is_lost = self.asked.is_some_and(|asked| now.since(asked.first_at) >= HOME_TIMEOUT);
-        if !is_lost {
-            return Default::default();
-        }
-        self.asked = None;
-        // Nothing was spent since the last loan, so the account's rate has room for that time.
-        let since = self.lent.back().map_or(now, |(at, _)| *at);
-        self.without_home.get_or_insert((since, 0));
+        let is_lost = |asked: &mut Asked| now.since(asked.first_at) >= HOME_TIMEOUT;
+        let Some(asked) = self.asked.take_if(is_lost) else { return Default::default() };
+        let lost = self.lose_home(asked.first_at);
+        self.alone.get_or_insert(lost);
         let (mut run, mut refused) = (Vec::new(), Vec::new());
         for id in std::mem::take(&mut self.waiting) {
-            match self.spend_without_home(now) {
+            match self.spend_alone(now) {
                 Spent::Refused(refusal) => refused.push((id, refusal)),
                 Spent::Run | Spent::Wait => run.push(id),
             }
@@ -189,15 +199,25 @@
         self.asked.map(|asked| (asked.last_at + ANSWER_TIMEOUT).min(asked.first_at + HOME_TIMEOUT))
     }
 
-    /// Spends at the mean rate at which the home has lent, which all nodes together kept to the
-    /// account's rate.
-    fn spend_without_home(&mut self, now: Time) -> Spent {
-        let Some((since, spent)) = &mut self.without_home else { return Spent::Wait };
-        let lent: u32 = self.lent.iter().map(|(_, calls)| *calls).sum();
-        let elapsed = now.since(*since).as_secs_f64();
-        let allowed = f64::from(lent) * elapsed / LENT_PERIOD.as_secs_f64();
-        if now.since(*since) < MAX_TIME_WITHOUT_HOME && f64::from(*spent) < allowed {
-            *spent += 1;
+    /// Returns the begin of spending without the home, which has not answered a request of `asked_at`.
+    fn lose_home(&self, asked_at: Time) -> Alone {
+        let granted = self.granted.filter(|(at, _)| asked_at.since(*at) < SHARE_TIME);
+        let Some((at, per_second)) = granted else {
+            return Alone { since: asked_at, per_second: 0.0, spent: 0 };
+        };
+        // The home was lost between its last loan and the request, unknown when: the middle, so that all
+        // nodes together begin neither early nor late.
+        Alone { since: at + asked_at.since(at) / 2, per_second, spent: 0 }
+    }
+
+    /// Spends at this node's part of the account's rate.
+    fn spend_alone(&mut self, now: Time) -> Spent {
+        let Some(alone) = &mut self.alone else { return Spent::Wait };
+        let elapsed = now.since(alone.since);
+        let allowed = alone.per_second * elapsed.as_secs_f64() + self.rounding;
+        if elapsed < MAX_TIME_WITHOUT_HOME && f64::from(alone.spent + 1) <= allowed {
+            alone.spent += 1;
+            self.untold += 1;
             return Spent::Run;
         }
         Spent::Refused(Refusal::HomeUnreachable(UNREACHABLE_RETRY))
@@ -210,12 +230,4 @@
         }
         has_credit
     }
-
-    fn forget(&mut self, now: Time) {
-        if self.without_home.is_none() {
-            while self.lent.front().is_some_and(|(at, _)| now.since(*at) >= LENT_PERIOD) {
-                self.lent.pop_front();
-            }
-        }
-    }
 }
--- a/crates/sycamore-call/src/credit/lender.rs
+++ b/crates/sycamore-call/src/credit/lender.rs
@@ -1,6 +1,7 @@
 //! Home of accounts: token buckets from which calls are lent to other nodes.
 
-use super::LOAN_TIME;
+use super::shares::Shares;
+use super::{Ask, LOAN_TIME};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use sycamore_types::prelude::*;
@@ -12,12 +13,15 @@
 const START_TIME: Duration = Duration::from_millis(30);
 
 /// Calls lent on one request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Loan {
     /// Number of calls.
     pub calls: u32,
     /// Time until there is credit for a further call.
     pub wait: Duration,
+    /// Part of the account's rate that the borrower may go on at if it loses the home after this loan,
+    /// in calls per 1,000 s. Those of all borrowers add up to no more than the rate.
+    pub alone_per_ks: u32,
 }
 
 /// Token buckets of the accounts whose home this node is.
@@ -35,6 +39,7 @@
     opens_at: Time,
     /// Loans of the last [`REQUEST_MEMORY`] by borrower and number of its request.
     lent: BTreeMap<(InstanceId, u64), (Loan, Time)>,
+    shares: Shares,
 }
 
 impl Lender {
@@ -48,30 +53,35 @@
                 updated: now,
                 opens_at: now + LOAN_TIME,
                 lent: BTreeMap::new(),
+                shares: Shares::default(),
             });
             self.buckets.insert(name.clone(), bucket);
         }
     }
 
-    /// Lends up to `wanted` calls of `account` for request `number` of `borrower`; a repeated request
-    /// gets the loan that it had. `None` if this node isn't the account's home.
+    /// Lends up to the wanted calls of `account` for the request of `borrower`; a repeated request gets
+    /// the loan that it had. `None` if this node isn't the account's home.
     pub fn lend(
         &mut self,
         now: Time,
         account: &ClientAccount,
         borrower: &InstanceId,
-        number: u64,
-        wanted: u32,
+        ask: Ask,
     ) -> Option<Loan> {
         let rate = account.rate?.per_second();
         let bucket = self.buckets.get_mut(&account.name)?;
         bucket.lent.retain(|_, (_, at)| now.since(*at) < REQUEST_MEMORY);
-        if let Some((loan, _)) = bucket.lent.get(&(borrower.clone(), number)) {
+        if let Some((loan, _)) = bucket.lent.get(&(borrower.clone(), ask.number)) {
             return Some(*loan);
         }
         bucket.refill(now, rate, account.burst);
-        let loan = bucket.take(now, rate, wanted);
-        bucket.lent.insert((borrower.clone(), number), (loan, now));
+        // While this home was out of reach, its bucket filled and others spent in its place.
+        bucket.tokens = (bucket.tokens - f64::from(ask.spent)).max(0.0);
+        let loan = bucket.take(now, rate, ask.wanted);
+        let alone = bucket.shares.grant(now, rate, borrower, loan.calls);
+        // The cast saturates, and rounds down.
+        let loan = Loan { alone_per_ks: (alone * 1_000.0) as u32, ..loan };
+        bucket.lent.insert((borrower.clone(), ask.number), (loan, now));
         Some(loan)
     }
 }
@@ -93,6 +103,7 @@
         self.tokens -= f64::from(calls);
         let missing = (1.0 - self.tokens).max(0.0);
         let refill = Duration::try_from_secs_f64(missing / rate).unwrap_or(Duration::MAX);
-        Loan { calls, wait: refill.max(self.opens_at.since(now)) }
+        let wait = refill.max(self.opens_at.since(now));
+        Loan { calls, wait, ..Loan::default() }
     }
 }
--- a/crates/sycamore-call/src/credit/mod.rs
+++ b/crates/sycamore-call/src/credit/mod.rs
@@ -2,6 +2,7 @@
 
 mod borrower;
 mod lender;
+mod shares;
 
 pub use borrower::{Borrower, Refusal, Spent};
 pub use lender::{Lender, Loan};
@@ -13,6 +14,17 @@
 /// Time in which lent calls may start; what is left of a loan after it is void.
 pub const LOAN_TIME: Duration = Duration::from_millis(300);
 
+/// Request of a borrower to the account's home.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ask {
+    /// Number of the request; a repeated request has the same.
+    pub number: u64,
+    /// Number of calls wanted.
+    pub wanted: u32,
+    /// Number of calls that the borrower has spent without the home and not told it yet.
+    pub spent: u32,
+}
+
 /// Returns the home of each of `accounts` among `members`: the one with the highest rank for the
 /// account (rendezvous hashing), so that few accounts move when members come and go.
 pub fn homes<'a>(
--- a/crates/sycamore-call/tests/decisions/credit.rs
+++ b/crates/sycamore-call/tests/decisions/credit.rs
@@ -3,7 +3,7 @@
 use super::common::{at, instance};
 use std::collections::BTreeMap;
 use std::time::Duration;
-use sycamore_call::credit::{Borrower, Lender, Loan, Spent, LOAN_TIME};
+use sycamore_call::credit::{Ask, Borrower, Lender, Loan, Spent, LOAN_TIME};
 use sycamore_types::prelude::*;
 
 /// Time of a message between two nodes, in milliseconds.
@@ -30,6 +30,8 @@
     mail: BTreeMap<(u64, usize), Mail>,
     sent: usize,
     is_home_dead: bool,
+    /// Number of nodes, from the first one on, that can't reach the home.
+    cut: usize,
     starts: Vec<u64>,
     refused: usize,
     messages: usize,
@@ -38,7 +40,7 @@
 }
 
 enum Mail {
-    Request(usize, u64, u32),
+    Request(usize, Ask),
     Loan(usize, u64, Loan),
 }
 
@@ -49,10 +51,12 @@
         Self {
             account,
             lender,
-            nodes: (0..nodes).map(|_| Borrower::new(1)).collect(),
+            // Starts of nodes differ, and with them the numbers of their requests.
+            nodes: (1..=nodes as u64).map(|node| Borrower::new(node << 20)).collect(),
             mail: BTreeMap::new(),
             sent: 0,
             is_home_dead: false,
+            cut: 0,
             starts: Vec::new(),
             refused: 0,
             messages: 0,
@@ -75,8 +79,8 @@
     }
 
     fn request(&mut self, now: u64, node: usize) {
-        if let Some((number, wanted)) = self.nodes[node].request(at(now)) {
-            self.post(now, Mail::Request(node, number, wanted));
+        if let Some(ask) = self.nodes[node].request(at(now)) {
+            self.post(now, Mail::Request(node, ask));
         }
     }
 
@@ -121,10 +125,11 @@
     fn deliver(&mut self, now: u64, mail: Mail) {
         match mail {
             Mail::Request(..) if self.is_home_dead => {}
-            Mail::Request(node, number, wanted) => {
+            Mail::Request(node, _) | Mail::Loan(node, ..) if node < self.cut => {}
+            Mail::Request(node, ask) => {
                 let name = instance(&format!("n{node}"));
-                let loan = self.lender.lend(at(now), &self.account, &name, number, wanted).unwrap();
-                self.post(now, Mail::Loan(node, number, loan));
+                let loan = self.lender.lend(at(now), &self.account, &name, ask).unwrap();
+                self.post(now, Mail::Loan(node, ask.number, loan));
             }
             Mail::Loan(node, number, loan) => {
                 let (run, refused) = self.nodes[node].answer(at(now), number, loan);
@@ -214,6 +219,97 @@
     }
 }
 
+/// Way in which the nodes lose the home of an account, and get one back.
+#[derive(Debug, Clone, Copy)]
+enum Loss {
+    /// The home is killed; none takes its place.
+    Killed,
+    /// The home is killed, and after this time in milliseconds it is back, or has a successor.
+    Replaced(u64),
+    /// The home stands still for this time in milliseconds and goes on with what it knows.
+    Paused(u64),
+    /// This part of the nodes, in percent, can't reach the home for this time in milliseconds.
+    Cut(usize, u64),
+}
+
+/// Returns the most calls in any window, over those that the users allow, of an account that sends many
+/// times its usual from 8 s on, and whose home is lost `after` as many milliseconds.
+fn play_loss_in_heat(
+    loss: Loss,
+    after: u64,
+    nodes: usize,
+    account: ClientAccount,
+    seed: u64,
+) -> f64 {
+    const HEAT: u64 = 8_000;
+    const END: u64 = HEAT + 6_500;
+    let rate = account.rate.unwrap().per_second();
+    let burst = f64::from(account.burst);
+    let (usual, hot) = (0.6 * rate, 4.5 * rate);
+    let mut fleet = Fleet::new(nodes, account, seed * 31);
+    fleet.play(2_000, HEAT, usual, nodes);
+    let lost_at = HEAT + after;
+    fleet.play(HEAT, lost_at, hot, nodes);
+    match loss {
+        Loss::Cut(percent, _) => fleet.cut = nodes * percent / 100,
+        Loss::Killed | Loss::Replaced(_) | Loss::Paused(_) => fleet.is_home_dead = true,
+    }
+    let back_at = match loss {
+        Loss::Killed => END,
+        Loss::Replaced(time) | Loss::Paused(time) | Loss::Cut(_, time) => lost_at + time,
+    };
+    fleet.play(lost_at, back_at, hot, nodes);
+    (fleet.is_home_dead, fleet.cut) = (false, 0);
+    if let Loss::Replaced(_) = loss {
+        fleet.lender = Lender::default();
+        fleet.lender.serve(at(back_at), std::iter::once(&fleet.account.name));
+    }
+    fleet.play(back_at.min(END), END, hot, nodes);
+    fleet.play(END, END + 2_000, usual, nodes);
+    let full = rate * WINDOW as f64 / 1_000.0 + burst;
+    // The users' `quota_overshoot` and `quota_slack`.
+    fleet.worst() * full / (full * 1.1 + 20.0)
+}
+
+/// Guards against nodes that together go on at a rate which has a burst in it, whichever way the home of
+/// the account is lost in the heat, and against a bucket that is full again when it comes back.
+#[test]
+fn an_account_keeps_its_rate_however_its_home_is_lost_in_the_heat() {
+    let mut broken = Vec::new();
+    for loss in [
+        Loss::Killed,
+        Loss::Replaced(100),
+        Loss::Replaced(1_000),
+        Loss::Replaced(3_500),
+        Loss::Paused(200),
+        Loss::Paused(1_000),
+        Loss::Paused(3_000),
+        Loss::Paused(4_500),
+        Loss::Cut(10, 3_000),
+        Loss::Cut(90, 500),
+        Loss::Cut(100, 3_000),
+    ] {
+        for after in [300, 1_000, 1_700] {
+            for nodes in [5, 63, 930] {
+                for (per_second, burst) in [(3.0, 3), (200.0, 200), (200.0, 600)] {
+                    // A fleet of the largest size takes long to play.
+                    for seed in 1..=if nodes < 500 { 2 } else { 1 } {
+                        let account = account(per_second, burst);
+                        let worst = play_loss_in_heat(loss, after, nodes, account, seed);
+                        if worst > 1.0 {
+                            broken.push(format!(
+                                "{worst:.3}: {loss:?} after {after} ms at {nodes} nodes, \
+                                 {per_second} a second and {burst}, seed {seed}"
+                            ));
+                        }
+                    }
+                }
+            }
+        }
+    }
+    assert!(broken.is_empty(), "{} of all: {broken:#?}", broken.len());
+}
+
 /// Guards against a request that is granted twice since its answer was lost, and against a loan that is
 /// spent after it is void.
 #[test]
@@ -222,7 +318,8 @@
     let mut lender = Lender::default();
     lender.serve(at(0), std::iter::once(&account.name));
     let lend = |lender: &mut Lender, now, number| {
-        lender.lend(at(now), &account, &instance("n"), number, 60).unwrap()
+        let ask = Ask { number, wanted: 60, spent: 0 };
+        lender.lend(at(now), &account, &instance("n"), ask).unwrap()
     };
     let first = lend(&mut lender, 1_000, 1);
     assert_eq!(first.calls, 60);
@@ -231,8 +328,8 @@
 
     let mut borrower = Borrower::new(9);
     assert_eq!(borrower.spend(at(0), 1), Spent::Wait);
-    let (number, _) = borrower.request(at(0)).unwrap();
-    let loan = Loan { calls: 3, wait: Duration::ZERO };
+    let number = borrower.request(at(0)).unwrap().number;
+    let loan = Loan { calls: 3, ..Loan::default() };
     assert_eq!(borrower.answer(at(2), number, loan).0, [1]);
     assert_eq!(borrower.spend(at(3), 2), Spent::Run);
     let void = u64::try_from(LOAN_TIME.as_millis()).unwrap();
@@ -244,8 +341,9 @@
 fn a_call_that_has_not_run_gives_its_credit_back_once() {
     let mut borrower = Borrower::new(9);
     assert_eq!(borrower.spend(at(0), 1), Spent::Wait);
-    let (number, _) = borrower.request(at(0)).unwrap();
-    borrower.answer(at(2), number, Loan { calls: 1, wait: Duration::from_secs(9) });
+    let number = borrower.request(at(0)).unwrap().number;
+    let loan = Loan { calls: 1, wait: Duration::from_secs(9), ..Loan::default() };
+    borrower.answer(at(2), number, loan);
     borrower.give_back(at(10));
     assert_eq!(borrower.spend(at(11), 2), Spent::Run);
     assert_ne!(borrower.spend(at(12), 3), Spent::Run);
--- a/crates/sycamore-member/src/message.rs
+++ b/crates/sycamore-member/src/message.rs
@@ -204,6 +204,8 @@
         account: AccountName,
         /// Number of calls.
         calls: u32,
+        /// Number of calls that the sender has spent without the home and not told it yet.
+        spent: u32,
     },
     /// Answers a [`Body::CreditRequest`].
     Credit {
@@ -215,6 +217,8 @@
         calls: u32,
         /// Time until there is credit for a further call.
         wait: Duration,
+        /// Calls per 1,000 s that the receiver may start while it reaches no home.
+        alone_per_ks: u32,
         /// Address of the account's home, where the sender isn't it and has lent nothing.
         home: Option<SocketAddr>,
     },
--- a/crates/sycamore-node/src/calls/credit.rs
+++ b/crates/sycamore-node/src/calls/credit.rs
@@ -13,7 +13,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use sycamore_call::credit::{homes, Borrower, Lender, Loan, Refusal, Spent};
+use sycamore_call::credit::{homes, Ask, Borrower, Lender, Loan, Refusal, Spent};
 use sycamore_types::prelude::*;
 use tokio::sync::{oneshot, Notify};
 
@@ -142,17 +142,17 @@
 /// Sends the request to the account's home that is due, if any.
 fn request(state: &State, account: &ClientAccount) {
     let due = with_borrower(state, &account.name, |borrower, now| borrower.request(now));
-    let Some((number, wanted)) = due else { return };
+    let Some(ask) = due else { return };
     let own = &state.hub.settings.node.instance;
     let home = state.credit.homes.borrow().get(&account.name).cloned();
     match home {
         Some((home, _)) if home == *own => {
-            if let Some(loan) = lend(state, account, own, number, wanted) {
-                apply_loan(state, &account.name, number, loan);
+            if let Some(loan) = lend(state, account, own, ask) {
+                apply_loan(state, &account.name, ask.number, loan);
             }
         }
         Some((_, address)) => {
-            send(state, address, &account.name, number, CreditBody::Request(wanted));
+            send_request(state, address, &account.name, ask);
             state.credit.asked.notify_one();
         }
         None => state.credit.asked.notify_one(),
@@ -164,6 +164,11 @@
     peers.iter().for_each(|peers| peers.send_credit(to, account.clone(), number, body));
 }
 
+fn send_request(state: &State, to: SocketAddr, account: &AccountName, ask: Ask) {
+    let Ask { number, wanted, spent } = ask;
+    send(state, to, account, number, CreditBody::Request { wanted, spent });
+}
+
 /// Returns the answer to a request for credit that another node is the home for.
 fn home_of(state: &State, account: &AccountName) -> Option<CreditBody> {
     let homes = state.credit.homes.borrow();
@@ -177,21 +182,15 @@
         let mut homes = state.credit.homes.borrow_mut();
         homes.get_mut(account).is_some_and(|(_, known)| std::mem::replace(known, home) != home)
     };
-    let wanted = with_borrower(state, account, |borrower, now| borrower.redirect(now, number));
-    if let Some(wanted) = wanted.filter(|_| is_other) {
-        send(state, home, account, number, CreditBody::Request(wanted));
+    let ask = with_borrower(state, account, |borrower, now| borrower.redirect(now, number));
+    if let Some(ask) = ask.filter(|_| is_other) {
+        send_request(state, home, account, ask);
     }
 }
 
-fn lend(
-    state: &State,
-    account: &ClientAccount,
-    borrower: &InstanceId,
-    number: u64,
-    wanted: u32,
-) -> Option<Loan> {
+fn lend(state: &State, account: &ClientAccount, borrower: &InstanceId, ask: Ask) -> Option<Loan> {
     let now = state.hub.clock.boot();
-    state.credit.lender.borrow_mut().lend(now, account, borrower, number, wanted)
+    state.credit.lender.borrow_mut().lend(now, account, borrower, ask)
 }
 
 fn apply_loan(state: &State, account: &AccountName, number: u64, loan: Loan) {
@@ -219,8 +218,9 @@
                 apply_loan(&state, &account.name, number, loan);
                 request(&state, account);
             }
-            CreditBody::Request(wanted) => {
-                let lent = lend(&state, account, &from, number, wanted).map(CreditBody::Loan);
+            CreditBody::Request { wanted, spent } => {
+                let ask = Ask { number, wanted, spent };
+                let lent = lend(&state, account, &from, ask).map(CreditBody::Loan);
                 // The borrower's view lacks the home, whose rank is higher than this node's.
                 let Some(body) = lent.or_else(|| home_of(&state, &account.name)) else { continue };
                 send(&state, source, &account.name, number, body);
--- a/crates/sycamore-node/src/peers/mod.rs
+++ b/crates/sycamore-node/src/peers/mod.rs
@@ -110,8 +110,13 @@
 /// Content of a [`CreditMessage`].
 #[derive(Debug, Clone, Copy)]
 pub enum CreditBody {
-    /// Request for this number of calls.
-    Request(u32),
+    /// Request for calls.
+    Request {
+        /// Number of calls wanted.
+        wanted: u32,
+        /// Number of calls spent without a home and not told to one yet.
+        spent: u32,
+    },
     /// Calls lent.
     Loan(Loan),
     /// Nothing lent: this address is that of the account's home.
@@ -164,13 +169,15 @@
     /// which may be lost.
     pub fn send_credit(&self, to: SocketAddr, account: AccountName, number: u64, body: CreditBody) {
         let body = match body {
-            CreditBody::Request(calls) => Body::CreditRequest { number, account, calls },
-            CreditBody::Loan(Loan { calls, wait }) => {
-                Body::Credit { number, account, calls, wait, home: None }
+            CreditBody::Request { wanted, spent } => {
+                Body::CreditRequest { number, account, calls: wanted, spent }
+            }
+            CreditBody::Loan(Loan { calls, wait, alone_per_ks }) => {
+                Body::Credit { number, account, calls, wait, alone_per_ks, home: None }
             }
             CreditBody::Home(home) => {
-                let (calls, wait) = (0, Duration::ZERO);
-                Body::Credit { number, account, calls, wait, home: Some(home) }
+                let Loan { calls, wait, alone_per_ks } = Loan::default();
+                Body::Credit { number, account, calls, wait, alone_per_ks, home: Some(home) }
             }
         };
         self.driver.send(to, body);
--- a/crates/sycamore-node/src/peers/tasks.rs
+++ b/crates/sycamore-node/src/peers/tasks.rs
@@ -67,12 +67,12 @@
 fn handle_packet(driver: &Driver, source: SocketAddr, packet: Packet) {
     let Packet { from, body, .. } = packet;
     let body = match body {
-        Body::CreditRequest { number, account, calls } => {
-            let body = CreditBody::Request(calls);
+        Body::CreditRequest { number, account, calls, spent } => {
+            let body = CreditBody::Request { wanted: calls, spent };
             return driver.queue_credit(CreditMessage { from, source, account, number, body });
         }
-        Body::Credit { number, account, calls, wait, home } => {
-            let loan = CreditBody::Loan(Loan { calls, wait });
+        Body::Credit { number, account, calls, wait, alone_per_ks, home } => {
+            let loan = CreditBody::Loan(Loan { calls, wait, alone_per_ks });
             let body = home.map_or(loan, CreditBody::Home);
             return driver.queue_credit(CreditMessage { from, source, account, number, body });
         }
--- a/crates/sycamore-peer/src/codec/packet.rs
+++ b/crates/sycamore-peer/src/codec/packet.rs
@@ -95,17 +95,24 @@
                 proof_age_ms: proof.map_or(0, |proof| to_millis(proof.age)),
             })
         }
-        Body::CreditRequest { number, account, calls } => {
-            let (number, account, calls) = (*number, account.to_string(), *calls);
-            WireBody::CreditRequest(proto::CreditRequest { number, account, calls })
+        Body::CreditRequest { number, account, calls, spent } => {
+            WireBody::CreditRequest(proto::CreditRequest {
+                number: *number,
+                account: account.to_string(),
+                calls: *calls,
+                spent: *spent,
+            })
+        }
+        Body::Credit { number, account, calls, wait, alone_per_ks, home } => {
+            WireBody::Credit(proto::Credit {
+                number: *number,
+                account: account.to_string(),
+                calls: *calls,
+                wait_ms: to_millis(*wait),
+                home: home.map(address_to_wire),
+                alone_per_ks: *alone_per_ks,
+            })
         }
-        Body::Credit { number, account, calls, wait, home } => WireBody::Credit(proto::Credit {
-            number: *number,
-            account: account.to_string(),
-            calls: *calls,
-            wait_ms: to_millis(*wait),
-            home: home.map(address_to_wire),
-        }),
     }
 }
 
@@ -142,12 +149,14 @@
             number: req.number,
             account: parse_id(&req.account, "account")?,
             calls: req.calls,
+            spent: req.spent,
         },
         WireBody::Credit(credit) => Body::Credit {
             number: credit.number,
             account: parse_id(&credit.account, "account")?,
             calls: credit.calls,
             wait: Duration::from_millis(credit.wait_ms),
+            alone_per_ks: credit.alone_per_ks,
             home: credit.home.as_ref().map(|home| address_from_wire(Some(home))).transpose()?,
         },
     })
--- a/crates/sycamore-peer/src/proto/sycamore.peer.v1.rs
+++ b/crates/sycamore-peer/src/proto/sycamore.peer.v1.rs
@@ -121,6 +121,9 @@
     pub account: ::prost::alloc::string::String,
     #[prost(uint32, tag = "3")]
     pub calls: u32,
+    /// Calls spent without a home and not told to one yet.
+    #[prost(uint32, tag = "4")]
+    pub spent: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Credit {
@@ -136,6 +139,9 @@
     /// Address of the account's home; absent where the callee is it.
     #[prost(message, optional, tag = "5")]
     pub home: ::core::option::Option<Address>,
+    /// Calls per 1,000 s that the caller may start while it reaches no home.
+    #[prost(uint32, tag = "6")]
+    pub alone_per_ks: u32,
 }
 /// A member or a fact.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
