fix(http): an answer whose status is above 599 is none

Callers of other systems got an answer with the status 000. Here 000, 099 and others that are no three digits from 100 on were refused before; 600 to 999, which belong to no class (RFC 9110, section 15), were passed on as answers. wrong::an_answer_with_an_invalid_status_is_not_relayed failed before, for 600. They are 502 with an unknown outcome now.

--- a/crates/sycamore-http/src/wire/head.rs
+++ b/crates/sycamore-http/src/wire/head.rs
@@ -76,9 +76,17 @@
         return Err(HeadError::Malformed);
     }
     let Some(size) = complete_size(buf, limits)? else { return Ok(None) };
-    decode(ResponseHeadDecoder, buf, size, |head| &mut head.headers).map(Some)
+    let head = decode(ResponseHeadDecoder, buf, size, |head| &mut head.headers)?;
+    // The decoder takes statuses up to 999, which belong to no class (RFC 9110, section 15).
+    match head.status.as_u16() {
+        ..=MAX_STATUS => Ok(Some(head)),
+        _ => Err(HeadError::Malformed),
+    }
 }
 
+/// Highest status of a response.
+const MAX_STATUS: u16 = 599;
+
 /// First bytes of every response.
 const RESPONSE_START: &[u8] = b"HTTP/1.";
 
--- a/crates/sycamore-node/tests/calls/cut.rs
+++ b/crates/sycamore-node/tests/calls/cut.rs
@@ -142,6 +142,43 @@
     });
 }
 
+/// Answers of 200 that are early and not whole: without a length, in chunks, and with a length.
+const EARLY_PARTS: [&str; 3] = [
+    UNFRAMED,
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n",
+    "HTTP/1.1 200 OK\r\ncontent-length: 30\r\n\r\nhalf of it",
+];
+
+/// Guards against a part of an early answer that looks whole: whatever frames it, whether its upload is
+/// short, long or blocked when the reset comes, and whether a second node relays it.
+#[test]
+fn an_early_answer_that_is_reset_is_never_complete() {
+    run(async {
+        for answer in EARLY_PARTS {
+            for bytes in [4 << 10, 200 << 10, UPLOAD_BYTES] {
+                let address = start_upstream(answer.as_bytes(), Close::Reset, true);
+                let one = start_node(address).await;
+                let answered = upload(&one, bytes).await;
+                let text = format!("{answer:?} to {bytes} bytes: {answered:?}");
+                assert!(!matches!(answered, Ok((StatusCode::OK, _))), "{text}");
+                one.stop().await;
+                let two = Cluster::start(&Options::default()).await;
+                for node in &two.nodes {
+                    node.hub.upstream.send_modify(|upstream| {
+                        upstream.as_mut().expect("an announced upstream").address = address;
+                    });
+                }
+                two.publish_members(|member| member.instance.as_str() == "counter-1");
+                settle().await;
+                let answered = upload(&two, bytes).await;
+                let text = format!("{answer:?} to {bytes} bytes over two nodes: {answered:?}");
+                assert!(!matches!(answered, Ok((StatusCode::OK, _))), "{text}");
+                two.stop().await;
+            }
+        }
+    });
+}
+
 /// Guards against refusing an answer with a length, which is whole although the upstream reset its
 /// connection before it had read the upload.
 #[test]
--- a/crates/sycamore-node/tests/calls/upstream.rs
+++ b/crates/sycamore-node/tests/calls/upstream.rs
@@ -262,7 +262,11 @@
 /// answer.
 async fn work(path: &str, body: &[u8], shared: &Shared) -> Option<(Bytes, bool)> {
     let raw = |text: &str, keep| Some((Bytes::copy_from_slice(text.as_bytes()), keep));
-    match path.rsplit('/').next().unwrap_or_default() {
+    let name = path.rsplit('/').next().unwrap_or_default();
+    if let Some(status) = name.strip_prefix("status-") {
+        return raw(&format!("HTTP/1.1 {status} Any\r\ncontent-length: 0\r\n\r\n"), true);
+    }
+    match name {
         "wait" => {
             while !shared.released.get() {
                 monoio::time::sleep(Duration::from_millis(1)).await;
--- a/crates/sycamore-node/tests/calls/wrong.rs
+++ b/crates/sycamore-node/tests/calls/wrong.rs
@@ -37,6 +37,26 @@
     });
 }
 
+/// Guards against an answer whose status is none, such as 000, that reaches the caller as an answer.
+#[test]
+fn an_answer_with_an_invalid_status_is_not_relayed() {
+    run(async {
+        let cluster = Cluster::start(&Options { nodes: 1, ..Options::default() }).await;
+        for status in ["000", "001", "099", "600", "999", "1000", "20", "2x0", "+20", "-00", ""] {
+            let path = format!("/counter/status-{status}");
+            let resp = cluster.call(post(&path), "x").await;
+            assert_eq!(resp.status(), StatusCode::BAD_GATEWAY, "{status:?}");
+            assert_eq!(field(&resp, headers::OUTCOME), "unknown", "{status:?}");
+            assert_eq!(cluster.runs(&format!("status-{status}")), 1, "{status:?}");
+        }
+        for status in ["299", "418", "599"] {
+            let resp = cluster.call(post(&format!("/counter/status-{status}")), "x").await;
+            assert_eq!(resp.status().as_str(), status);
+        }
+        cluster.stop().await;
+    });
+}
+
 /// An answer without length and chunks ends with its connection, and must be relayed if the
 /// upstream closes the connection in order.
 #[test]
