test(soak): callers that flood a node, and departures in an outage

Nodes are killed whenever a leave is acknowledged, all at once in an outage of the platform, and callers flood a node with a body in chunks of one byte or with requests that are refused at once.

--- a/crates/sycamore-bench/src/fleet/inspect.rs
+++ b/crates/sycamore-bench/src/fleet/inspect.rs
@@ -61,6 +61,14 @@
         of.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Returns the service that the upstream of `instance` belongs to.
+    ///
+    /// # Errors
+    /// [`BenchError::Option`] if there is no such instance.
+    pub fn service_of(&self, instance: &str) -> Result<String> {
+        self.with_instance(instance, |entry| Ok(entry.spec.service.clone()))
+    }
+
     /// Returns the addresses at which the processes of `instance` listen.
     ///
     /// # Errors
--- a/crates/sycamore-bench/src/soak/mod.rs
+++ b/crates/sycamore-bench/src/soak/mod.rs
@@ -1,6 +1,7 @@
 //! Fault soak: injects seeded faults into a fleet of real processes and checks invariants during the
 //! run, from what callers and upstreams observe.
 
+mod flood;
 mod play;
 mod promises;
 pub mod schedule;
--- a/crates/sycamore-bench/src/soak/play.rs
+++ b/crates/sycamore-bench/src/soak/play.rs
@@ -1,5 +1,6 @@
 //! Carries out scheduled fault events on a fleet.
 
+use super::flood::Flood;
 use super::promises::Invariants;
 use super::schedule::{Action, Event, Part};
 use crate::fleet::{Fleet, Hop};
@@ -11,15 +12,20 @@
 use nix::sys::signal::Signal;
 use serde_json::{json, Value};
 use std::cell::Cell;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Time within which a node must exit after SIGTERM, as the users require; time while paused does
 /// not count.
 const SHUTDOWN_LIMIT: Duration = Duration::from_secs(6);
-/// Time that a node waits at most until the platform holds a leave, less what its answer takes.
-const MAX_STORE_TIME: Duration = Duration::from_millis(400);
+/// Duration of the outage in which an upstream leaves: some seconds beyond the time that a node waits
+/// for the platform.
+const LEAVE_OUTAGE: Duration = Duration::from_secs(3);
+/// Time from the begin of an outage to the leave in it.
+const LEAVE_DELAY: Duration = Duration::from_millis(500);
 /// Time between the kill of a node and its start.
 const RESTART_PAUSE: Duration = Duration::from_millis(300);
+/// Time after the start of a node for which its callers may still miss answers.
+const RESTART_TIME: Duration = Duration::from_secs(2);
 /// Time between two checks of whether a node has exited.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -56,8 +62,9 @@
         }
         // Read before the event, because another event may restart the node meanwhile.
         let node_pid = self.fleet.node_pid(&event.instance).ok();
-        self.begin(event).await?;
+        let flood = self.begin(event).await?;
         monoio::time::sleep(event.lasts).await;
+        drop(flood);
         self.end(event, node_pid).await?;
         if disturbs {
             self.invariants.end_disturbance(addr, now_us());
@@ -65,8 +72,8 @@
         Ok(())
     }
 
-    /// Causes the fault or change of `event`.
-    async fn begin(&self, event: &Event) -> Result<()> {
+    /// Causes the fault or change of `event`. Returns the flood that lasts until the event's end.
+    async fn begin(&self, event: &Event) -> Result<Option<Flood>> {
         let (fleet, instance) = (self.fleet, &*event.instance);
         match event.action {
             Action::Kill(Part::Node) => fleet.kill_node(instance)?,
@@ -106,29 +113,45 @@
             Action::Leave => {
                 self.report(instance, SelfReport { rate_limit: None, leaving: true }).await;
             }
-            Action::Depart => self.depart(instance).await?,
+            Action::Depart => self.depart(instance, &[instance.to_owned()]).await?,
+            Action::DepartInOutage => {
+                let outage_ms = Some(LEAVE_OUTAGE.as_millis() as u64);
+                self.control_platform(Control { outage_ms, ..Control::default() }).await;
+                monoio::time::sleep(LEAVE_DELAY).await;
+                self.depart(instance, &fleet.running()).await?;
+            }
+            Action::Flood(flooding) => {
+                let path = format!("/{}/flood", fleet.service_of(instance)?);
+                return Ok(Some(Flood::start(fleet.addrs(instance)?.caller, &path, flooding)));
+            }
             Action::OddRows => {
                 if let Err(report) = fleet.write_rows(&odd_rows()).await {
                     eprintln!("         odd rows: {}", report.current_context());
                 }
             }
         }
-        Ok(())
+        Ok(None)
     }
 
-    /// Has the upstream of `instance` leave, and starts its node anew. A leave that took as long as the
-    /// node waits at most for the platform may be held by that node alone, which is then left running.
-    async fn depart(&self, instance: &str) -> Result<()> {
-        let began = Instant::now();
+    /// Has the upstream of `instance` leave, and kills the nodes of `killed` and starts them again once
+    /// the leave is acknowledged.
+    async fn depart(&self, instance: &str, killed: &[String]) -> Result<()> {
         if let Err(report) = self.fleet.depart(instance).await {
             eprintln!("         departure of {instance}: {}", report.current_context());
             return Ok(());
         }
-        if began.elapsed() < MAX_STORE_TIME {
-            self.fleet.kill_node(instance)?;
-            monoio::time::sleep(RESTART_PAUSE).await;
-            self.fleet.start_node(instance)?;
+        let fronts = killed.iter().map(|name| self.fleet.front_for_callers(name));
+        let fronts = fronts.collect::<Result<Vec<_>>>()?;
+        for (name, addr) in killed.iter().zip(&fronts) {
+            self.invariants.begin_disturbance(*addr, now_us());
+            self.fleet.kill_node(name)?;
+        }
+        monoio::time::sleep(RESTART_PAUSE).await;
+        for name in killed {
+            self.fleet.start_node(name)?;
         }
+        monoio::time::sleep(RESTART_TIME).await;
+        fronts.iter().for_each(|addr| self.invariants.end_disturbance(*addr, now_us()));
         Ok(())
     }
 
@@ -157,7 +180,7 @@
                 self.report(instance, SelfReport::default()).await;
                 Ok(())
             }
-            Action::Leave | Action::Depart => {
+            Action::Leave | Action::Depart | Action::DepartInOutage => {
                 fleet.kill_upstream(instance)?;
                 fleet.start_upstream(instance)
             }
@@ -170,6 +193,7 @@
             | Action::Outage
             | Action::LoseAnswers(_)
             | Action::OddRows
+            | Action::Flood(_)
             | Action::Change => Ok(()),
         }
     }
@@ -281,12 +305,12 @@
 fn disturbs_callers(action: Action) -> bool {
     match action {
         Action::Kill(Part::Node) | Action::Stop(Part::Node) | Action::Pause(Part::Node) => true,
-        Action::Skew(_) | Action::Depart => true,
+        Action::Skew(_) | Action::Depart | Action::DepartInOutage => true,
         Action::Disturb(hop, _) | Action::Reset(hop) | Action::Mute(hop) => hop == Hop::Caller,
         Action::Kill(Part::Upstream)
         | Action::Stop(Part::Upstream)
         | Action::Pause(Part::Upstream) => false,
         Action::Outage | Action::Slow(_) | Action::LoseAnswers(_) | Action::Change => false,
-        Action::Limit(_) | Action::Leave | Action::OddRows => false,
+        Action::Limit(_) | Action::Leave | Action::OddRows | Action::Flood(_) => false,
     }
 }
--- a/crates/sycamore-bench/src/soak/schedule.rs
+++ b/crates/sycamore-bench/src/soak/schedule.rs
@@ -29,8 +29,8 @@
 const MIN_LIMIT_MS: u64 = 4_000;
 /// Minimum duration of a departure, in milliseconds, after which its requests are checked at all.
 const MIN_DEPART_MS: u64 = 5_000;
-/// Time between the starts of two departures or writes of odd rows, in milliseconds.
-const OTHER_GAP_MS: Range<u64> = 2_000..7_000;
+/// Time between the starts of two departures, floods or writes of odd rows, in milliseconds.
+const OTHER_GAP_MS: Range<u64> = 1_000..4_000;
 /// Bits by which the seed of those events differs from that of the others.
 const OTHER_SEED: u64 = 0x6f64_6420_726f_7773;
 /// Number of consecutive answers that the platform loses.
@@ -45,6 +45,15 @@
     Upstream,
 }
 
+/// What a caller sends without a pause.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Flooding {
+    /// Request whose body comes in chunks of one byte and doesn't end.
+    Chunks,
+    /// Requests that the node refuses at once.
+    Requests,
+}
+
 /// Fault or change that an event causes and, where it lasts, undoes at its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Action {
@@ -77,6 +86,10 @@
     /// Has an upstream leave while it goes on announcing itself, and kills its node once the leave is
     /// acknowledged; replaces the upstream at the event's end.
     Depart,
+    /// Does the same while the platform is out, and kills all nodes once the leave is acknowledged.
+    DepartInOutage,
+    /// Floods the node's callers' listener until the event's end.
+    Flood(Flooding),
     /// Writes rows that hold no valid entry among those of the members and of the moves.
     OddRows,
 }
@@ -129,7 +142,7 @@
 fn min_duration(action: Action) -> Duration {
     match action {
         Action::Limit(_) => Duration::from_millis(MIN_LIMIT_MS),
-        Action::Depart => Duration::from_millis(MIN_DEPART_MS),
+        Action::Depart | Action::DepartInOutage => Duration::from_millis(MIN_DEPART_MS),
         _ => Duration::ZERO,
     }
 }
@@ -145,8 +158,11 @@
 }
 
 fn draw_other_action(rng: &mut SmallRng) -> Action {
-    match rng.random_range(0..3) {
-        0 | 1 => Action::Depart,
+    match rng.random_range(0..8) {
+        0..=2 => Action::Depart,
+        3 => Action::DepartInOutage,
+        4 | 5 => Action::Flood(Flooding::Chunks),
+        6 => Action::Flood(Flooding::Requests),
         _ => Action::OddRows,
     }
 }
--- a/crates/sycamore-bench/tests/soak.rs
+++ b/crates/sycamore-bench/tests/soak.rs
@@ -34,7 +34,7 @@
         assert!(plan.iter().all(|event| event.at + event.lasts <= TIME));
     }
     assert!(overlaps > 200, "{overlaps}");
-    assert_eq!(kinds.len(), 15, "{kinds:?}");
+    assert_eq!(kinds.len(), 17, "{kinds:?}");
 }
 
 /// Creates the record of a non-idempotent call that ended as `ended`, 10 ms after it was sent.
