fix(node): requests of operators without a pause hold up no timer

The library of the operators' listener goes to the end of the event loop's queue after some rounds, but the loop looks at its timers only when no task is ready.

Change: Polled, a stream that pauses as Turn says, is under the operators' listener, the platform's client and the connections of peers, where it takes the place of the same in CountedStream.

--- a/crates/sycamore-http/src/conn/mod.rs
+++ b/crates/sycamore-http/src/conn/mod.rs
@@ -5,6 +5,7 @@
 
 mod client;
 mod error;
+mod polled;
 mod reader;
 mod server;
 mod silence;
@@ -12,6 +13,7 @@
 
 pub use client::{Client, ClientConfig, ClientError};
 pub use error::ReadError;
+pub use polled::Polled;
 pub use reader::{relay_body, write_all, Reader};
 pub use server::{serve, Connection, ServeConfig, ServeError};
 pub use silence::Keepalive;
--- a/crates/sycamore-node/src/operator/serve.rs
+++ b/crates/sycamore-node/src/operator/serve.rs
@@ -25,7 +25,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use sycamore_config::manifest::MAX_PACK_BYTES;
-use sycamore_http::conn::Turn;
+use sycamore_http::conn::{Polled, Turn};
 
 /// Largest accepted body of a command, in bytes: a configuration of the largest size.
 const MAX_BODY_BYTES: usize = MAX_PACK_BYTES;
@@ -99,7 +99,7 @@
     });
     let served = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(MonoioIo::new(stream), service)
+        .serve_connection(MonoioIo::new(Polled::new(stream)), service)
         .await;
     if let Err(error) = served {
         slog::debug!(node.hub.log, "operator connection broken"; "error" => %error);
--- a/crates/sycamore-peer/src/io.rs
+++ b/crates/sycamore-peer/src/io.rs
@@ -1,4 +1,4 @@
-//! TCP stream wrapper that counts the bytes read and written, and gives way to other tasks.
+//! TCP stream wrapper that counts the bytes read and written.
 
 use crate::counters::Counters;
 use monoio::io::poll_io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -8,16 +8,15 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::task::{ready, Context, Poll};
+use std::task::{Context, Poll};
 use std::time::Instant;
-use sycamore_http::conn::Turn;
+use sycamore_http::conn::Polled;
 
 /// TCP stream that adds its traffic to the [`Counters`] and records when bytes arrived.
 pub(crate) struct CountedStream {
-    stream: TcpStreamPoll,
+    stream: Polled<TcpStreamPoll>,
     counters: Arc<Counters>,
     latest_read: Rc<Cell<Option<Instant>>>,
-    turn: Turn,
 }
 
 impl CountedStream {
@@ -28,7 +27,7 @@
         counters: Arc<Counters>,
         latest_read: Rc<Cell<Option<Instant>>>,
     ) -> Self {
-        Self { stream, counters, latest_read, turn: Turn::default() }
+        Self { stream: Polled::new(stream), counters, latest_read }
     }
 }
 
@@ -38,12 +37,8 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        // The protocol above reads until a read is pending.
-        ready!(self.turn.poll_give_way(cx));
-        self.turn.count();
         let before = buf.filled().len();
         let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
-        let poll = self.turn.note(poll);
         let read = buf.filled().len() - before;
         if read > 0 {
             self.counters.add_bytes_in(read as u64);
--- a/crates/sycamore-peer/tests/transport.rs
+++ b/crates/sycamore-peer/tests/transport.rs
@@ -8,8 +8,9 @@
 use monoio::{LegacyDriver, RuntimeBuilder};
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use sycamore_member::message::{Body, Digest, ExchangeReply, ExchangeRequest, Packet};
 use sycamore_peer::limits::{MAX_FETCH_BYTES, MAX_FETCH_HASHES, MAX_PACKET_BYTES};
 use sycamore_peer::{
@@ -274,3 +275,36 @@
         node.stop().await;
     });
 }
+
+/// Guards against a node that does nothing else while datagrams come without a pause, those of another
+/// deployment included.
+#[test]
+fn datagrams_without_end_leave_the_loop_to_others() {
+    const TIME: Duration = Duration::from_millis(300);
+    let ended = Arc::new(AtomicBool::new(false));
+    let (longest, received) = block_on(async {
+        let address = "127.0.0.1:0".parse().unwrap();
+        let datagrams =
+            Datagrams::bind(address, &deployment("klupa"), Arc::new(Counters::default())).unwrap();
+        let to = datagrams.local_addr().unwrap();
+        let senders = (0..3).map(|_| {
+            let ended = ended.clone();
+            std::thread::spawn(move || {
+                let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+                while !ended.load(Ordering::Relaxed) {
+                    // A full queue drops what is sent.
+                    let _ = socket.send_to(b"junk", to);
+                }
+            })
+        });
+        let senders: Vec<_> = senders.collect();
+        let began = Instant::now();
+        let received = monoio::time::timeout(TIME, datagrams.recv()).await;
+        let took = began.elapsed();
+        ended.store(true, Ordering::Relaxed);
+        senders.into_iter().for_each(|sender| sender.join().unwrap());
+        (took, received.is_ok())
+    });
+    assert!(!received, "junk was taken for a datagram");
+    assert!(longest < TIME * 2, "the timeout fired after {longest:?}");
+}
--- a/crates/sycamore-platform/src/http/connection.rs
+++ b/crates/sycamore-platform/src/http/connection.rs
@@ -18,7 +18,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
-use sycamore_http::conn::Keepalive;
+use sycamore_http::conn::{Keepalive, Polled};
 
 /// Read buffer limit of a connection in bytes, which also limits the headers of an answer.
 const MAX_BUFFER_BYTES: usize = 16 << 10;
@@ -50,7 +50,7 @@
         // A watch request waits many seconds for its answer. Keepalive detects a dead peer
         // meanwhile, which would otherwise delay a change until the request times out.
         Keepalive::default().apply(&stream).map_err(unreachable)?;
-        let inner = MonoioIo::new(stream.into_poll_io().map_err(unreachable)?);
+        let inner = MonoioIo::new(Polled::new(stream.into_poll_io().map_err(unreachable)?));
         let (sender, driver) = Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(CountingStream { inner, traffic })
