fix(call): a home pays back what was spent without it

Cause, by reading and the figures, not by a log: a home whose process ends has a successor that some nodes know and others don't. Those that don't go on at their parts of the rate, the others are lent the whole. What they told later was taken off the bucket only down to nothing, which in a heat is where it is.

Change: a bucket may owe up to a second of the rate, so that what was spent without the home is lent less afterwards.

--- a/crates/sycamore-call/src/credit/lender.rs
+++ b/crates/sycamore-call/src/credit/lender.rs
@@ -12,6 +12,9 @@
 /// Time from a loan to the start of the calls that waited for it.
 const START_TIME: Duration = Duration::from_millis(30);
 
+/// Longest time for which a home lends nothing to make up for what was spent without it.
+const MAX_DEBT: Duration = Duration::from_secs(1);
+
 /// Calls lent on one request.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Loan {
@@ -75,8 +78,10 @@
             return Some(*loan);
         }
         bucket.refill(now, rate, account.burst);
-        // While this home was out of reach, its bucket filled and others spent in its place.
-        bucket.tokens = (bucket.tokens - f64::from(ask.spent)).max(0.0);
+        // While this home was out of reach, its bucket filled and others spent in its place; while some
+        // nodes spend without a home, one that others know lends them the whole rate.
+        let debt = rate * MAX_DEBT.as_secs_f64();
+        bucket.tokens = (bucket.tokens - f64::from(ask.spent)).max(-debt);
         let loan = bucket.take(now, rate, ask.wanted);
         let alone = bucket.shares.grant(now, rate, borrower, loan.calls);
         // The cast saturates, and rounds down.
@@ -98,7 +103,7 @@
 
     fn take(&mut self, now: Time, rate: f64, wanted: u32) -> Loan {
         let is_open = self.opens_at <= now;
-        // The cast saturates, and tokens are never negative.
+        // The cast saturates, also for a bucket in debt.
         let calls = if is_open { wanted.min(self.tokens as u32) } else { 0 };
         self.tokens -= f64::from(calls);
         let missing = (1.0 - self.tokens).max(0.0);
