--- a/crates/sycamore-call/tests/decisions/credit.rs
+++ b/crates/sycamore-call/tests/decisions/credit.rs
@@ -336,6 +336,27 @@
     assert_eq!(borrower.spend(at(void), 3), Spent::Wait);
 }
 
+/// Guards against a home that lends the whole rate beside what other nodes spend without it, and against one
+/// that lends nothing for long to make up for it.
+#[test]
+fn what_was_spent_without_a_home_is_lent_less_afterwards() {
+    let account = account(100.0, 100);
+    let lend_at = |lender: &mut Lender, now, number, spent| {
+        let ask = Ask { number, wanted: 10, spent };
+        lender.lend(at(now), &account, &instance("n"), ask).unwrap().calls
+    };
+    for (spent, still_owes, pays_again) in [(50, 5_400, 5_700), (10_000, 5_900, 6_200)] {
+        let mut lender = Lender::default();
+        lender.serve(at(0), std::iter::once(&account.name));
+        // Takes all that the bucket holds.
+        let emptied = (0..20).map(|number| lend_at(&mut lender, 5_000, number, 0)).sum::<u32>();
+        assert!(emptied >= 90, "{emptied}");
+        assert_eq!(lend_at(&mut lender, 5_000, 20, spent), 0);
+        assert_eq!(lend_at(&mut lender, still_owes, 21, 0), 0, "{spent} spent");
+        assert!(lend_at(&mut lender, pays_again, 22, 0) > 0, "{spent} spent");
+    }
+}
+
 /// Guards against an account that pays twice for calls: a slow home lends what its borrower, having given
 /// the request up, spends alone.
 #[test]
