--- a/review/lib3/lab.py
+++ b/review/lib3/lab.py
@@ -609,11 +609,15 @@
     # Connections that end with the lab are no news.
     loop.set_exception_handler(lambda *_: None)
     asyncio.set_event_loop(loop)
+    task = loop.create_task(asyncio.wait_for(case(folder), 110))
+    # A script that is ended from outside ends its nodes first.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
     try:
-        broken = loop.run_until_complete(asyncio.wait_for(case(folder), 110))
+        broken = loop.run_until_complete(task)
         code = 1 if broken else 0
         print("rule broken" if broken else "rule held")
-    except (CannotRun, asyncio.TimeoutError, OSError) as e:
+    except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError, OSError) as e:
         code = 2
         print("the case could not run:", repr(e))
     # All processes have ended by now; the stand-ins' open connections end with this one.
