fix: an entry of a row that can't be applied costs itself alone

Cause: a row was read as one value, so that whatever couldn't be held in any field rejected all of it.

Change: the adapter reads each route, service, account, key and limit by itself, and `Bundle::salvage` separates the entries that aren't valid together. A route or account that can't be applied stays with its fault and refuses its calls with 503 (`faulty-entry`): left out, a route's calls would go to one with a shorter prefix, and a configuration without accounts would need no keys. The replacement for a name that no field carries has a hash of the name, is no other name of the row, and never reaches an upstream. A key of two accounts acts for neither. What no request can select is left out. Valid rows are encoded as before, byte by byte.

Ruled out: to drop such accounts (their keys would get 401, which is final, and the last one would open all routes); to tell upstreams the name without its spaces (it may be another account's).

--- a/crates/sycamore-call/src/retry/mod.rs
+++ b/crates/sycamore-call/src/retry/mod.rs
@@ -233,7 +233,8 @@
             | RefusalReason::AccountRate
             | RefusalReason::NoCredit
             | RefusalReason::ConfigurationRejected
-            | RefusalReason::ConfigurationBehind => RetryDecision::GiveUp,
+            | RefusalReason::ConfigurationBehind
+            | RefusalReason::FaultyEntry => RetryDecision::GiveUp,
         }
     }
 
--- a/crates/sycamore-call/tests/decisions/credit.rs
+++ b/crates/sycamore-call/tests/decisions/credit.rs
@@ -18,6 +18,7 @@
         rank: None,
         rate: Some(RateLimit::new(per_second).unwrap()),
         burst,
+        fault: None,
     }
 }
 
--- a/crates/sycamore-call/tests/decisions/retry.rs
+++ b/crates/sycamore-call/tests/decisions/retry.rs
@@ -57,6 +57,7 @@
         RefusalReason::InProgress,
         RefusalReason::ConfigurationRejected,
         RefusalReason::ConfigurationBehind,
+        RefusalReason::FaultyEntry,
     ] {
         assert!(!retries(CALL, AttemptFailure::NotRun(reason)), "{reason}");
     }
--- a/crates/sycamore-config/src/bundle/check.rs
+++ b/crates/sycamore-config/src/bundle/check.rs
@@ -9,14 +9,38 @@
 use std::time::Duration;
 use sycamore_types::prelude::*;
 
+/// Fault of one entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct EntryFault {
+    /// Index of the entry.
+    pub(super) at: usize,
+    /// Path of the field within the entry.
+    pub(super) field: String,
+    /// Description of the error for the operator.
+    pub(super) reason: String,
+}
+
+impl From<EntryFault> for Fault {
+    fn from(fault: EntryFault) -> Self {
+        Self { place: format!("{}.{}", place(fault.at), fault.field), reason: fault.reason }
+    }
+}
+
 /// Returns every fault of `resources`, in their order.
 pub(super) fn validate(resources: &[&Resource]) -> Vec<Fault> {
-    let mut validator = Validator::new(resources);
+    let mut faults = Vec::new();
     if resources.len() > MAX_RESOURCES {
         let reason =
             format!("has {} entries; at most {MAX_RESOURCES} are allowed", resources.len());
-        validator.faults.push(Fault { place: "resources".to_owned(), reason });
+        faults.push(Fault { place: "resources".to_owned(), reason });
     }
+    faults.extend(entry_faults(resources).into_iter().map(Fault::from));
+    faults
+}
+
+/// Returns the faults of each entry of `resources`, in their order.
+pub(super) fn entry_faults(resources: &[&Resource]) -> Vec<EntryFault> {
+    let mut validator = Validator::new(resources);
     for (at, resource) in resources.iter().enumerate() {
         validator.at = at;
         match resource {
@@ -64,7 +88,7 @@
     seen_keys: HashMap<&'a KeyDigest, usize>,
     /// Index of the resource being visited.
     at: usize,
-    faults: Vec<Fault>,
+    faults: Vec<EntryFault>,
 }
 
 impl<'a> Validator<'a> {
@@ -107,7 +131,8 @@
             let reason = format!("route {} is already defined by {}", route.name, place(first));
             self.add_fault("name", reason);
         }
-        if !self.services.contains(&route.service) {
+        // A faulty route has no calls for its service.
+        if route.fault.is_none() && !self.services.contains(&route.service) {
             let reason = format!("service {} is not defined in the configuration", route.service);
             self.add_fault("service", reason);
         }
@@ -175,6 +200,7 @@
     }
 
     fn check_prefix(&mut self, host: &'a str, prefix: &'a str) {
+        let before = self.faults.len();
         if !prefix.starts_with('/') {
             self.add_fault("prefix", format!("prefix {prefix:?} must start with '/'"));
         }
@@ -188,6 +214,10 @@
         if let Some(c) = prefix.chars().find(is_invalid) {
             self.add_fault("prefix", format!("character {c:?} is not allowed in a path prefix"));
         }
+        if self.faults.len() > before {
+            // A prefix of no path hides no other.
+            return;
+        }
         // "/a" and "/a/" match the same path segments, so neither would take precedence; "/a//" matches
         // an empty segment more.
         let segments = prefix.strip_suffix('/').unwrap_or(prefix);
@@ -215,6 +245,6 @@
 
     /// Adds a fault at `field` of the resource being visited.
     fn add_fault(&mut self, field: &str, reason: String) {
-        self.faults.push(Fault { place: format!("{}.{field}", place(self.at)), reason });
+        self.faults.push(EntryFault { at: self.at, field: field.to_owned(), reason });
     }
 }
--- a/crates/sycamore-config/src/bundle/mod.rs
+++ b/crates/sycamore-config/src/bundle/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 mod fields;
 mod parse;
+mod salvage;
 
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -68,6 +69,20 @@
         }
     }
 
+    /// Validates `resources` like [`Bundle::new`], but entry by entry: one that can't be applied as it
+    /// is stays with its fault, or is left out if no call could reach it, and the others are unchanged.
+    /// Returns the faults as well.
+    ///
+    /// # Errors
+    /// Returns the faults that concern the whole, such as too many entries.
+    pub fn salvage(resources: Vec<Resource>) -> Result<(Self, Vec<Fault>), Vec<Fault>> {
+        if check::validate(&resources.iter().collect::<Vec<_>>()).is_empty() {
+            return Ok((Self { resources }, Vec::new()));
+        }
+        let (resources, faults) = salvage::separate_faults(resources);
+        Ok((Self::new(resources)?, faults))
+    }
+
     /// Decodes and validates the resources of a JSON array.
     ///
     /// # Errors
--- a/crates/sycamore-config/tests/common/mod.rs
+++ b/crates/sycamore-config/tests/common/mod.rs
@@ -24,6 +24,7 @@
         split: Vec::new(),
         timeout: Duration::from_millis(timeout_ms),
         policy: RoutePolicy::default(),
+        fault: None,
     })
 }
 
--- a/crates/sycamore-node/src/calls/accounts.rs
+++ b/crates/sycamore-node/src/calls/accounts.rs
@@ -29,9 +29,11 @@
         Credential::Absent | Credential::Malformed => None,
     };
     match (account, info.credential) {
-        (Some(account), _) => match is_proven(state) {
-            true => Ok(Some(account.clone())),
-            false => Err(refuse_unproven(state)),
+        (Some(_), _) if !is_proven(state) => Err(refuse_unproven(state)),
+        (Some(account), _) => match &account.fault {
+            None => Ok(Some(account.clone())),
+            Some(_) if route.policy.is_open => Ok(None),
+            Some(fault) => Err(Answer::faulty_entry(fault)),
         },
         (None, _) if route.policy.is_open => Ok(None),
         (None, Credential::Absent) if is_of_upstream(state, peer) => Ok(None),
--- a/crates/sycamore-node/src/calls/answer.rs
+++ b/crates/sycamore-node/src/calls/answer.rs
@@ -60,6 +60,14 @@
         }
     }
 
+    /// Creates the answer to a call whose route or account has the `fault` that the configuration names.
+    /// The next configuration may be without it.
+    pub(super) fn faulty_entry(fault: &str) -> Self {
+        let refused = Self::refused(RefusalReason::FaultyEntry, DEFAULT_RETRY_AFTER);
+        let detail = format!("{}: {fault}", refused.detail);
+        Self { detail, ..refused }
+    }
+
     /// Creates the answer to a request that was refused before it ran and can't be served as it is.
     pub(super) fn rejected(status: StatusCode, reason: &str, detail: impl ToString) -> Self {
         Self {
@@ -125,7 +133,8 @@
         | RefusalReason::Unproven
         | RefusalReason::NoCredit
         | RefusalReason::ConfigurationRejected
-        | RefusalReason::ConfigurationBehind => StatusCode::SERVICE_UNAVAILABLE,
+        | RefusalReason::ConfigurationBehind
+        | RefusalReason::FaultyEntry => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
@@ -155,6 +164,7 @@
         RefusalReason::ConfigurationBehind => {
             "no route matches in the configuration in force, and the node lacks a newer one"
         }
+        RefusalReason::FaultyEntry => "the configuration's entry for the call can't be applied",
     }
 }
 
--- a/crates/sycamore-node/src/calls/failed.rs
+++ b/crates/sycamore-node/src/calls/failed.rs
@@ -141,6 +141,7 @@
         RefusalReason::NoCredit,
         RefusalReason::ConfigurationRejected,
         RefusalReason::ConfigurationBehind,
+        RefusalReason::FaultyEntry,
     ]
     .into_iter()
     .find(|reason| reason.as_str() == text)
--- a/crates/sycamore-node/src/calls/serve.rs
+++ b/crates/sycamore-node/src/calls/serve.rs
@@ -270,6 +270,9 @@
     let Some(route) = snapshot.route(host, path) else {
         return Err(refuse_unrouted(state));
     };
+    if let Some(fault) = &route.fault {
+        return Err(Answer::faulty_entry(fault));
+    }
     let account = accounts::identify(state, &snapshot, route, info, peer)?;
     let rank = account.as_ref().and_then(|account| account.rank).or(route.policy.rank);
     let name = route.service_for(state.random_unit());
--- a/crates/sycamore-node/src/config/follow.rs
+++ b/crates/sycamore-node/src/config/follow.rs
@@ -5,23 +5,24 @@
 //! fetches. A node whose peers don't keep it current reads the rows itself.
 
 use super::driver::{millis, Driver};
+use super::encode::{encode_config, EncodedConfig};
 use super::out_of_use;
-use crate::edge::{OperatorEdge, OperatorRow, ReleaseOrder};
+use crate::edge::{OperatorConfig, OperatorEdge, OperatorRow, ReleaseOrder};
 use crate::hub::Dependency;
 use crate::tasks::TaskGroup;
-use bytes::Bytes;
 use slog::{info, warn};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use sycamore_config::follow::{NextRead, RowReads};
-use sycamore_config::manifest::MAX_PACK_BYTES;
-use sycamore_config::{Bundle, Encoded, Role};
+use sycamore_config::{Fault, Role};
 use sycamore_platform::backoff::{Backoff, BackoffSettings};
 use sycamore_platform::{Error, PageQuery, RemovedRow, Result, Revision, Row, Table};
 use sycamore_types::prelude::*;
 
+/// Upper bound on the faults of single entries in one log line.
+const MAX_LISTED_FAULTS: usize = 8;
 /// Time between two checks of this node's role.
 const ROLE_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest pause after a failed watch: a platform that is back must be used within 1 s.
@@ -249,9 +250,9 @@
 
     fn handle_row(&mut self, row: &Row) {
         match self.edge.read(&row.key, &row.value) {
-            OperatorRow::Config(Ok((version, resources))) => {
-                self.reads.record_version(version);
-                self.handle_config(version, resources);
+            OperatorRow::Config(Ok(config)) => {
+                self.reads.record_version(config.version);
+                self.handle_config(config);
             }
             OperatorRow::Config(Err(malformed)) => {
                 // Otherwise the configuration in force would count as complete up to this row.
@@ -276,16 +277,18 @@
         }
     }
 
-    fn handle_config(&self, version: ConfigVersion, resources: Vec<Resource>) {
+    fn handle_config(&self, config: OperatorConfig) {
+        let version = config.version;
         let driver = self.driver;
         let in_force = driver.hub.snapshot.borrow().version;
         if version <= in_force {
             return driver.record_valid_row();
         }
-        let count = resources.len();
-        match encode_config(version, resources) {
-            Ok((head, pack)) => {
+        let count = config.resources.len();
+        match encode_config(config) {
+            Ok(EncodedConfig { head, pack, faults }) => {
                 driver.record_valid_row();
+                self.record_faulty_entries(version, &faults);
                 info!(driver.hub.log, "operator configuration read"; "version" => version.0,
                     "bytes" => pack.len());
                 driver.accept_pack(head, pack);
@@ -299,6 +302,17 @@
         }
     }
 
+    /// Logs and counts the entries of a configuration that can't be applied, without the others.
+    fn record_faulty_entries(&self, version: ConfigVersion, faults: &[Fault]) {
+        self.driver.metrics.record_faulty_entries(faults.len());
+        if !faults.is_empty() {
+            let listed = faults.iter().take(MAX_LISTED_FAULTS).map(ToString::to_string);
+            let listed = listed.collect::<Vec<_>>().join("; ");
+            warn!(self.driver.hub.log, "operator configuration taken in part"; "version" => version.0,
+                "count" => faults.len(), "faults" => listed);
+        }
+    }
+
     fn handle_order(&self, row: &Row, order: ReleaseOrder) {
         let orders = &self.driver.hub.orders;
         let known = orders.borrow().get(&row.key).cloned();
@@ -361,27 +375,6 @@
     }
 }
 
-/// Validates and encodes a configuration.
-///
-/// # Errors
-/// Returns the faults as text. A pack that is too large to be read is one, so that its head isn't
-/// spread to nodes that could never get it.
-fn encode_config(
-    version: ConfigVersion,
-    resources: Vec<Resource>,
-) -> std::result::Result<(ConfigHead, Bytes), String> {
-    let bundle = Bundle::new(resources).map_err(|faults| {
-        let why: Vec<String> = faults.iter().map(ToString::to_string).collect();
-        why.join("; ")
-    })?;
-    let encoded = Encoded::new(bundle.resources(), version);
-    let pack = encoded.pack();
-    match pack.len() <= MAX_PACK_BYTES {
-        true => Ok((encoded.head, pack)),
-        false => Err(format!("has {} bytes; at most {MAX_PACK_BYTES} are allowed", pack.len())),
-    }
-}
-
 /// Returns whether `row` holds the `known` order of revision `at` once more, written again after the
 /// platform came back from an older copy. It is no new order, whose move would start anew.
 fn is_written_again(known: &ReleaseOrder, at: u64, order: &ReleaseOrder, row: &Row) -> bool {
--- a/crates/sycamore-node/src/config/metrics.rs
+++ b/crates/sycamore-node/src/config/metrics.rs
@@ -20,6 +20,7 @@
     applied_at: Gauge,
     followed_at: Gauge,
     rejected: IntCounter,
+    faulty_entries: IntGauge,
     fetches: IntCounterVec,
     deltas: IntCounterVec,
     role: IntGaugeVec,
@@ -60,6 +61,10 @@
             )?,
             rejected: meter
                 .counter("config_rejected_total", "Rejected configurations and operator rows")?,
+            faulty_entries: meter.gauge(
+                "config_faulty_entries",
+                "Entries of the operators' row, as this node read it last, that can't be applied",
+            )?,
             fetches: meter.counters(
                 "config_fetches_total",
                 "Fetches of configuration objects, by result",
@@ -115,6 +120,11 @@
         self.lag.observe(lag.as_secs_f64());
     }
 
+    /// Records how many entries of the operators' row can't be applied.
+    pub(super) fn record_faulty_entries(&self, count: usize) {
+        self.faulty_entries.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Records that a read of operators' rows succeeded at `at`, with or without changes.
     pub(super) fn record_rows_read(&self, at: WallTime) {
         self.followed_at.set(seconds(at));
--- a/crates/sycamore-node/src/config/mod.rs
+++ b/crates/sycamore-node/src/config/mod.rs
@@ -3,6 +3,7 @@
 mod accept;
 mod delta;
 mod driver;
+mod encode;
 mod fetch;
 mod find;
 mod floor;
--- a/crates/sycamore-node/src/edge/mod.rs
+++ b/crates/sycamore-node/src/edge/mod.rs
@@ -13,6 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use sycamore_call::Criticality;
+use sycamore_config::Fault;
 use sycamore_http::{RequestHead, ResponseHead};
 use sycamore_platform::StoreProtocol;
 use sycamore_types::prelude::*;
@@ -233,8 +234,8 @@
 /// Parsed row that operators wrote into the platform's table.
 #[derive(Debug, Clone, PartialEq)]
 pub enum OperatorRow {
-    /// Whole configuration: its version and resources, or why the row is malformed.
-    Config(Result<(ConfigVersion, Vec<Resource>), MalformedConfig>),
+    /// Whole configuration, or why the row is malformed.
+    Config(Result<OperatorConfig, MalformedConfig>),
     /// Order to move a service to another version, or why the row is malformed.
     Release(Result<ReleaseOrder, String>),
     /// Order to take a data centre out of use until the row is removed, or why its name is malformed.
@@ -243,6 +244,18 @@
     Other,
 }
 
+/// Configuration as an operator wrote it, translated entry by entry.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct OperatorConfig {
+    /// Version that the row names.
+    pub version: ConfigVersion,
+    /// Entries; those that can't be applied as they are carry their fault, or are left out if no call
+    /// could reach them.
+    pub resources: Vec<Resource>,
+    /// Faults of single entries, with their places in the row.
+    pub faults: Vec<Fault>,
+}
+
 /// Configuration row that can't be translated into resources.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MalformedConfig {
--- a/crates/sycamore-node/tests/calls/accounts.rs
+++ b/crates/sycamore-node/tests/calls/accounts.rs
@@ -14,6 +14,7 @@
         rank: None,
         rate: None,
         burst: 0,
+        fault: None,
     }
 }
 
@@ -168,3 +169,38 @@
         cluster.stop().await;
     });
 }
+
+/// Guards against calls of an account that can't be told to upstreams as it is named: they are refused as
+/// not run, without its key, while other accounts and routes without keys go on.
+#[test]
+fn calls_of_a_faulty_account_are_refused_and_no_others() {
+    run(async {
+        let faulty = ClientAccount {
+            fault: Some("the name ends with a space".to_owned()),
+            ..account("joiner_.0", "key-of-joiner")
+        };
+        let accounts = vec![faulty, account("roofer", "key-of-roofer")];
+        let cluster = Cluster::start(&Options { accounts, ..Options::default() }).await;
+        let call = |key: &str| {
+            let value = format!("Bearer {key}");
+            let req = get("/counter/echo").header(header::AUTHORIZATION, value);
+            async { cluster.call(req, "").await }
+        };
+        let resp = call("key-of-joiner").await;
+        assert_eq!(resp.status(), StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(field(&resp, headers::OUTCOME), "not-run");
+        assert_eq!(field(&resp, headers::REASON), "faulty-entry");
+        assert_eq!(cluster.runs("echo"), 0);
+        assert_eq!(call("key-of-roofer").await.status(), StatusCode::OK);
+        let hub = &cluster.nodes[0].hub;
+        let mut snapshot = (**hub.snapshot.borrow()).clone();
+        let open = |route: &Route| Route {
+            policy: RoutePolicy { is_open: true, ..route.policy.clone() },
+            ..route.clone()
+        };
+        snapshot.routes = snapshot.routes.iter().map(open).collect::<Vec<_>>().into();
+        hub.publish_snapshot(snapshot);
+        assert_eq!(call("key-of-joiner").await.status(), StatusCode::OK, "needs no key");
+        cluster.stop().await;
+    });
+}
--- a/crates/sycamore-node/tests/calls/refuse.rs
+++ b/crates/sycamore-node/tests/calls/refuse.rs
@@ -29,6 +29,32 @@
     });
 }
 
+/// A route that can't be applied must refuse its calls at once as not run, and leave them to no other
+/// route.
+#[test]
+fn calls_of_a_faulty_route_are_refused() {
+    run(async {
+        let cluster = Cluster::start(&Options::default()).await;
+        let hub = &cluster.nodes[0].hub;
+        let mut snapshot = (**hub.snapshot.borrow()).clone();
+        let sound = snapshot.routes[0].clone();
+        let faulty = Route {
+            name: RouteName::new("faulty").unwrap(),
+            prefix: "/counter/echo/deep/".to_owned(),
+            fault: Some("no service".to_owned()),
+            ..sound.clone()
+        };
+        snapshot.routes = vec![faulty, sound].into();
+        hub.publish_snapshot(snapshot);
+        let resp = cluster.call(get("/counter/echo/deep/7"), "").await;
+        assert_refused(&resp, 503, "faulty-entry");
+        assert_eq!(field(&resp, "retry-after"), "1");
+        assert_eq!(cluster.runs("echo"), 0);
+        assert_eq!(cluster.call(get("/counter/echo"), "").await.status(), StatusCode::OK);
+        cluster.stop().await;
+    });
+}
+
 /// A node that has rejected a newer configuration doesn't know its routes: 404, which callers take
 /// as final, would be given for a route that exists. It must end with the configuration that
 /// replaces the rejected one, and not touch calls on routes in force.
--- a/crates/sycamore-node/tests/calls/world.rs
+++ b/crates/sycamore-node/tests/calls/world.rs
@@ -257,6 +257,7 @@
         split: Vec::new(),
         timeout: options.timeout,
         policy: RoutePolicy::default(),
+        fault: None,
     };
     Snapshot {
         version: ConfigVersion(1),
--- a/crates/sycamore-node/tests/newer.rs
+++ b/crates/sycamore-node/tests/newer.rs
@@ -134,6 +134,7 @@
         split: Vec::new(),
         timeout: Duration::from_secs(1),
         policy: RoutePolicy::default(),
+        fault: None,
     })
 }
 
--- a/crates/sycamore-types/src/account.rs
+++ b/crates/sycamore-types/src/account.rs
@@ -46,6 +46,17 @@
     /// Calls that the account may make at once beyond its rate.
     #[serde(default)]
     pub burst: u32,
+    /// Reason for which none of the account's calls is served, without its keys; `None` for a valid
+    /// account.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fault: Option<String>,
+}
+
+impl ClientAccount {
+    /// Creates an account whose calls are refused because of `fault`, which names none of the keys.
+    pub fn faulty(name: AccountName, keys: Vec<KeyDigest>, fault: String) -> Self {
+        Self { name, keys, rank: None, rate: None, burst: 0, fault: Some(fault) }
+    }
 }
 
 /// Accounts of a configuration by name and by key; clones share it.
--- a/crates/sycamore-types/src/outcome.rs
+++ b/crates/sycamore-types/src/outcome.rs
@@ -46,6 +46,8 @@
     /// No route matches, in a configuration that is out of date: the node has known of a newer one
     /// for too long without applying it.
     ConfigurationBehind,
+    /// The configuration's entry for the call's route or account can't be applied.
+    FaultyEntry,
 }
 
 impl RefusalReason {
@@ -70,6 +72,7 @@
             RefusalReason::NoCredit => "no-credit",
             RefusalReason::ConfigurationRejected => "configuration-rejected",
             RefusalReason::ConfigurationBehind => "configuration-behind",
+            RefusalReason::FaultyEntry => "faulty-entry",
         }
     }
 }
--- a/crates/sycamore-types/src/resource.rs
+++ b/crates/sycamore-types/src/resource.rs
@@ -82,6 +82,10 @@
     /// Policy for calls of the route.
     #[serde(default, skip_serializing_if = "RoutePolicy::is_default")]
     pub policy: RoutePolicy,
+    /// Reason for which none of the route's calls is served; `None` for a valid route. A faulty route
+    /// stays in the configuration, so that its calls don't take a route with a shorter prefix.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fault: Option<String>,
 }
 
 impl Route {
--- a/crates/sycamore-types/tests/route_table.rs
+++ b/crates/sycamore-types/tests/route_table.rs
@@ -13,6 +13,7 @@
         split: Vec::new(),
         timeout: std::time::Duration::from_secs(1),
         policy: RoutePolicy::default(),
+        fault: None,
     }
 }
 
--- a/crates/sycamore-types/tests/types.rs
+++ b/crates/sycamore-types/tests/types.rs
@@ -58,6 +58,7 @@
         split: Vec::new(),
         timeout: std::time::Duration::from_secs(1),
         policy: RoutePolicy::default(),
+        fault: None,
     };
     let snapshot = Snapshot {
         routes: vec![route("/tickets/open"), route("/tickets")].into(),
@@ -97,6 +98,7 @@
         split: Vec::new(),
         timeout: std::time::Duration::from_secs(1),
         policy: RoutePolicy::default(),
+        fault: None,
     };
     let routes = vec![
         route(Some("a.example"), "/x/y/"),
