fix: release orders for services whose name no header field carries

Operators saw: an order for a service named "desk " was rejected ("name contains ' '"), so that it was never carried out, while routes and announcements have such a service under a replacement of its name.

Cause: an order's service was decoded as the node's name, and its status written under that.

--- a/crates/sycamore-node/src/edge/mod.rs
+++ b/crates/sycamore-node/src/edge/mod.rs
@@ -270,6 +270,8 @@
 pub struct ReleaseOrder {
     /// Service whose calls move.
     pub service: ServiceName,
+    /// Name of that service as the operator wrote it.
+    pub service_name: String,
     /// Version that the calls move to.
     pub to: UpstreamVersion,
     /// Name of that version as the operator wrote it.
--- a/crates/sycamore-node/tests/config/main.rs
+++ b/crates/sycamore-node/tests/config/main.rs
@@ -49,6 +49,7 @@
         if name != CONFIG_KEY {
             return OperatorRow::Release(Ok(ReleaseOrder {
                 to_name: String::new(),
+                service_name: name.to_owned(),
                 service: ServiceName::new(name).unwrap(),
                 to: UpstreamVersion::new("v2").unwrap(),
                 duration: Duration::from_secs(60),
