fix(node): keys with letters beyond ASCII are found

Callers saw: 401, which is final, for a key that the configuration holds.

Cause: the credential was read as ASCII text, while the digest of a key is of its UTF-8 bytes.

Change: the credential is read as bytes.

Test: `accounts_with_keys_of_any_text_are_served` failed before ("no request that is served within 10s").

--- a/crates/sycamore-node/src/edge/native.rs
+++ b/crates/sycamore-node/src/edge/native.rs
@@ -85,12 +85,15 @@
         (Some(value), None) => value,
         (Some(_), Some(_)) => return Credential::Malformed,
     };
-    let parts = value.to_str().ok().and_then(|text| text.trim().split_once(' '));
-    match parts.map(|(found, key)| (found, key.trim_start())) {
-        Some((found, key)) if found.eq_ignore_ascii_case(scheme) && !key.is_empty() => {
-            Credential::Key(KeyDigest::of(key.as_bytes()))
+    // Keys may have characters beyond ASCII.
+    let value = value.as_bytes().trim_ascii();
+    let end = value.iter().position(|byte| *byte == b' ').unwrap_or(value.len());
+    let (found, key) = value.split_at(end);
+    match key.trim_ascii_start() {
+        key if found.eq_ignore_ascii_case(scheme.as_bytes()) && !key.is_empty() => {
+            Credential::Key(KeyDigest::of(key))
         }
-        Some(_) | None => Credential::Malformed,
+        _ => Credential::Malformed,
     }
 }
 
