test: names of any text in the soak's configurations and in lines of the log

The soak's changes add a service, a route and a client account with names that header fields carry and that are no identifiers. Before each, a node is given one with names that none carries, which it has to refuse. `a_line_break_in_a_value_adds_no_line` passes without a change of the log, which escapes them.

--- a/crates/sycamore-bench/src/soak/mod.rs
+++ b/crates/sycamore-bench/src/soak/mod.rs
@@ -2,6 +2,7 @@
 //! run, from what callers and upstreams observe.
 
 mod flood;
+mod names;
 mod play;
 mod promises;
 pub mod schedule;
--- a/crates/sycamore-bench/src/soak/play.rs
+++ b/crates/sycamore-bench/src/soak/play.rs
@@ -1,6 +1,7 @@
 //! Carries out scheduled fault events on a fleet.
 
 use super::flood::Flood;
+use super::names;
 use super::promises::Invariants;
 use super::schedule::{Action, Event, Part};
 use crate::fleet::{Fleet, Hop};
@@ -13,6 +14,7 @@
 use serde_json::{json, Value};
 use std::cell::Cell;
 use std::time::Duration;
+use sycamore_types::prelude::*;
 
 /// Time within which a node must exit after SIGTERM, as the users require; time while paused does
 /// not count.
@@ -105,7 +107,7 @@
                 self.control_platform(Control { lost_answers: Some(count), ..Control::default() })
                     .await;
             }
-            Action::Change => self.change_config().await,
+            Action::Change => self.change_config(&event.instance).await,
             Action::Limit(limit) => {
                 let rate_limit = Some(f64::from(limit));
                 self.report(instance, SelfReport { rate_limit, leaving: false }).await;
@@ -245,17 +247,14 @@
         }
     }
 
-    /// Applies a configuration with one additional route. A failure is only printed: during faults no
-    /// node may be able to accept it.
-    async fn change_config(&self) {
+    /// Applies a configuration with names of any text, after one that the node of `instance` has to refuse.
+    /// A failure is only printed: during faults no node may be able to accept it.
+    async fn change_config(&self, instance: &str) {
         let number = self.changes.get() + 1;
         self.changes.set(number);
-        let mut resources = self.fleet.options().deployment.resources();
-        let service = self.fleet.options().deployment.services[0].name.clone();
-        resources.push(json!({
-            "kind": "route", "name": format!("more-{number}"), "service": service,
-            "prefix": format!("/more-{number}/"), "timeout_ms": 2_000,
-        }));
+        let deployment = &self.fleet.options().deployment;
+        self.submit_refused(instance, names::refused_resources(deployment, number)).await;
+        let resources = names::resources(deployment, number);
         match self.fleet.apply_resources("soak", resources).await {
             Ok(version) => self.newest.set(self.newest.get().max(version)),
             Err(report) => {
@@ -263,6 +262,16 @@
             }
         }
     }
+
+    /// Submits a configuration that no node may accept.
+    async fn submit_refused(&self, instance: &str, resources: Vec<Value>) {
+        let op = OpId(rand::random());
+        let body = json!({ "operator": "soak", "op": op, "expect": null, "resources": resources });
+        if let Ok(answer) = self.fleet.command(instance, "config-apply", &body).await {
+            let seen = format!("{instance} accepted version {}", answer["version"]);
+            self.invariants.add_violation("configuration with a name that no field carries", seen);
+        }
+    }
 }
 
 /// Returns rows under keys of members and of moves that hold no valid one.
--- a/crates/sycamore-node/tests/log.rs
+++ b/crates/sycamore-node/tests/log.rs
@@ -75,3 +75,19 @@
     assert_eq!(counts.sum::<u64>(), dropped.get(), "not every dropped line is reported: {text}");
     assert_eq!(kept as u64 + dropped.get(), u64::from(FLOOD_LINES));
 }
+
+/// A line break in a name of somebody else's must not begin a line of its own, which readers would take
+/// for an event of the node.
+#[test]
+fn a_line_break_in_a_value_adds_no_line() {
+    let (out, release, lines) = stalled_output();
+    release.send(()).expect("the output waits");
+    let (log, _) = logger(&settings(), out);
+    let name = "a\nmsg=forged level=ERRO\r\u{2028}\u{85}b\"c\\";
+    info!(log, "odd"; "name" => name, "debug" => ?name);
+    drop(log);
+    let text = String::from_utf8(lines.lock().expect("no writer panicked").clone());
+    let text = text.expect("lines are text");
+    assert_eq!(text.trim_end().lines().count(), 1, "{text}");
+    assert!(!text.contains('\r'), "{text}");
+}
