fix(settings): the name of a node's service may hold quotes and backslashes

A backslash at the end kept nodes from starting.

Cause: the platform fills the name into the settings as it is, and the INI syntax reads quotes, backslashes and signs of comments in it.

Change: `KEY := TEXT` takes the text as it stands, to the end of the line. Other keys are read as before.

--- a/crates/sycamore-settings/src/lib.rs
+++ b/crates/sycamore-settings/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod check;
 pub mod config;
 pub mod hedge;
+mod literal;
 pub mod load;
 pub mod moves;
 pub mod node;
--- a/crates/sycamore-settings/src/load.rs
+++ b/crates/sycamore-settings/src/load.rs
@@ -1,5 +1,6 @@
 //! Reader of settings files, which parses each key separately to report all faults at once.
 
+use crate::literal::Literals;
 use crate::{check, Settings};
 use ::config::{Config as Source, File, FileFormat};
 use error_stack::Report;
@@ -77,7 +78,11 @@
 /// [`SettingsError::Unreadable`] if `text` is not valid INI, [`SettingsError::Faulty`] with all
 /// faults in its settings.
 pub fn from_text(name: &str, text: &str) -> Result<Settings, Report<SettingsError>> {
-    let sections = parse_sections(name, text)?;
+    let (literals, text) = Literals::extract(text);
+    let mut sections = parse_sections(name, &text)?;
+    for value in sections.values_mut().flat_map(Section::values_mut) {
+        *value = literals.resolve(std::mem::take(value));
+    }
     let mut reader = Reader { file: name, sections, faults: Vec::new() };
     let settings = Settings {
         node: reader.required_section("node"),
--- a/crates/sycamore-settings/tests/load.rs
+++ b/crates/sycamore-settings/tests/load.rs
@@ -133,3 +133,17 @@
         true
     }
 }
+
+// Guards against a name that changes by the syntax of the file, and against texts that take the place of
+// other values.
+#[test]
+fn a_value_after_a_literal_sign_is_taken_as_it_stands() {
+    let text = NODE.replace("service = counter", "service := \"literal-0\\\" ; # x = y");
+    let settings = from_text("test.ini", &text).expect("a literal name");
+    assert_eq!(settings.node.service.as_str(), "\"literal-0\\\" ; # x = y");
+    assert_eq!(settings.node.instance.as_str(), "counter-1");
+    let quoted = NODE.replace("service = counter", "service = \"counter\"");
+    let settings = from_text("test.ini", &quoted).expect("a quoted name");
+    assert_eq!(settings.node.service.as_str(), "counter");
+    assert_eq!(fault_places(&NODE.replace("service = counter", "service :=")), ["node.service"]);
+}
